--- /dev/null
+++ b/io/settings/doc.go
@@ -0,0 +1,3 @@
+// Package settings reads the TOML settings of one process and checks them as
+// a whole before anything starts.
+package settings
