--- a/core/config/config.go
+++ b/core/config/config.go
@@ -92,4 +92,5 @@
 	Document Document
 	Keys     []Key
 	Targets  []fleet.Target
+	Cut      []CutKey // keys withdrawn of late whose running requests are interrupted
 }
--- /dev/null
+++ b/core/config/delta.go
@@ -0,0 +1,35 @@
+package config
+
+import (
+	"papayarock/core/fleet"
+)
+
+// General is the part of a Document that is small and replaced as a whole.
+type General struct {
+	Team    string
+	Routes  []Route
+	Models  []Model
+	Windows []Window
+	Budget  Budget
+}
+
+// CutKey names a withdrawn key whose running requests are interrupted.
+type CutKey struct {
+	ID       string
+	Revision uint64 // at which the key was withdrawn
+}
+
+// Delta leads from one revision to a later one. Removals come before
+// additions; each list is sorted.
+type Delta struct {
+	From            uint64
+	To              uint64
+	General         *General // nil when unchanged
+	RemoveCustomers []fleet.Customer
+	PutCustomers    []Customer
+	RemoveKeys      []string // by ID
+	PutKeys         []Key
+	Cut             []CutKey // withdrawn keys whose requests are interrupted
+	RemoveTargets   []fleet.TargetName
+	PutTargets      []fleet.Target
+}
--- a/core/state/claim.go
+++ b/core/state/claim.go
@@ -14,6 +14,7 @@
 
 // Claim asks for the right to hand a non-idempotent request to a target. It is
 // committed before the hand-over, so that of all entries only one hands over.
+// A new attempt after SettledBarred uses a new request id.
 type Claim struct {
 	Key     ClaimKey
 	Request fleet.RequestID
@@ -33,6 +34,7 @@
 	ClaimAnswered                     // settled; the kept answer is returned
 	ClaimRan                          // settled; the answer was too large to keep
 	ClaimMismatch                     // the key was used with another body
+	ClaimUnknown                      // ended unknown; nobody may try again
 )
 
 // ClaimResult is the answer to a Claim.
