--- /dev/null
+++ b/core/config/merge.go
@@ -0,0 +1,90 @@
+package config
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"papayarock/core/fleet"
+)
+
+// Merge joins deltas that follow each other into one. Of several edits of one
+// entry the last is kept.
+func Merge(deltas ...Delta) Delta {
+	if len(deltas) == 1 {
+		return deltas[0]
+	}
+	var out Delta
+	customers := newMerger[fleet.Customer, Customer]()
+	keys := newMerger[string, Key]()
+	targets := newMerger[fleet.TargetName, fleet.Target]()
+	for i, d := range deltas {
+		if i == 0 {
+			out.From = d.From
+		}
+		out.To = d.To
+		if d.General != nil {
+			out.General = d.General
+		}
+		out.Cut = mergeCut(out.Cut, d.Cut)
+		customers.add(d.RemoveCustomers, d.PutCustomers, func(c Customer) fleet.Customer { return c.Name })
+		keys.add(d.RemoveKeys, d.PutKeys, func(k Key) string { return k.ID })
+		targets.add(d.RemoveTargets, d.PutTargets, func(t fleet.Target) fleet.TargetName { return t.Name })
+	}
+	out.RemoveCustomers, out.PutCustomers = customers.lists()
+	out.RemoveKeys, out.PutKeys = keys.lists()
+	out.RemoveTargets, out.PutTargets = targets.lists()
+	return out
+}
+
+// Entries counts the edits of d.
+func (d Delta) Entries() int {
+	return len(d.RemoveCustomers) + len(d.PutCustomers) + len(d.RemoveKeys) + len(d.PutKeys) +
+		len(d.RemoveTargets) + len(d.PutTargets) + len(d.Cut)
+}
+
+type merger[K cmp.Ordered, V any] struct {
+	removed map[K]bool
+	put     map[K]V
+}
+
+func newMerger[K cmp.Ordered, V any]() *merger[K, V] {
+	return &merger[K, V]{removed: make(map[K]bool), put: make(map[K]V)}
+}
+
+// add notes one delta. A removal stays noted when the entry is put again, so
+// that a key issued anew under its ID replaces the old digest.
+func (m *merger[K, V]) add(removed []K, put []V, key func(V) K) {
+	for _, k := range removed {
+		m.removed[k] = true
+		delete(m.put, k)
+	}
+	for _, v := range put {
+		m.put[key(v)] = v
+	}
+}
+
+func (m *merger[K, V]) lists() (removed []K, put []V) {
+	removed = slices.Sorted(maps.Keys(m.removed))
+	for _, k := range slices.Sorted(maps.Keys(m.put)) {
+		put = append(put, m.put[k])
+	}
+	return removed, put
+}
+
+// mergeCut appends the cuts of b to a and keeps the latest of them.
+func mergeCut(a, b []CutKey) []CutKey {
+	if len(b) == 0 {
+		return a
+	}
+	out := slices.Clone(a)
+	for _, c := range b {
+		if !slices.Contains(out, c) {
+			out = append(out, c)
+		}
+	}
+	if n := len(out) - maxCut; n > 0 {
+		out = slices.Clone(out[n:])
+	}
+	return out
+}
