--- a/core/config/index.go
+++ b/core/config/index.go
@@ -170,7 +170,7 @@
 			Team: g.Team, Routes: g.Routes, Models: g.Models, Windows: g.Windows, Budget: g.Budget,
 			Customers: x.Customers(),
 		},
-		Keys:    listed(&x.keys, func(a, b Key) int { return strings.Compare(a.ID, b.ID) }),
+		Keys:    x.Keys(),
 		Targets: listed(&x.targets, func(a, b fleet.Target) int { return strings.Compare(string(a.Name), string(b.Name)) }),
 	}
 }
@@ -180,6 +180,29 @@
 	return listed(&x.customers, func(a, b Customer) int { return strings.Compare(string(a.Name), string(b.Name)) })
 }
 
+// Keys lists the keys by ID.
+func (x *Index) Keys() []Key {
+	return listed(&x.keys, func(a, b Key) int { return strings.Compare(a.ID, b.ID) })
+}
+
+// KeyCount returns the number of keys.
+func (x *Index) KeyCount() int { return x.keys.size }
+
+// CustomerCount returns the number of customers.
+func (x *Index) CustomerCount() int { return x.customers.size }
+
+// HasDigest reports whether a key has the digest.
+func (x *Index) HasDigest(d Digest) bool {
+	_, ok := x.keys.get(d[0], d)
+	return ok
+}
+
+// WasCut reports whether a key was withdrawn of late with its requests
+// interrupted.
+func (x *Index) WasCut(id string) bool {
+	return slices.ContainsFunc(x.Cut, func(c CutKey) bool { return c.ID == id })
+}
+
 func listed[K comparable, V any](p *partition[K, V], compare func(a, b V) int) []V {
 	if p.size == 0 {
 		return nil
--- a/core/state/image.go
+++ b/core/state/image.go
@@ -60,9 +60,10 @@
 	Wanted      Wanted
 	WantedUntil time.Time // deadline of the wanted drain
 	RoleWanted  bool
-	Role        fleet.Role // with RoleWanted
-	Read        fleet.OrderNumber
-	Loaded      Content // last observed or ordered
+	Role        fleet.Role        // with RoleWanted
+	Unread      bool              // the actual state must be read before the next order
+	Read        fleet.OrderNumber // number of the last read asked for
+	Loaded      Content           // last observed or ordered
 	Open        *Order
 	Closed      *ClosedOrder
 	Replaces    fleet.TargetName // drained once this target is ready
--- /dev/null
+++ b/core/state/operate.go
@@ -0,0 +1,115 @@
+package state
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayarock/core/fleet"
+)
+
+func (m *Machine) present(name fleet.TargetName) (*TargetRecord, error) {
+	r := m.targets[name]
+	if r == nil || r.Target.Phase == fleet.Gone {
+		return nil, errors.Errorf("target %q does not exist or is gone", name)
+	}
+	return r, nil
+}
+
+func (m *Machine) drainTarget(a DrainTarget) error {
+	r, err := m.present(a.Target)
+	if err != nil {
+		return err
+	}
+	if a.Until.IsZero() {
+		return errors.Errorf("drain of target %q has no deadline", a.Target)
+	}
+	w := WantedDrained
+	if a.Leave {
+		w = WantedGone
+	}
+	if r.Wanted == WantedGone && !a.Leave {
+		return errors.Errorf("target %q is leaving: cancel that first", a.Target)
+	}
+	m.want(r, w, a.Until)
+	return nil
+}
+
+// replaceTarget opens the platform order in the same step, so that the change
+// is accepted once and one target is ordered. The old target serves until the
+// new one is ready.
+func (m *Machine) replaceTarget(c Change, a ReplaceTarget) error {
+	r, err := m.present(a.Target)
+	if err != nil {
+		return err
+	}
+	if r.Wanted == WantedGone || a.DrainFor <= 0 {
+		return errors.Errorf("target %q is leaving, or the drain of %s is not positive", a.Target, a.DrainFor)
+	}
+	for _, o := range m.targets {
+		if o.Replaces == a.Target {
+			return errors.Errorf("target %q is being replaced by %q", a.Target, o.Target.Name)
+		}
+	}
+	res := m.start(PlacePlatformOrder{
+		ID: "change " + c.ID, Kind: PlatformStart, DataCentre: r.Target.DataCentre, Region: r.Target.Region,
+		Pool: r.Target.Pool, Deadline: a.Deadline, Time: c.Time,
+	})
+	if res.Outcome != OrderPlaced {
+		return errors.Errorf("target %q: no further platform order can be opened", a.Target)
+	}
+	n := m.targets[res.Order.Target]
+	n.Replaces, n.DrainFor = a.Target, a.DrainFor
+	n.Target.Kind = r.Target.Kind
+	m.touch(n)
+	return nil
+}
+
+func (m *Machine) setRole(a SetRole) error {
+	r, err := m.present(a.Target)
+	switch {
+	case err != nil:
+		return err
+	case r.Target.Kind != fleet.Engine:
+		return errors.Errorf("target %q is not an engine", a.Target)
+	case r.Wanted == WantedGone:
+		return errors.Errorf("target %q is leaving", a.Target)
+	case a.Until.IsZero():
+		return errors.Errorf("role change of target %q has no drain deadline", a.Target)
+	case r.Open != nil:
+		return errors.Errorf("target %q has the open order %s", a.Target, r.Open.Number)
+	}
+	r.RoleWanted, r.Role = a.Role != r.Target.Role || r.Unread, a.Role
+	if r.RoleWanted {
+		r.WantedUntil = a.Until
+		switch r.Target.Phase {
+		case fleet.Announced, fleet.Ready, fleet.Draining:
+			r.enter(fleet.Draining, a.Until)
+		}
+	}
+	m.touch(r)
+	return nil
+}
+
+// cancelDrain leads back by way of Announced: whether the target can serve is
+// for its agent to say.
+func (m *Machine) cancelDrain(c Change, a CancelDrain) error {
+	r := m.targets[a.Target]
+	if r == nil {
+		return errors.Errorf("target %q does not exist", a.Target)
+	}
+	if r.Open != nil {
+		return errors.Errorf("target %q has the open order %s", a.Target, r.Open.Number)
+	}
+	r.Wanted, r.RoleWanted, r.WantedUntil = WantedServing, false, time.Time{}
+	for _, o := range m.targets {
+		if o.Replaces == a.Target {
+			o.Replaces, o.DrainFor = "", 0
+		}
+	}
+	if p := r.Target.Phase; p == fleet.Draining || p == fleet.Leaving {
+		r.enter(fleet.Announced, c.Time.Add(unknownFor))
+	}
+	m.touch(r)
+	return nil
+}
--- /dev/null
+++ b/core/state/order.go
@@ -0,0 +1,123 @@
+package state
+
+import (
+	"strings"
+	"time"
+
+	"papayarock/core/fleet"
+)
+
+// placeOrder opens an order unless one is open or the target must be read.
+// Proposing the same again while it is open returns it under its number.
+func (m *Machine) placeOrder(c PlaceOrder) Result {
+	r := m.targets[c.Target]
+	switch {
+	case r == nil:
+		return OrderResult{Outcome: OrderNotKnown}
+	case c.Term < m.term || c.Incarnation != r.Target.Incarnation || c.Incarnation == 0:
+		return OrderResult{Outcome: OrderStale}
+	case r.Unread:
+		return OrderResult{Outcome: OrderMustRead, Read: r.Read}
+	case r.Open != nil:
+		o := *r.Open
+		if o.Kind == c.Kind && o.Content == c.Content {
+			return OrderResult{Outcome: OrderPlaced, Order: o}
+		}
+		return OrderResult{Outcome: OrderOpen, Order: o}
+	case !orderable(r, c.Kind):
+		return OrderResult{Outcome: OrderNotAllowed}
+	}
+	m.EnterTerm(c.Term)
+	r.Open = &Order{
+		Number: m.number(), Target: c.Target, Incarnation: c.Incarnation,
+		Kind: c.Kind, Content: c.Content, Deadline: c.Deadline,
+	}
+	return OrderResult{Outcome: OrderPlaced, Order: *r.Open}
+}
+
+// orderable says whether the phase allows an order. A role change interrupts
+// what runs, so the target must be drained first.
+func orderable(r *TargetRecord, k OrderKind) bool {
+	switch r.Target.Phase {
+	case fleet.Announced:
+		return k == OrderDrain || r.Target.Kind == fleet.Engine
+	case fleet.Ready:
+		return k == OrderDrain || k == OrderLoad && r.Target.Kind == fleet.Engine
+	case fleet.Draining:
+		return k == OrderDrain || r.Target.Kind == fleet.Engine
+	case fleet.Leaving:
+		return k == OrderDrain
+	}
+	return false
+}
+
+// acknowledgeOrder closes an order once. A late answer to an abandoned order
+// has no effect: the target is read instead.
+func (m *Machine) acknowledgeOrder(c AcknowledgeOrder) Result {
+	r := m.targets[c.Target]
+	if r == nil {
+		return OrderResult{Outcome: OrderNotKnown}
+	}
+	if d := r.Closed; d != nil && d.Order.Number == c.Number && !d.Abandoned {
+		return OrderResult{Outcome: OrderClosedBefore, Order: d.Order, Done: d.Done, Detail: d.Detail}
+	}
+	if r.Open == nil || r.Open.Number != c.Number || r.Open.Incarnation != c.Incarnation {
+		return OrderResult{Outcome: OrderStale}
+	}
+	detail := shorten(c.Detail)
+	r.Closed = &ClosedOrder{Order: *r.Open, Done: c.Done, Detail: detail}
+	r.Open = nil
+	if c.Done {
+		m.ordered(r)
+	}
+	m.publish()
+	return OrderResult{Outcome: OrderClosed, Order: r.Closed.Order, Done: c.Done, Detail: detail}
+}
+
+// ordered notes the effect of an order that was carried out.
+func (m *Machine) ordered(r *TargetRecord) {
+	o := r.Closed.Order
+	switch o.Kind {
+	case OrderLoad:
+		r.Loaded = o.Content
+	case OrderRole:
+		r.Target.Role = o.Content.Role
+		r.RoleWanted = r.RoleWanted && r.Role != o.Content.Role
+		if r.Target.Phase == fleet.Draining && r.Wanted == WantedServing && !r.RoleWanted {
+			r.enter(fleet.Ready, time.Time{})
+		}
+		m.touch(r)
+	}
+}
+
+func (m *Machine) abandonOrder(c AbandonOrder) Result {
+	r := m.targets[c.Target]
+	if r == nil {
+		return OrderResult{Outcome: OrderNotKnown}
+	}
+	if d := r.Closed; d != nil && d.Order.Number == c.Number {
+		return OrderResult{Outcome: OrderClosedBefore, Order: d.Order, Done: d.Done, Detail: d.Detail, Read: r.read()}
+	}
+	if c.Term < m.term || r.Open == nil || r.Open.Number != c.Number {
+		return OrderResult{Outcome: OrderStale}
+	}
+	m.EnterTerm(c.Term)
+	m.becomeUnknown(r, c.Time.Add(unknownFor))
+	m.touch(r)
+	m.publish()
+	return OrderResult{Outcome: OrderClosed, Order: r.Closed.Order, Read: r.Read}
+}
+
+// read returns the number of a read still due.
+func (r *TargetRecord) read() fleet.OrderNumber {
+	if !r.Unread {
+		return fleet.OrderNumber{}
+	}
+	return r.Read
+}
+
+// shorten bounds text from outside and keeps it valid UTF-8, which the
+// encoding of a snapshot requires.
+func shorten(s string) string {
+	return strings.ToValidUTF8(s[:min(len(s), maxNameBytes)], "")
+}
--- /dev/null
+++ b/core/state/platform.go
@@ -0,0 +1,202 @@
+package state
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"papayarock/core/fleet"
+)
+
+// platformMemory is how long the id of a closed platform order is remembered.
+// A proposal that is sent again later than that starts another target.
+const platformMemory = 24 * time.Hour
+
+// maxOpenPlatform bounds the platform orders that wait for an answer.
+const maxOpenPlatform = 256
+
+// platform holds the orders to the platform.
+type platform struct {
+	byID     map[string]*PlatformRecord
+	byNumber map[fleet.OrderNumber]*PlatformRecord
+	open     int
+}
+
+func (p *platform) add(r *PlatformRecord) {
+	p.byID[r.Order.ID] = r
+	p.byNumber[r.Order.Number] = r
+	if !r.Closed {
+		p.open++
+	}
+}
+
+func (p *platform) records() []PlatformRecord {
+	out := make([]PlatformRecord, 0, len(p.byNumber))
+	for _, r := range p.byNumber {
+		out = append(out, *r)
+	}
+	slices.SortFunc(out, func(a, b PlatformRecord) int { return a.Order.Number.Compare(b.Order.Number) })
+	return out
+}
+
+func (p *platform) openFor(name fleet.TargetName) *PlatformRecord {
+	for _, r := range p.byNumber {
+		if !r.Closed && r.Order.Target == name {
+			return r
+		}
+	}
+	return nil
+}
+
+func (p *platform) expire(now time.Time) int {
+	n := 0
+	for number, r := range p.byNumber {
+		if r.Closed && !r.Expires.After(now) {
+			delete(p.byNumber, number)
+			delete(p.byID, r.Order.ID)
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Machine) placePlatform(c PlacePlatformOrder) Result {
+	if c.ID == "" || len(c.ID) > maxNameBytes {
+		return PlatformResult{Outcome: OrderNotAllowed}
+	}
+	if r := m.platform.byID[c.ID]; r != nil {
+		return placedBefore(r, c)
+	}
+	if c.Term < m.term {
+		return PlatformResult{Outcome: OrderStale}
+	}
+	m.EnterTerm(c.Term)
+	if c.Kind == PlatformStart {
+		res := m.start(c)
+		m.publish()
+		return res
+	}
+	return m.stop(c)
+}
+
+// placedBefore answers a proposal whose id is known. Other content under the
+// same id is refused, so that an id never means two orders.
+func placedBefore(r *PlatformRecord, c PlacePlatformOrder) Result {
+	o := r.Order
+	same := o.Kind == c.Kind && o.DataCentre == c.DataCentre && o.Pool == c.Pool
+	if !same || c.Kind == PlatformStop && o.Target != c.Target {
+		return PlatformResult{Outcome: OrderNotAllowed, Order: o}
+	}
+	if r.Closed {
+		return PlatformResult{Outcome: OrderClosedBefore, Order: o, Done: r.Done, Detail: r.Detail}
+	}
+	return PlatformResult{Outcome: OrderPlaced, Order: o}
+}
+
+func (m *Machine) room() bool {
+	return m.platform.open < maxOpenPlatform && len(m.platform.byNumber) < m.limits.platform
+}
+
+// start opens a start order and reserves the name of the one target it
+// creates. The name follows from the number.
+func (m *Machine) start(c PlacePlatformOrder) PlatformResult {
+	if !m.room() || len(m.targets) >= m.limits.targets || len(c.DataCentre)+len(c.Pool) > maxNameBytes/2 {
+		return PlatformResult{Outcome: OrderNotAllowed}
+	}
+	number := m.number()
+	name := fleet.TargetName(fmt.Sprintf("%s-%s-%s", c.DataCentre, c.Pool, number))
+	o := PlatformOrder{
+		Number: number, ID: c.ID, Kind: PlatformStart, DataCentre: c.DataCentre, Region: c.Region,
+		Pool: c.Pool, Target: name, Deadline: c.Deadline,
+	}
+	m.platform.add(&PlatformRecord{Order: o})
+	t := &TargetRecord{Target: fleet.Target{Name: name, DataCentre: c.DataCentre, Region: c.Region, Pool: c.Pool}}
+	t.enter(fleet.Announced, c.Deadline)
+	m.targets[name] = t
+	m.touch(t)
+	return PlatformResult{Outcome: OrderPlaced, Order: o}
+}
+
+// stop opens a stop order for a target that is on its way out.
+func (m *Machine) stop(c PlacePlatformOrder) Result {
+	t := m.targets[c.Target]
+	if t == nil {
+		return PlatformResult{Outcome: OrderNotKnown}
+	}
+	if r := m.platform.openFor(c.Target); r != nil {
+		return PlatformResult{Outcome: OrderOpen, Order: r.Order}
+	}
+	p := t.Target.Phase
+	if !m.room() || p != fleet.Leaving && p != fleet.Gone && p != fleet.Lost {
+		return PlatformResult{Outcome: OrderNotAllowed}
+	}
+	o := PlatformOrder{
+		Number: m.number(), ID: c.ID, Kind: PlatformStop, DataCentre: c.DataCentre, Region: c.Region,
+		Pool: c.Pool, Target: c.Target, Deadline: c.Deadline,
+	}
+	m.platform.add(&PlatformRecord{Order: o})
+	return PlatformResult{Outcome: OrderPlaced, Order: o}
+}
+
+func (m *Machine) acknowledgePlatform(c AcknowledgePlatform) Result {
+	r := m.platform.byNumber[c.Number]
+	if r == nil {
+		return PlatformResult{Outcome: OrderNotKnown}
+	}
+	if r.Closed {
+		return PlatformResult{Outcome: OrderClosedBefore, Order: r.Order, Done: r.Done, Detail: r.Detail}
+	}
+	r.Closed, r.Done, r.Detail = true, c.Done, shorten(c.Detail)
+	r.Expires = c.Time.Add(platformMemory)
+	m.platform.open--
+	if t := m.targets[r.Order.Target]; t != nil && t.Target.Phase != fleet.Gone && ended(r, t) {
+		m.leave(t, c.Time)
+		m.touch(t)
+	}
+	m.publish()
+	return PlatformResult{Outcome: OrderClosed, Order: r.Order, Done: r.Done, Detail: r.Detail}
+}
+
+// ended says whether the answer means that the target does not run: it was
+// stopped, or a start failed before it announced itself.
+func ended(r *PlatformRecord, t *TargetRecord) bool {
+	if r.Order.Kind == PlatformStop {
+		return r.Done
+	}
+	return !r.Done && t.Target.Incarnation == 0
+}
+
+// OpenPlatform lists the platform orders that wait for an answer, by number.
+func (m *Machine) OpenPlatform() []PlatformOrder {
+	var out []PlatformOrder
+	for _, r := range m.platform.records() {
+		if !r.Closed {
+			out = append(out, r.Order)
+		}
+	}
+	return out
+}
+
+// Targets lists what is known about every target, by name.
+func (m *Machine) Targets() []TargetRecord {
+	out := make([]TargetRecord, 0, len(m.targets))
+	for _, r := range m.targets {
+		out = append(out, r.clone())
+	}
+	slices.SortFunc(out, func(a, b TargetRecord) int { return cmp.Compare(a.Target.Name, b.Target.Name) })
+	return out
+}
+
+func (r *TargetRecord) clone() TargetRecord {
+	c := *r
+	if r.Open != nil {
+		o := *r.Open
+		c.Open = &o
+	}
+	if r.Closed != nil {
+		d := *r.Closed
+		c.Closed = &d
+	}
+	return c
+}
--- a/core/state/result.go
+++ b/core/state/result.go
@@ -141,7 +141,7 @@
 	Window  uint64 // window that took the newly counted records
 	Counted int
 	Refused []UsageID // not counted: to be sent again later
-	TooLate []UsageID // the dedupe memory of their incarnation has ended; never counted
+	TooLate []UsageID // never counted: without a valid id, or the dedupe memory of the incarnation has ended
 }
 
 // WindowOutcome says what became of a command about a usage window.
--- /dev/null
+++ b/core/state/share.go
@@ -0,0 +1,84 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"papayarock/core/fleet"
+)
+
+const (
+	// shareGrace is how long after its end a share still counts as in force
+	// here, for clocks that differ.
+	shareGrace = time.Second
+	// maxShareGrants bounds the overlapping grants of one entry.
+	maxShareGrants = 8
+)
+
+// registerEntry gives an entry an equal share, as far as the shares still in
+// force leave room. A share that shrinks counts in full until it expires,
+// since the entry may not have heard of the new one.
+func (m *Machine) registerEntry(c RegisterEntry) Result {
+	own, known := m.shares[c.Entry]
+	refuse := ShareResult{Share: Share{Entry: c.Entry}}
+	if c.Entry == "" || !c.Until.After(m.now) || !known && len(m.shares) >= m.limits.entries {
+		return refuse
+	}
+	used, entries := uint32(0), 1
+	for name, grants := range m.shares {
+		if name != c.Entry {
+			used += inForce(grants)
+			entries++
+		}
+	}
+	parts := min(uint32(ShareUnit/entries), ShareUnit-used)
+	s := Share{Entry: c.Entry, Parts: parts, Expires: c.Until}
+	own = slices.DeleteFunc(slices.Clone(own), func(o Share) bool { return o.Parts <= s.Parts && !o.Expires.After(s.Expires) })
+	if len(own) >= maxShareGrants {
+		return refuse
+	}
+	m.shares[c.Entry] = append(own, s)
+	return ShareResult{Granted: parts > 0, Share: s}
+}
+
+func inForce(grants []Share) uint32 {
+	var parts uint32
+	for _, g := range grants {
+		parts = max(parts, g.Parts)
+	}
+	return parts
+}
+
+func (m *Machine) expireShares() int {
+	n := 0
+	for name, grants := range m.shares {
+		left := slices.DeleteFunc(grants, func(s Share) bool { return !s.Expires.Add(shareGrace).After(m.now) })
+		n += len(grants) - len(left)
+		if len(left) == 0 {
+			delete(m.shares, name)
+			continue
+		}
+		m.shares[name] = left
+	}
+	return n
+}
+
+func (m *Machine) shareList() []Share {
+	var out []Share
+	for _, grants := range m.shares {
+		out = append(out, grants...)
+	}
+	slices.SortFunc(out, func(a, b Share) int {
+		return cmp.Or(cmp.Compare(a.Entry, b.Entry), a.Expires.Compare(b.Expires), cmp.Compare(a.Parts, b.Parts))
+	})
+	return out
+}
+
+func sharesByEntry(list []Share) map[fleet.Host][]Share {
+	out := make(map[fleet.Host][]Share)
+	for _, s := range list {
+		out[s.Entry] = append(out[s.Entry], s)
+	}
+	return out
+}
--- /dev/null
+++ b/core/state/snapshot.go
@@ -0,0 +1,113 @@
+package state
+
+import (
+	"maps"
+	"slices"
+
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+)
+
+// Image returns the whole state in a fixed order. It shares nothing that later
+// commands change.
+func (m *Machine) Image() *Image {
+	i := &Image{
+		Index: m.index, Term: m.term, Sequence: m.sequence, Now: m.now,
+		Config: m.config.Snapshot(), OperatorRevision: m.changes.revision,
+		Changes: slices.Clone(m.changes.records), Audit: slices.Clone(m.changes.audit),
+		Targets: m.Targets(), Platform: m.platform.records(), Claims: m.claims.records(),
+		Shares: m.shareList(),
+	}
+	i.Usage.Open = m.usage.open()
+	i.Usage.Sealed = slices.Clone(m.usage.sealed)
+	i.Usage.Sources, i.Usage.Floors = m.usage.list()
+	return i
+}
+
+// Restore replaces the state by that of an image.
+func (m *Machine) Restore(i *Image) {
+	l := m.limits
+	*m = Machine{
+		limits: l, index: i.Index, term: i.Term, sequence: i.Sequence, now: i.Now,
+		config:  config.NewIndex(i.Config),
+		targets: make(map[fleet.TargetName]*TargetRecord, len(i.Targets)),
+		shares:  sharesByEntry(i.Shares),
+	}
+	m.restoreChanges(i)
+	for _, t := range i.Targets {
+		c := t.clone()
+		m.targets[c.Target.Name] = &c
+	}
+	m.platform = platform{byID: make(map[string]*PlatformRecord), byNumber: make(map[fleet.OrderNumber]*PlatformRecord)}
+	for _, p := range i.Platform {
+		m.platform.add(&p)
+	}
+	m.claims = claims{byKey: make(map[ClaimKey]*ClaimRecord, len(i.Claims)), held: make(map[fleet.Customer]holding)}
+	for _, r := range i.Claims {
+		m.claims.add(&r)
+	}
+	m.restoreUsage(i.Usage)
+}
+
+func (m *Machine) restoreChanges(i *Image) {
+	m.changes = changes{
+		revision: i.OperatorRevision, records: slices.Clone(i.Changes), audit: slices.Clone(i.Audit),
+		byID: make(map[string]ChangeRecord, len(i.Changes)),
+	}
+	for _, r := range i.Changes {
+		m.changes.byID[r.ID] = r
+	}
+}
+
+func (m *Machine) restoreUsage(i UsageImage) {
+	m.usage = usage{
+		dedupe: newDedupe(i.Sources, i.Floors), number: max(i.Open.Number, 1), from: i.Open.From,
+		figures: make(map[figureKey]*UsageFigure, len(i.Open.Figures)), sealed: slices.Clone(i.Sealed),
+	}
+	for _, f := range i.Open.Figures {
+		m.usage.figures[figureKey{f.Customer, f.Route}] = &f
+	}
+}
+
+// Dump is a bounded view of the state without secrets.
+type Dump struct {
+	Index, Term, Sequence uint64
+	Now                   string
+	Revision              uint64
+	OperatorRevision      uint64
+	Customers, Keys       int
+	Targets               map[string]int // by phase
+	OpenOrders            []string       // at most dumpList
+	PlatformOrders        int
+	Claims, ClaimBytes    int
+	OpenWindow            uint64
+	Figures               int
+	Sealed                int // windows that wait for an acknowledgement
+	UsageSources          int
+	Entries               int
+	Audit                 []AuditEntry // latest, at most dumpList
+}
+
+// dumpList bounds each list of a Dump.
+const dumpList = 64
+
+// Dump returns a Dump.
+func (m *Machine) Dump() any {
+	d := Dump{
+		Index: m.index, Term: m.term, Sequence: m.sequence, Now: m.now.String(),
+		Revision: m.config.Revision, OperatorRevision: m.changes.revision,
+		Customers: m.config.CustomerCount(), Keys: m.config.KeyCount(), Targets: make(map[string]int),
+		PlatformOrders: m.platform.open, Claims: m.claims.total.claims, ClaimBytes: m.claims.total.bytes,
+		OpenWindow: m.usage.number, Figures: len(m.usage.figures), Sealed: len(m.Unreported()),
+		UsageSources: len(m.usage.sources), Entries: len(m.shares),
+		Audit: slices.Clone(m.changes.audit[max(0, len(m.changes.audit)-dumpList):]),
+	}
+	for _, name := range slices.Sorted(maps.Keys(m.targets)) {
+		r := m.targets[name]
+		d.Targets[r.Target.Phase.String()]++
+		if r.Open != nil && len(d.OpenOrders) < dumpList {
+			d.OpenOrders = append(d.OpenOrders, string(name)+" "+r.Open.Number.String())
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/core/state/window.go
@@ -0,0 +1,153 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"papayarock/core/fleet"
+)
+
+// usage counts records into the one open window and keeps sealed windows until
+// they are acknowledged.
+type usage struct {
+	dedupe
+	number  uint64 // of the open window
+	from    time.Time
+	figures map[figureKey]*UsageFigure // of the open window
+	sealed  []UsageWindow              // ascending, without gaps up to number-1
+}
+
+type figureKey struct {
+	customer fleet.Customer
+	route    string
+}
+
+// report counts each record once, into the open window whenever it was served:
+// the figures of a sealed window never change.
+func (u *usage) report(now time.Time, c ReportUsage, l limits) Result {
+	res := UsageResult{Window: u.number}
+	for _, r := range c.Records {
+		v := u.check(r.ID, l)
+		key := figureKey{r.Customer, r.Route}
+		if v == fresh && u.figures[key] == nil && len(u.figures) >= l.figures {
+			v = full
+		}
+		switch v {
+		case fresh:
+			u.note(r.ID, now)
+			u.count(key, r)
+			res.Counted++
+		case full:
+			res.Refused = append(res.Refused, r.ID)
+		case tooLate:
+			res.TooLate = append(res.TooLate, r.ID)
+		}
+	}
+	return res
+}
+
+func (u *usage) count(key figureKey, r UsageRecord) {
+	f := u.figures[key]
+	if f == nil {
+		f = &UsageFigure{Customer: r.Customer, Route: r.Route}
+		u.figures[key] = f
+	}
+	f.Requests++
+	f.PromptTokens += r.PromptTokens
+	f.OutputTokens += r.OutputTokens
+}
+
+func (u *usage) open() UsageWindow {
+	w := UsageWindow{Number: u.number, From: u.from, Figures: make([]UsageFigure, 0, len(u.figures))}
+	for _, f := range u.figures {
+		w.Figures = append(w.Figures, *f)
+	}
+	slices.SortFunc(w.Figures, func(a, b UsageFigure) int {
+		return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Route, b.Route))
+	})
+	return w
+}
+
+// seal fixes the figures of the open window. Sealing again returns the same.
+func (u *usage) seal(c SealUsage, l limits) Result {
+	switch {
+	case c.Window > u.number:
+		return WindowResult{Outcome: WindowNotOpen}
+	case c.Window < u.number:
+		return u.find(c.Window)
+	case !u.room(l):
+		return WindowResult{Outcome: WindowLimit}
+	}
+	w := u.open()
+	w.Until = c.Until
+	if w.Until.Before(w.From) {
+		w.Until = w.From
+	}
+	u.sealed = append(u.sealed, w)
+	u.number, u.from = u.number+1, w.Until
+	u.figures = make(map[figureKey]*UsageFigure)
+	return WindowResult{Outcome: WindowSealed, Window: w}
+}
+
+// room says whether another window may wait for its acknowledgement. When
+// not, the open window goes on and nothing is lost.
+func (u *usage) room(l limits) bool {
+	windows, figures := 0, len(u.figures)
+	for _, w := range u.sealed {
+		if !w.Acknowledged {
+			windows++
+			figures += len(w.Figures)
+		}
+	}
+	return windows < l.sealed && (windows == 0 || figures <= l.figures)
+}
+
+func (u *usage) find(number uint64) WindowResult {
+	if len(u.sealed) == 0 || number < u.sealed[0].Number || number-u.sealed[0].Number >= uint64(len(u.sealed)) {
+		return WindowResult{Outcome: WindowPruned}
+	}
+	w := u.sealed[number-u.sealed[0].Number]
+	if w.Acknowledged {
+		return WindowResult{Outcome: WindowAcknowledged, Window: w}
+	}
+	return WindowResult{Outcome: WindowSealed, Window: w}
+}
+
+// acknowledge ends the reports of a window and drops its figures.
+func (u *usage) acknowledge(c AcknowledgeUsage, l limits) Result {
+	if c.Window > u.number {
+		return WindowResult{Outcome: WindowNotOpen}
+	}
+	if c.Window == u.number {
+		return WindowResult{Outcome: WindowNotSealed}
+	}
+	res := u.find(c.Window)
+	if res.Outcome != WindowSealed {
+		return res
+	}
+	w := &u.sealed[c.Window-u.sealed[0].Number]
+	w.Acknowledged, w.Figures = true, nil
+	res = WindowResult{Outcome: WindowAcknowledged, Window: *w}
+	for len(u.sealed) > l.acknowledged && u.sealed[0].Acknowledged {
+		u.sealed = u.sealed[1:]
+	}
+	return res
+}
+
+// Unreported lists the sealed windows that the platform has not acknowledged,
+// oldest first.
+func (m *Machine) Unreported() []UsageWindow {
+	var out []UsageWindow
+	for _, w := range m.usage.sealed {
+		if !w.Acknowledged {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// OpenWindow returns the number and start of the window that takes usage now.
+func (m *Machine) OpenWindow() (number uint64, from time.Time) {
+	return m.usage.number, m.usage.from
+}
--- a/io/wire/codec_image.go
+++ b/io/wire/codec_image.go
@@ -107,7 +107,7 @@
 func encodeTargetRecord(t state.TargetRecord) *StateTargetRecord {
 	m := &StateTargetRecord{
 		Target: encodeTarget(t.Target), Wanted: uint32(t.Wanted), WantedUntil: nanos(t.WantedUntil),
-		RoleWanted: t.RoleWanted, Role: uint32(t.Role), Read: encodeNumber(t.Read), Loaded: encodeContent(t.Loaded),
+		RoleWanted: t.RoleWanted, Role: uint32(t.Role), Unread: t.Unread, Read: encodeNumber(t.Read), Loaded: encodeContent(t.Loaded),
 		Replaces: string(t.Replaces), DrainFor: int64(t.DrainFor),
 	}
 	if t.Open != nil {
@@ -123,7 +123,7 @@
 	t := state.TargetRecord{
 		Target: r.target(m.GetTarget()), Wanted: enum(r, "wanted", m.GetWanted(), state.WantedGone),
 		WantedUntil: fromNanos(m.GetWantedUntil()), RoleWanted: m.GetRoleWanted(),
-		Role: enum(r, "role", m.GetRole(), fleet.Decode), Read: decodeNumber(m.GetRead()),
+		Role: enum(r, "role", m.GetRole(), fleet.Decode), Unread: m.GetUnread(), Read: decodeNumber(m.GetRead()),
 		Loaded: r.content(m.GetLoaded()), Replaces: targetName(m.GetReplaces()), DrainFor: time.Duration(m.GetDrainFor()),
 	}
 	if m.GetOpen() != nil {
