--- a/core/state/claims.go
+++ b/core/state/claims.go
@@ -188,10 +188,11 @@
 // still have run.
 func (c *claims) endUnknown(r *ClaimRecord, now time.Time) {
 	r.Phase = PhaseUnknown
-	if end := now.Add(unknownRetention); end.After(r.Claim.Expires) {
-		r.Claim.Expires = end
-		heap.Push(&c.byEnd, deadline{end, r.Claim.Key})
+	if now.Before(r.Claim.Expires) {
+		now = r.Claim.Expires
 	}
+	r.Claim.Expires = now.Add(unknownRetention)
+	heap.Push(&c.byEnd, deadline{r.Claim.Expires, r.Claim.Key})
 }
 
 // expire forgets claims at their deadline. One that was never settled ends
--- a/core/state/dedupe.go
+++ b/core/state/dedupe.go
@@ -99,12 +99,17 @@
 		return
 	}
 	d.latest[key.node] = key.incarnation
-	if s := d.sources[sourceKey{key.node, last}]; ok && s != nil {
+	if s := d.sources[sourceKey{key.node, last}]; s != nil && !now.IsZero() {
 		s.Expires = now.Add(supersededFor)
 	}
 }
 
+// renew moves the deadline of a memory. Before the first tick the time is not
+// known, and the deadline stays zero until that tick.
 func (d *dedupe) renew(s *UsageSource, now time.Time) {
+	if now.IsZero() {
+		return
+	}
 	keep := supersededFor
 	if d.latest[s.Node] == s.Incarnation {
 		keep = idleFor
@@ -117,7 +122,10 @@
 func (d *dedupe) expire(now time.Time) int {
 	n := 0
 	for key, s := range d.sources {
-		if s.Expires.After(now) {
+		if s.Expires.IsZero() {
+			d.renew(s, now)
+		}
+		if s.Expires.IsZero() || s.Expires.After(now) {
 			continue
 		}
 		n++
--- a/core/state/target.go
+++ b/core/state/target.go
@@ -77,8 +77,12 @@
 	return m.targetResult(TargetUpdated, r)
 }
 
-// describe takes over what the agent says about itself, but not the phase.
+// describe takes over what the agent says about itself, but not the phase. The
+// role changes only by an order or a read: a repeated announcement may be older.
 func (r *TargetRecord) describe(t fleet.Target) {
+	if r.Target.Incarnation != 0 {
+		t.Role = r.Target.Role
+	}
 	t.Phase, t.PhaseUntil = r.Target.Phase, r.Target.PhaseUntil
 	r.Target = t
 }
