--- a/core/state/target.go
+++ b/core/state/target.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -253,16 +252,17 @@
 	return m.targetResult(TargetUpdated, r)
 }
 
-// expireTargets ends the phases whose deadline has passed.
+// expireTargets ends the phases whose deadline has passed. Their order has no
+// effect: no numbers are assigned here, and commit sorts the edits.
 func (m *Machine) expireTargets() int {
-	n := 0
-	for _, name := range slices.Sorted(maps.Keys(m.targets)) {
-		r := m.targets[name]
-		until := r.Target.PhaseUntil
-		if until.IsZero() || until.After(m.now) {
-			continue
+	var due []fleet.TargetName
+	for name, r := range m.targets {
+		if until := r.Target.PhaseUntil; !until.IsZero() && !until.After(m.now) {
+			due = append(due, name)
 		}
-		n++
+	}
+	for _, name := range due {
+		r := m.targets[name]
 		switch r.Target.Phase {
 		case fleet.Announced, fleet.Ready, fleet.Unknown:
 			r.enter(fleet.Lost, m.now.Add(lostFor))
@@ -277,7 +277,7 @@
 		}
 		m.touch(r)
 	}
-	return n
+	return len(due)
 }
 
 func orLater(t, otherwise time.Time) time.Time {
--- a/io/wire/codec_image.go
+++ b/io/wire/codec_image.go
@@ -138,26 +138,32 @@
 	return t
 }
 
+func encodePlatformOrder(o state.PlatformOrder) *StatePlatformOrder {
+	return &StatePlatformOrder{
+		Number: encodeNumber(o.Number), Id: o.ID, Kind: uint32(o.Kind), DataCentre: string(o.DataCentre),
+		Region: string(o.Region), Pool: o.Pool, Target: string(o.Target), Deadline: nanos(o.Deadline),
+	}
+}
+
+func (r *reader) platformOrder(m *StatePlatformOrder) state.PlatformOrder {
+	return state.PlatformOrder{
+		Number: decodeNumber(m.GetNumber()), ID: m.GetId(),
+		Kind:       enum(r, "platform order kind", m.GetKind(), state.PlatformStop),
+		DataCentre: fleet.DataCentre(m.GetDataCentre()), Region: fleet.Region(m.GetRegion()), Pool: m.GetPool(),
+		Target: targetName(m.GetTarget()), Deadline: fromNanos(m.GetDeadline()),
+	}
+}
+
 func encodePlatformRecord(p state.PlatformRecord) *StatePlatformRecord {
-	o := p.Order
 	return &StatePlatformRecord{
-		Order: &StatePlatformOrder{
-			Number: encodeNumber(o.Number), Id: o.ID, Kind: uint32(o.Kind), DataCentre: string(o.DataCentre),
-			Region: string(o.Region), Pool: o.Pool, Target: string(o.Target), Deadline: nanos(o.Deadline),
-		},
+		Order:  encodePlatformOrder(p.Order),
 		Closed: p.Closed, Done: p.Done, Detail: p.Detail, Expires: nanos(p.Expires),
 	}
 }
 
 func (r *reader) platformRecord(m *StatePlatformRecord) state.PlatformRecord {
-	o := m.GetOrder()
 	return state.PlatformRecord{
-		Order: state.PlatformOrder{
-			Number: decodeNumber(o.GetNumber()), ID: o.GetId(),
-			Kind:       enum(r, "platform order kind", o.GetKind(), state.PlatformStop),
-			DataCentre: fleet.DataCentre(o.GetDataCentre()), Region: fleet.Region(o.GetRegion()), Pool: o.GetPool(),
-			Target: targetName(o.GetTarget()), Deadline: fromNanos(o.GetDeadline()),
-		},
+		Order:  r.platformOrder(m.GetOrder()),
 		Closed: m.GetClosed(), Done: m.GetDone(), Detail: m.GetDetail(), Expires: fromNanos(m.GetExpires()),
 	}
 }
--- a/io/wire/property_test.go
+++ b/io/wire/property_test.go
@@ -101,7 +101,8 @@
 	case 4:
 		return g.usage()
 	}
-	g.now = g.now.Add(time.Duration(g.pick(3600*30, "seconds")) * time.Second)
+	longest := []int{1, 30, 30, 60 * 24}[g.pick(4, "longest")] // up to the retention of usage sources
+	g.now = g.now.Add(time.Duration(g.pick(longest*60, "minutes")) * time.Minute)
 	return state.Tick{Now: g.now}
 }
 
@@ -199,6 +200,9 @@
 			if !reflect.DeepEqual(ra, rb) {
 				t.Fatalf("command %#v: %#v and %#v", c, ra, rb)
 			}
+			if result, ok := ra.(state.Result); ok {
+				forwarded(t, result)
+			}
 			if g.pick(8, "restore") == 0 {
 				restart(t, b)
 			}
@@ -227,3 +231,15 @@
 		t.Fatalf("restored snapshot differs:\n%x\n%x", before, after)
 	}
 }
+
+// forwarded checks that a result reaches a caller on another host unchanged.
+func forwarded(t *rapid.T, r state.Result) {
+	b, err := EncodeResult(r)
+	if err != nil {
+		t.Fatalf("encode %#v: %v", r, err)
+	}
+	got, err := DecodeResult(b)
+	if err != nil || !reflect.DeepEqual(got, r) {
+		t.Fatalf("result %#v arrives as %#v: %v", r, got, err)
+	}
+}
