core/config: send a configuration in pieces below the message limit

Cause: with 11,000 customers a configuration takes 1,973,561 bytes and a message holds 1 MiB. Conclusion: a node that is too far behind can be served at the design size.

--- a/core/config/check.go
+++ b/core/config/check.go
@@ -14,6 +14,9 @@
 // MaxCustomers bounds the customers of a document.
 const MaxCustomers = 16384
 
+// MaxNameBytes bounds names in a document.
+const MaxNameBytes = 128
+
 // Check validates a document as a whole.
 func Check(d Document) error {
 	if len(d.Customers) > MaxCustomers {
@@ -21,8 +24,8 @@
 	}
 	seen := make(map[string]bool, len(d.Customers))
 	for _, c := range d.Customers {
-		if c.Name == "" || seen[string(c.Name)] {
-			return errors.Wrapf(ErrDocument, "customer %q is empty or occurs twice", c.Name)
+		if c.Name == "" || len(c.Name) > MaxNameBytes || seen[string(c.Name)] {
+			return errors.Wrapf(ErrDocument, "customer %q is empty, too long or occurs twice", c.Name)
 		}
 		seen[string(c.Name)] = true
 		if c.Weight < 1 || !limit(c.TokensPerSecond) || !limit(c.RequestsPerSec) {
--- a/core/state/change.go
+++ b/core/state/change.go
@@ -13,7 +13,7 @@
 )
 
 // maxNameBytes bounds ids and names that operators choose.
-const maxNameBytes = 128
+const maxNameBytes = config.MaxNameBytes
 
 // changes remembers the answers to operator changes.
 type changes struct {
--- a/core/state/history.go
+++ b/core/state/history.go
@@ -42,5 +42,13 @@
 	if len(h.deltas) == 0 || from < h.deltas[0].From || from > revision {
 		return config.Delta{}, false
 	}
-	return config.Merge(h.deltas[from-h.deltas[0].From:]...), true
+	missed := h.deltas[from-h.deltas[0].From:]
+	total := 0
+	for _, d := range missed {
+		total += weight(d)
+	}
+	if total > config.PieceEntries {
+		return config.Delta{}, false // a message holds no more; a snapshot goes in pieces
+	}
+	return config.Merge(missed...), true
 }
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -121,8 +121,8 @@
 // later commands.
 func (m *Machine) Config() *config.Index { return m.config }
 
-// Delta returns the changes after revision from, or false when only a full
-// snapshot leads from there to the present.
+// Delta returns the changes after revision from, or false when they are no
+// longer held or too many for one message; then the node needs the snapshot.
 func (m *Machine) Delta(from uint64) (config.Delta, bool) {
 	return m.history.since(from, m.config.Revision)
 }
--- a/io/wire/bench_test.go
+++ b/io/wire/bench_test.go
@@ -239,6 +239,12 @@
 			b.ReportMetric(float64(heap()-before)/float64(customers), "B/customer")
 			whole, _ := EncodeConfig(m.Config().Snapshot())
 			b.ReportMetric(float64(len(whole)), "config-bytes")
+			largest := 0
+			for _, p := range m.Config().Snapshot().Pieces() {
+				piece, _ := EncodeConfig(p)
+				largest = max(largest, len(piece))
+			}
+			b.ReportMetric(float64(largest), "piece-bytes")
 			document, _ := EncodeCommand(state.Change{ID: "x", Operator: "op", Action: state.ReplaceDocument{Document: d}})
 			b.ReportMetric(float64(len(document)), "document-bytes")
 			from := m.Config().Revision
