--- /dev/null
+++ b/core/watch/watch_test.go
@@ -0,0 +1,170 @@
+package watch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"papayarock/core/fleet"
+	"papayarock/core/watch"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// Guards against a copy that goes back to an older revision, or that is
+// extended by an answer that cannot confirm it.
+func TestCopyApply(t *testing.T) {
+	tests := map[string]struct {
+		answers  []watch.Answer
+		revision uint64
+		fresh    time.Time
+	}{
+		"counts from the send time": {
+			answers:  []watch.Answer{{Sent: at(1), Revision: 4}},
+			revision: 4, fresh: at(4),
+		},
+		"an older answerer confirms nothing": {
+			answers:  []watch.Answer{{Sent: at(1), Revision: 4}, {Sent: at(2), Revision: 3}},
+			revision: 4, fresh: at(4),
+		},
+		"the age of a relay's copy is taken off with the clock margin": {
+			answers:  []watch.Answer{{Sent: at(1), Revision: 4, Age: time.Second}},
+			revision: 4, fresh: at(2.99),
+		},
+		"a late answer does not shorten the time": {
+			answers:  []watch.Answer{{Sent: at(2), Revision: 4}, {Sent: at(1), Revision: 4}},
+			revision: 4, fresh: at(5),
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var c watch.Copy
+			for _, a := range tt.answers {
+				c.Apply(a)
+			}
+			is.Equal(c.Revision, tt.revision)
+			is.Equal(c.FreshUntil, tt.fresh)
+		})
+	}
+}
+
+// Guards against reporting a change in force while a subscriber may still
+// serve without it.
+func TestProgress(t *testing.T) {
+	is := is.New(t)
+	tr := watch.Tracker{Since: at(-10)}
+	tr.Record(watch.Subscriber{Host: "a", Revision: 7, Seen: at(0)})
+	tr.Record(watch.Subscriber{Host: "b", Revision: 6, Seen: at(0)})
+	is.Equal(tr.Progress(at(1), 7, at(0)).Waiting, 1)
+	is.True(!tr.Progress(at(3), 7, at(0)).InForce) // b's clock may run slow
+	is.True(tr.Progress(at(3.06), 7, at(0)).InForce)
+	tr.Record(watch.Subscriber{Host: "b", Revision: 7, Seen: at(1)})
+	is.True(tr.Progress(at(1), 7, at(0)).InForce)
+	tr.Record(watch.Subscriber{Host: "b", Via: "relay", Revision: 6, Seen: at(0.5)})
+	is.True(tr.Progress(at(1), 7, at(0)).InForce) // an old report through a relay
+}
+
+// Guards against a new leader that reports a change in force although it does
+// not know the subscribers of the leader before it.
+func TestProgressOfNewLeader(t *testing.T) {
+	is := is.New(t)
+	tr := watch.Tracker{Since: at(0)}
+	is.True(!tr.Progress(at(1), 7, at(-10)).InForce)
+	is.True(tr.Progress(at(3.06), 7, at(-10)).InForce)
+}
+
+// chain is a leader, two relays and a node that polls either of them, with
+// clocks that run at different rates.
+type chain struct {
+	t       *rapid.T
+	change  float64 // when the leader accepts revision 2, in seconds
+	now     float64
+	rates   [3]float64 // of relay 0, relay 1 and the node, relative to the leader
+	relays  [2]watch.Copy
+	seen    [2]map[fleet.Host]watch.Subscriber
+	node    watch.Copy
+	tracker watch.Tracker
+}
+
+func (c *chain) clock(who int, real float64) time.Time { return at(1000 + real*c.rates[who]) }
+
+func (c *chain) revision(real float64) uint64 {
+	if real >= c.change {
+		return 2
+	}
+	return 1
+}
+
+func (c *chain) delay(name string) float64 { return rapid.Float64Range(0, 0.8).Draw(c.t, name) }
+
+// pollLeader lets relay r poll the leader; the answer may be lost.
+func (c *chain) pollLeader(r int) {
+	sent := c.now
+	answered := sent + c.delay("to leader")
+	name := fleet.Host([]string{"relay-0", "relay-1"}[r])
+	c.tracker.Record(watch.Subscriber{Host: name, Revision: c.relays[r].Revision, Seen: at(answered)})
+	for _, s := range c.seen[r] {
+		s.Via = name
+		c.tracker.Record(s)
+	}
+	c.now = answered + c.delay("from leader")
+	if rapid.Bool().Draw(c.t, "relay answered") {
+		c.relays[r].Apply(watch.Answer{Sent: c.clock(r, sent), Revision: c.revision(answered)})
+	}
+}
+
+// pollRelay lets the node poll relay r; the answer may be lost.
+func (c *chain) pollRelay(r int) {
+	sent := c.now
+	answered := sent + c.delay("to relay")
+	c.seen[r]["node"] = watch.Subscriber{Host: "node", Revision: c.node.Revision, Seen: at(answered)}
+	c.now = answered + c.delay("from relay")
+	if rapid.Bool().Draw(c.t, "node answered") && c.relays[r].Revision > 0 {
+		c.node.Apply(watch.Answer{
+			Sent:     c.clock(2, sent),
+			Revision: c.relays[r].Revision,
+			Age:      c.relays[r].Age(c.clock(r, answered)),
+		})
+	}
+}
+
+// Guards against a node that still serves by an old copy after the leader has
+// reported the change in force, with delays, lost answers, a node that moves
+// between relays, and clock rates within the margin.
+func TestNoStaleCopyInForce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &chain{t: t, change: rapid.Float64Range(4, 8).Draw(t, "change accepted at"), tracker: watch.Tracker{Since: at(0)}}
+		for i := range c.rates {
+			c.rates[i] = rapid.Float64Range(0.9951, 1.0049).Draw(t, "clock rate")
+		}
+		c.seen = [2]map[fleet.Host]watch.Subscriber{{}, {}}
+		for c.now < 16 {
+			r := rapid.IntRange(0, 1).Draw(t, "relay")
+			if rapid.Bool().Draw(t, "relay polls") {
+				c.pollLeader(r)
+			} else {
+				c.pollRelay(r)
+			}
+			p := c.tracker.Progress(at(c.now), 2, at(c.change))
+			if c.now >= c.change && p.InForce && c.node.Revision == 1 && c.node.Fresh(c.clock(2, c.now)) {
+				t.Fatalf("at %.3f s the change of %.3f s is reported in force, but the node serves revision 1", c.now, c.change)
+			}
+		}
+	})
+}
+
+func ExampleCopy() {
+	var c watch.Copy
+	sent := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+	c.Apply(watch.Answer{Sent: sent, Revision: 9, Age: 500 * time.Millisecond})
+	fmt.Println(c.Revision, c.Fresh(sent.Add(2*time.Second)), c.Fresh(sent.Add(3*time.Second)))
+	// Output: 9 true false
+}
