core/retry: decide what follows a failed attempt

Cause: the entry needs one place that bounds retries and says what a refusal may claim. A non-idempotent request is handed over again only after not-sent or not-run-and-barred. Figures: by construction at most 1.1 attempts per request over any 300 first attempts; checked by a property test.

--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,106 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"papayarock/core/retry"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// funded returns a budget that allows retries.
+func funded() *retry.Budget {
+	b := &retry.Budget{}
+	for range 100 {
+		b.First()
+	}
+	return b
+}
+
+// Guards against a second run of a non-idempotent request, a refusal that
+// claims "not run" without certainty, and retries past the deadline.
+func TestDecide(t *testing.T) {
+	deadline := now.Add(time.Minute)
+	for name, c := range map[string]struct {
+		f    retry.Failure
+		want retry.Decision
+	}{
+		"idempotent, unknown":           {retry.Failure{Idempotent: true, Last: retry.Unknown}, retry.Decision{Step: retry.Again, NotRun: retry.NotRunUnknown}},
+		"idempotent, lost":              {retry.Failure{Idempotent: true, Last: retry.Lost}, retry.Decision{Step: retry.Again, NotRun: retry.NotRunUnknown}},
+		"idempotent, ran":               {retry.Failure{Idempotent: true, Last: retry.Yes}, retry.Decision{Step: retry.Again, NotRun: retry.NotRunFalse}},
+		"idempotent, answer begun":      {retry.Failure{Idempotent: true, Last: retry.Lost, Answered: true}, retry.Decision{NotRun: retry.NotRunFalse}},
+		"idempotent, out of attempts":   {retry.Failure{Idempotent: true, Last: retry.Lost, Attempts: retry.MaxAttempts}, retry.Decision{NotRun: retry.NotRunUnknown}},
+		"idempotent, no time left":      {retry.Failure{Idempotent: true, Last: retry.Lost, Need: 2 * time.Minute}, retry.Decision{NotRun: retry.NotRunUnknown}},
+		"non-idempotent, not sent":      {retry.Failure{Last: retry.NotSent}, retry.Decision{Step: retry.Again, NotRun: retry.NotRunTrue}},
+		"non-idempotent, barred":        {retry.Failure{Last: retry.Barred}, retry.Decision{Step: retry.Again, NotRun: retry.NotRunTrue}},
+		"non-idempotent, not barred":    {retry.Failure{Last: retry.No}, retry.Decision{Step: retry.Ask, NotRun: retry.NotRunUnknown}},
+		"non-idempotent, unknown":       {retry.Failure{Last: retry.Unknown}, retry.Decision{Step: retry.Ask, NotRun: retry.NotRunUnknown}},
+		"non-idempotent, agent lost":    {retry.Failure{Last: retry.Lost}, retry.Decision{NotRun: retry.NotRunUnknown}},
+		"non-idempotent, ran":           {retry.Failure{Last: retry.Yes}, retry.Decision{NotRun: retry.NotRunFalse}},
+		"barred after a lost attempt":   {retry.Failure{Before: retry.Lost, Last: retry.Barred}, retry.Decision{NotRun: retry.NotRunUnknown}},
+		"barred, no time left":          {retry.Failure{Last: retry.Barred, Need: 2 * time.Minute}, retry.Decision{NotRun: retry.NotRunTrue}},
+		"idempotent, ran earlier, lost": {retry.Failure{Idempotent: true, Before: retry.Yes, Last: retry.Lost, Attempts: 3}, retry.Decision{NotRun: retry.NotRunFalse}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c.f.Deadline = deadline
+			is.Equal(funded().Decide(now, c.f), c.want)
+		})
+	}
+}
+
+// Guards against retries that multiply the load when many attempts fail at
+// once: at most 1.1 attempts per request over any 300 requests.
+func TestAmplification(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b retry.Budget
+		quiet := rapid.IntRange(0, 5000).Draw(t, "quiet")
+		for range quiet {
+			b.First()
+		}
+		attempts := 0
+		const requests = 300
+		for range requests {
+			b.First()
+			attempts++
+			f := retry.Failure{Idempotent: true, Last: retry.Lost, Attempts: 1, Deadline: now.Add(time.Minute)}
+			for rapid.IntRange(0, 9).Draw(t, "fails") > 0 && b.Decide(now, f).Step == retry.Again {
+				attempts++
+				f.Attempts++
+			}
+		}
+		if attempts*10 > requests*11 {
+			t.Fatalf("%d attempts for %d requests", attempts, requests)
+		}
+	})
+}
+
+// Guards against any sequence of reports that lets a non-idempotent request
+// reach two targets, or lets a refusal say "not run" after it may have run.
+func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := funded()
+		f := retry.Failure{Deadline: now.Add(time.Minute)}
+		mayRun := false
+		for range 10 {
+			f.Last = retry.Ran(rapid.IntRange(0, int(retry.Yes)).Draw(t, "ran"))
+			f.Attempts++
+			mayRun = mayRun || f.Last > retry.Barred
+			d := b.Decide(now, f)
+			if d.Step == retry.Again && mayRun {
+				t.Fatalf("handed over again after %v", f)
+			}
+			if d.NotRun == retry.NotRunTrue && mayRun {
+				t.Fatalf("refusal says not run after %v", f)
+			}
+			if d.Step != retry.Again {
+				return
+			}
+			f.Before = retry.Worse(f.Before, f.Last)
+		}
+	})
+}
