core/admit: admit by weighted fair queue over token prices

Cause: the entry hands every request over at once. Change: a queue per pool with classes, early refusal, reserved share in windows, customer shares with an expiry, bounds and output estimates.

--- /dev/null
+++ b/core/admit/admit_test.go
@@ -0,0 +1,230 @@
+package admit_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"papayarock/core/admit"
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func id(n int) (r fleet.RequestID) {
+	binary.BigEndian.PutUint64(r[:], uint64(n))
+	return r
+}
+
+// queue returns a queue with the capacity of one target of 8 slots: 10 ms per
+// 100 prompt tokens and 100 ms per 100 output tokens.
+func queue(o admit.Options) *admit.Queue {
+	q := admit.New(o)
+	q.Step(start, admit.Capacity{PrefillPrice: 1e-4, DecodePrice: 1e-3, Targets: 1, Slots: 8})
+	return q
+}
+
+func submit(n int, c fleet.Customer, class fleet.Class) admit.Submit {
+	return admit.Submit{ID: id(n), Customer: c, Route: "r", Class: class, PromptTokens: 100, MaxOutput: 100, Deadline: start.Add(time.Minute)}
+}
+
+func count(actions []admit.Action, r admit.Reason) (n int) {
+	for _, a := range actions {
+		if a.Reason == r {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a burst of one customer that delays another's request: among
+// 100 waiting requests of a, the one of b is handed over next.
+func TestBurstDoesNotDelayOthers(t *testing.T) {
+	is := is.New(t)
+	q := queue(admit.Options{})
+	for n := range 108 {
+		q.Step(start, submit(n, "a", fleet.Urgent))
+	}
+	is.Equal(len(q.Step(start, submit(200, "b", fleet.Urgent))), 0)
+	got := q.Step(start, admit.Done{ID: id(0), PromptTokens: 100, OutputTokens: 100})
+	is.Equal(len(got), 1)
+	is.Equal(got[0].ID, id(200))
+}
+
+// Guards against patient work that keeps urgent work waiting: urgent goes
+// first, patient leaves free slots, and in a window it leaves the reserved
+// share, beginning ahead of it.
+func TestUrgentGoesFirst(t *testing.T) {
+	for name, c := range map[string]struct {
+		window config.Window
+		want   int // patient requests that run on 8 slots
+	}{
+		"no window":     {config.Window{}, 8},
+		"in the window": {config.Window{Opens: start.Add(-time.Hour), Closes: start.Add(time.Hour), Reserved: 0.5}, 4},
+		"before it":     {config.Window{Opens: start.Add(time.Second), Closes: start.Add(time.Hour), Reserved: 0.5}, 4},
+		"after it":      {config.Window{Opens: start.Add(-time.Hour), Closes: start.Add(-time.Minute), Reserved: 0.5}, 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := queue(admit.Options{})
+			q.Step(start, admit.Configure{Windows: []config.Window{c.window}})
+			run := 0
+			for n := range 20 {
+				run += count(q.Step(start, submit(n, "a", fleet.Patient)), admit.Dispatch)
+			}
+			is.Equal(run, c.want)
+			if run < 8 {
+				is.Equal(count(q.Step(start, submit(100, "b", fleet.Urgent)), admit.Dispatch), 1)
+			}
+		})
+	}
+}
+
+// Guards against work that waits although it cannot meet its promise, and
+// against work that waits without bound.
+func TestRefusal(t *testing.T) {
+	is := is.New(t)
+	q := queue(admit.Options{MaxPerCustomer: 5, MaxTotal: 8})
+	late := submit(0, "a", fleet.Urgent)
+	late.FirstTokenBy = start.Add(5 * time.Millisecond) // the prompt alone takes 10 ms
+	is.Equal(q.Step(start, late)[0].Reason, admit.Late)
+
+	n := 1
+	for ; n <= 8; n++ {
+		is.Equal(q.Step(start, submit(n, "a", fleet.Urgent))[0].Reason, admit.Dispatch)
+	}
+	for ; n <= 13; n++ {
+		is.Equal(len(q.Step(start, submit(n, "a", fleet.Urgent))), 0)
+	}
+	is.Equal(q.Step(start, submit(n, "a", fleet.Urgent))[0].Reason, admit.Full)
+	for n = 20; n < 23; n++ {
+		is.Equal(len(q.Step(start, submit(n, "b", fleet.Urgent))), 0)
+	}
+	got := q.Step(start, submit(30, "c", fleet.Urgent)) // takes the place of the longest queue's newest
+	is.Equal(count(got, admit.Displaced), 1)
+	is.Equal(got[0].ID, id(13))
+
+	is.Equal(q.Next(), start.Add(time.Minute-10*time.Millisecond))
+	is.Equal(count(q.Step(start.Add(time.Minute), admit.Tick{}), admit.Late), 8)
+	is.Equal(q.Waiting(), 0)
+}
+
+// Guards against a limited customer that spends more than its share, or spends
+// an expired one.
+func TestLimit(t *testing.T) {
+	is := is.New(t)
+	q := queue(admit.Options{})
+	q.Step(start, admit.Configure{Customers: []config.Customer{{Name: "a", TokensPerSecond: 100}}})
+	is.Equal(q.Step(start, submit(0, "a", fleet.Urgent))[0].Reason, admit.Limited) // no share yet
+	q.Step(start, admit.Share{Customer: "a", Tokens: 450, Requests: 10, Expires: start.Add(time.Second)})
+	is.Equal(q.Step(start, submit(1, "a", fleet.Urgent))[0].Reason, admit.Dispatch)
+	is.Equal(q.Step(start, submit(2, "a", fleet.Urgent))[0].Reason, admit.Dispatch)
+	got := q.Step(start, submit(3, "a", fleet.Urgent))[0]
+	is.Equal(got.Reason, admit.Limited)
+	is.Equal(got.RetryAfter, time.Second)
+	q.Step(start, admit.Done{ID: id(1), PromptTokens: 100, OutputTokens: 10}) // gives 90 back
+	q.Step(start, admit.Done{ID: id(2), PromptTokens: 100, OutputTokens: 10})
+	is.Equal(q.Step(start, submit(4, "a", fleet.Urgent))[0].Reason, admit.Dispatch)
+	is.Equal(q.Step(start.Add(2*time.Second), submit(5, "a", fleet.Urgent))[0].Reason, admit.Limited)
+}
+
+// Guards against estimates that stay wrong, and against a customer that pays
+// for its estimate instead of its use.
+func TestEstimate(t *testing.T) {
+	is := is.New(t)
+	q := queue(admit.Options{})
+	for n := range 50 {
+		s := submit(n, "a", fleet.Urgent)
+		s.MaxOutput = 0
+		q.Step(start, s)
+		q.Step(start, admit.Done{ID: id(n), PromptTokens: 100, OutputTokens: 40})
+	}
+	s := submit(60, "a", fleet.Urgent)
+	s.MaxOutput = 0
+	is.Equal(q.Step(start, s)[0].Output, 40.0)
+	s = submit(61, "new", fleet.Urgent)
+	s.MaxOutput = 0
+	is.Equal(q.Step(start, s)[0].Output, 40.0) // the route's estimate
+}
+
+// Guards against requests that are lost, answered twice or handed over beyond
+// the slots, whatever the order of events.
+func TestEveryRequestEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := queue(admit.Options{MaxPerCustomer: 4, MaxTotal: 10})
+		now := start
+		ended, running := map[fleet.RequestID]bool{}, map[fleet.RequestID]bool{}
+		submitted, cancelled := 0, 0
+		apply := func(actions []admit.Action) {
+			for _, a := range actions {
+				if ended[a.ID] {
+					t.Fatalf("%v answered twice", a)
+				}
+				ended[a.ID] = true
+				if a.Reason == admit.Dispatch {
+					running[a.ID] = true
+				}
+			}
+		}
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			n := id(rapid.IntRange(0, submitted).Draw(t, "id"))
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				s := submit(submitted, fleet.Customer(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer")), fleet.Class(rapid.IntRange(0, 1).Draw(t, "class")))
+				s.Deadline = now.Add(time.Second)
+				submitted++
+				apply(q.Step(now, s))
+			case 1:
+				delete(running, n)
+				apply(q.Step(now, admit.Done{ID: n, PromptTokens: 100, OutputTokens: 300}))
+			case 2:
+				apply(q.Step(now, admit.Progress{ID: n, OutputTokens: 150}))
+			case 3:
+				if !ended[n] && n != id(submitted) {
+					ended[n] = true
+					cancelled++
+				}
+				delete(running, n)
+				apply(q.Step(now, admit.Cancel{ID: n}))
+			}
+			if len(running) > 8 {
+				t.Fatalf("%d run on 8 slots", len(running))
+			}
+		}
+		apply(q.Step(now.Add(time.Minute), admit.Tick{}))
+		if q.Waiting() != 0 || len(ended) != submitted {
+			t.Fatalf("%d waiting, %d of %d ended", q.Waiting(), len(ended), submitted)
+		}
+	})
+}
+
+// Guards against a cost per request that grows with the number of customers.
+func BenchmarkStep(b *testing.B) {
+	for _, n := range []int{8, 1000, 11000} {
+		b.Run(fmt.Sprintf("customers-%d", n), func(b *testing.B) {
+			q := queue(admit.Options{})
+			names := make([]fleet.Customer, n)
+			for i := range names {
+				names[i] = fleet.Customer(fmt.Sprintf("c%d", i))
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				s := submit(i, names[i%n], fleet.Class(i%2))
+				for _, a := range q.Step(start, s) {
+					if a.Reason == admit.Dispatch {
+						s.ID = a.ID
+					}
+				}
+				if i%2 == 0 {
+					q.Step(start, admit.Done{ID: s.ID, PromptTokens: 100, OutputTokens: 100})
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/admit/run.go
@@ -0,0 +1,202 @@
+package admit
+
+import (
+	"math"
+	"time"
+
+	"papayarock/core/fleet"
+)
+
+const (
+	urgentGuard    = 0.1 // share of slots and prompt depth that patient work leaves free
+	drainWeight    = 0.2
+	drainInterval  = time.Second
+	minimumPrompts = 1.0 // prompts each target may always hold
+)
+
+// drain measures how fast waiting work is handed over, in price per second.
+type drain struct {
+	rate  [classes]float64
+	sum   [classes]float64
+	since time.Time
+}
+
+// expectedWait is the time until the customer's next request of this class is
+// handed over.
+func (q *Queue) expectedWait(c *customer, i *item) time.Duration {
+	s := &q.class[i.Class]
+	b := &c.queues[i.Class]
+	weights := s.weights
+	if b.empty() {
+		weights += c.weight
+	}
+	ahead := math.Min(b.price*weights/c.weight, s.waiting)
+	if i.Class == fleet.Patient {
+		ahead += q.class[fleet.Urgent].waiting
+	}
+	rate := math.Max(q.drained.rate[i.Class], q.capacity.Targets*0.1)
+	if q.drained.rate[i.Class] == 0 {
+		rate = q.capacity.Targets
+	}
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(ahead / rate * float64(time.Second))
+}
+
+func (q *Queue) measure(now time.Time) {
+	d := &q.drained
+	if d.since.IsZero() {
+		d.since = now
+	}
+	span := now.Sub(d.since)
+	if span < drainInterval {
+		return
+	}
+	for c := range d.rate {
+		// Without a backlog the hand-over rate is the arrival rate and says
+		// nothing about capacity.
+		if len(q.active[c].list) > 0 {
+			r := d.sum[c] / span.Seconds()
+			if d.rate[c] == 0 {
+				d.rate[c] = r
+			}
+			d.rate[c] += drainWeight * (r - d.rate[c])
+		}
+		d.sum[c] = 0
+	}
+	d.since = now
+}
+
+// dispatch hands over waiting requests while the targets have room, urgent
+// ones first.
+func (q *Queue) dispatch(now time.Time) {
+	q.measure(now)
+	reserved := q.reserved(now)
+	for class := classes - 1; class >= 0; class-- {
+		for len(q.active[class].list) > 0 && q.room(fleet.Class(class), reserved) {
+			q.hand(q.active[class].list[0])
+		}
+	}
+}
+
+// reserved is the share of capacity that patient work may not use now.
+func (q *Queue) reserved(now time.Time) float64 {
+	r := urgentGuard
+	for _, w := range q.windows {
+		if !now.Before(w.Opens.Add(-q.o.Lead)) && now.Before(w.Closes) {
+			r = math.Max(r, w.Reserved)
+		}
+	}
+	return r
+}
+
+func (q *Queue) room(class fleet.Class, reserved float64) bool {
+	prompts, running := 0.0, 0.0
+	for c := range q.class {
+		prompts += q.class[c].prompts
+		running += q.class[c].running
+	}
+	depth := q.o.PrefillDepth.Seconds() * q.capacity.Prefilling
+	if running >= q.capacity.Slots || (prompts >= depth && running >= q.capacity.Prefilling*minimumPrompts) {
+		return false
+	}
+	if class == fleet.Urgent {
+		return true
+	}
+	p := &q.class[fleet.Patient]
+	if running >= q.capacity.Slots*(1-urgentGuard) {
+		return false
+	}
+	return p.running < q.capacity.Slots*(1-reserved) && p.prompts <= depth*(1-reserved)
+}
+
+// hand dispatches the first request of a backlog.
+func (q *Queue) hand(b *backlog) {
+	i := b.list[b.head]
+	s := &q.class[b.class]
+	s.virtual = b.start
+	b.finish = b.start + i.charged/i.owner.weight
+	b.start = b.finish
+	q.unqueue(i)
+	if !b.empty() {
+		q.active[b.class].put(b)
+	}
+	i.gone, i.dispatched = false, true
+	i.owner.inFlight++
+	s.prompts += i.prompt
+	s.running++
+	q.drained.sum[b.class] += i.charged
+	q.actions = append(q.actions, Action{ID: i.ID, Reason: Dispatch, Output: i.output})
+}
+
+func (q *Queue) firstToken(i *item) {
+	if i.first {
+		return
+	}
+	i.first = true
+	s := &q.class[i.Class]
+	s.prompts = math.Max(0, s.prompts-i.prompt)
+}
+
+// progress raises the estimate of an answer that has outgrown it, and charges
+// the customer for the difference.
+func (q *Queue) progress(e Progress) {
+	i := q.items[e.ID]
+	if i == nil || !i.dispatched {
+		return
+	}
+	q.firstToken(i)
+	if e.OutputTokens > i.output {
+		q.charge(i, i.PromptTokens, e.OutputTokens*overrunExtension)
+	}
+}
+
+// charge sets what a request costs its customer.
+func (q *Queue) charge(i *item, prompt, output float64) {
+	if i.owner.limited {
+		i.owner.share.Tokens += i.PromptTokens + i.output - prompt - output
+	}
+	price := prompt*q.capacity.PrefillPrice + output*q.capacity.DecodePrice
+	b := &i.owner.queues[i.Class]
+	d := (price - i.charged) / i.owner.weight
+	b.finish += d
+	if b.place > 0 {
+		b.start += d
+		q.active[i.Class].put(b)
+	}
+	i.output, i.charged, i.PromptTokens = output, price, prompt
+}
+
+func (q *Queue) done(e Done) {
+	i := q.items[e.ID]
+	if i == nil || !i.dispatched {
+		return
+	}
+	q.charge(i, e.PromptTokens, e.OutputTokens)
+	q.end(i)
+	if !e.Failed {
+		q.estimates.learn(i.Customer, i.Route, e.OutputTokens)
+	}
+}
+
+// end takes a running request out of the sums.
+func (q *Queue) end(i *item) {
+	q.firstToken(i)
+	q.class[i.Class].running--
+	i.owner.inFlight--
+	delete(q.items, i.ID)
+}
+
+func (q *Queue) cancel(id fleet.RequestID) {
+	i := q.items[id]
+	switch {
+	case i == nil:
+	case i.dispatched:
+		q.end(i)
+	default:
+		q.unqueue(i)
+		i.owner.refund(i)
+		delete(q.items, id)
+	}
+}
