core/route: choose data centre and target by load, health and prefix

Cause: the entry picks targets round robin. Change: Router with load reports decayed by age, own work since, four random candidates, prefix holders, locality by promise, ejection with one probe and slow start.

--- /dev/null
+++ b/core/route/event.go
@@ -0,0 +1,99 @@
+package route
+
+import (
+	"time"
+
+	"papayarock/core/fleet"
+)
+
+// Event is something a Router learns: Configure, Load, Summary, Outcome or
+// Cache.
+type Event interface{ event() }
+
+// Configure replaces the known targets. Figures of targets that stay under the
+// same name and incarnation are kept.
+type Configure struct{ Targets []fleet.Target }
+
+// Load is a target's report of its own backlog.
+type Load struct {
+	Target        fleet.TargetName
+	Taken         time.Time // when the figures were read at the target, on this node's clock
+	PrefillTokens float64   // prompt tokens accepted and not yet processed
+	DecodeTokens  float64   // estimated output tokens of accepted requests still to come
+	Requests      uint32    // running and waiting; the only figure of a plain service
+	PrefillSpeed  float64   // prompt tokens/s; 0 keeps the previous value
+	DecodeSpeed   float64   // output tokens/s over all requests; 0 keeps the previous value
+}
+
+// Summary gives the mean backlog of a data centre's targets, for data centres
+// whose targets don't report to this node one by one.
+type Summary struct {
+	Pool       string
+	DataCentre fleet.DataCentre
+	Stage      fleet.Role
+	Taken      time.Time
+	Work       float64 // mean backlog per target in seconds
+}
+
+// Result says how an attempt ended.
+type Result uint8
+
+// Results of an attempt.
+const (
+	Served    Result = iota
+	Failed           // the target refused, broke off or could not be reached
+	Cancelled        // ended by the caller; says nothing about the target
+)
+
+// Outcome reports the end of the attempt that a Choice began. Each Choice needs
+// exactly one Outcome.
+type Outcome struct {
+	Choice     Choice
+	Result     Result
+	FirstToken time.Duration // from the Choice to the first token, or to the whole answer of a plain service; 0 if unknown
+	Customer   fleet.Customer
+	Bytes      uint64 // sent and received
+}
+
+// Cache reports changes of a target's prefix cache.
+type Cache struct {
+	Target   fleet.TargetName
+	Sequence uint64   // consecutive per incarnation; a jump means lost events
+	Whole    bool     // Stored is the whole content; answers a Resync
+	Stored   []uint64 // prefix hashes, as in Request.Prefix
+	Evicted  []uint64
+}
+
+func (Configure) event() {}
+func (Load) event()      {}
+func (Summary) event()   {}
+func (Outcome) event()   {}
+func (Cache) event()     {}
+
+// Resync asks the owner to request the whole cache content of a target, after
+// a gap in its cache events.
+type Resync struct{ Target fleet.TargetName }
+
+// Request is what Pick needs to know of a request.
+type Request struct {
+	Pool         string
+	Customer     fleet.Customer
+	Stage        fleet.Role // Mixed: the whole request; Prefill, Decode: one phase
+	PromptTokens float64    // 0 for plain services
+	OutputTokens float64    // estimate
+	FirstTokenBy time.Time  // promise; zero means none
+	Prefix       []uint64   // hashes of the prompt's prefixes in blocks of Options.BlockTokens, shortest first
+	Tried        []fleet.TargetName
+}
+
+// Choice is a chosen target. It is passed back in the Outcome.
+type Choice struct {
+	Target   fleet.TargetName
+	Sent     time.Time
+	Expected time.Duration // expected time to the first token
+	Work     float64       // seconds of target time this attempt adds
+	Probe    bool          // the one attempt that tests an ejected target
+	Crosses  bool          // leaves the region
+
+	incarnation fleet.Incarnation
+}
--- /dev/null
+++ b/core/route/pick.go
@@ -0,0 +1,166 @@
+package route
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"papayarock/core/fleet"
+)
+
+const (
+	candidates  = 4               // targets compared per data centre, besides holders of the prefix
+	maxSamples  = 16              // draws to find them among ejected or tried targets
+	trustReport = 2 * time.Second // age at which a report has lost 63% of its weight against the mean
+	spillMargin = 0.8             // share of the remaining time that an estimate may use
+)
+
+type candidate struct {
+	slot  int32
+	score float64 // seconds, with penalties
+	wait  float64 // expected seconds to the first token, without penalties
+	work  float64
+	probe bool
+}
+
+// Pick chooses a target and counts the attempt as in flight. It reads the
+// promise in FirstTokenBy to leave the data centre or the region only when the
+// nearer targets are not expected to keep it.
+func (r *Router) Pick(now time.Time, q Request) (Choice, error) {
+	p := r.pools[q.Pool]
+	if p == nil || int(q.Stage) >= stages {
+		return Choice{}, ErrNoTarget
+	}
+	entry, tokens := r.longest(q.Prefix)
+	best, bestGroup := candidate{slot: -1, score: math.Inf(1)}, int32(-1)
+	for _, gi := range p.byStage[q.Stage] {
+		g := &r.groups[gi]
+		if best.slot >= 0 && g.distance > r.groups[bestGroup].distance && r.keeps(now, q, best, bestGroup) {
+			break
+		}
+		if bestGroup >= 0 && g.mean()+g.delay.Seconds()*2 > best.wait+r.groups[bestGroup].delay.Seconds()*2 {
+			continue // by its summary it is no better
+		}
+		c := r.pickIn(now, q, g, entry, tokens)
+		if c.slot >= 0 && c.score+2*g.delay.Seconds() < best.score {
+			best, bestGroup = c, gi
+			best.score += 2 * g.delay.Seconds()
+		}
+	}
+	if best.slot < 0 {
+		return Choice{}, ErrNoTarget
+	}
+	return r.commit(now, q, best, &r.groups[bestGroup]), nil
+}
+
+// keeps says whether a candidate is expected to keep the promise.
+func (r *Router) keeps(now time.Time, q Request, c candidate, gi int32) bool {
+	if q.FirstTokenBy.IsZero() {
+		return true
+	}
+	left := q.FirstTokenBy.Sub(now) - 2*r.groups[gi].delay
+	return c.wait <= left.Seconds()*spillMargin
+}
+
+func (g *group) mean() float64 {
+	if len(g.members) == 0 {
+		return math.Inf(1)
+	}
+	return math.Max(g.summary, g.work/float64(len(g.members)))
+}
+
+// pickIn compares a few random members of a group and the holders of the
+// prefix.
+func (r *Router) pickIn(now time.Time, q Request, g *group, entry *cacheEntry, tokens float64) candidate {
+	best := candidate{slot: -1, score: math.Inf(1)}
+	n := len(g.members)
+	if n <= candidates {
+		for _, m := range g.members {
+			r.compare(now, q, g, entry, tokens, m, &best)
+		}
+		return best
+	}
+	for found, draw := 0, 0; found < candidates && draw < maxSamples; draw++ {
+		if r.compare(now, q, g, entry, tokens, g.members[r.o.Random.IntN(n)], &best) {
+			found++
+		}
+	}
+	if entry != nil {
+		for _, h := range entry.holders {
+			if h.target >= 0 && r.targets[h.target].groups[q.Stage] >= 0 && r.targets[h.target].DataCentre == g.dataCentre && r.targets[h.target].Pool == q.Pool {
+				r.compare(now, q, g, entry, tokens, h.target, &best)
+			}
+		}
+	}
+	return best
+}
+
+// compare keeps the better of best and member m. It returns false for a member
+// that may not be chosen.
+func (r *Router) compare(now time.Time, q Request, g *group, entry *cacheEntry, tokens float64, m int32, best *candidate) bool {
+	t := &r.targets[m]
+	if slices.Contains(q.Tried, t.Name) {
+		return false
+	}
+	c := candidate{slot: m}
+	if t.health.ejected {
+		if t.health.probing || now.Before(t.health.probeAt) {
+			return false
+		}
+		c.probe = true
+	}
+	held := math.Min(r.held(now, entry, tokens, m), q.PromptTokens)
+	queue := t.queue(now, g.mean())
+	first, rest := t.cost(q, held)
+	c.work = first + rest
+	c.wait = (queue + first) * t.health.slowness
+	c.score = c.wait/t.health.ramp(now) + t.health.rate*failPenalty
+	if c.score < best.score {
+		*best = c
+	}
+	return true
+}
+
+// queue estimates the seconds of work ahead at the target. An old report says
+// little, so that it approaches the mean of the data centre with its age.
+func (t *target) queue(now time.Time, mean float64) float64 {
+	trust := 1.0
+	if !t.taken.IsZero() {
+		trust = math.Exp(-float64(now.Sub(t.taken)) / float64(trustReport))
+	}
+	return mean + trust*(t.reported-mean) + t.since
+}
+
+// cost is the target time of a request: until its first token, and after it.
+func (t *target) cost(q Request, held float64) (first, rest float64) {
+	if t.Kind == fleet.Service {
+		return t.service / float64(max(t.Slots, 1)), 0
+	}
+	if q.Stage != fleet.Decode {
+		first = (q.PromptTokens - held) / t.prefill
+	}
+	if q.Stage != fleet.Prefill {
+		rest = q.OutputTokens / t.decode
+	}
+	return first, rest
+}
+
+func (r *Router) commit(now time.Time, q Request, c candidate, g *group) Choice {
+	t := &r.targets[c.slot]
+	before := t.work()
+	t.add(now, c.work)
+	r.changed(t, before)
+	if c.probe {
+		t.health.probing = true
+	}
+	if q.Stage != fleet.Decode {
+		for _, h := range q.Prefix {
+			r.cache.insert(h, holder{target: c.slot, epoch: t.cache.epoch, expires: now.Add(optimisticLife)})
+		}
+	}
+	return Choice{
+		Target: t.Name, Sent: now, Work: c.work, Probe: c.probe, Crosses: g.distance == 2,
+		Expected:    time.Duration((c.wait + 2*g.delay.Seconds()) * float64(time.Second)),
+		incarnation: t.Incarnation,
+	}
+}
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,243 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"papayarock/core/fleet"
+	"papayarock/core/route"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newRouter() *route.Router {
+	return route.New(route.Options{DataCentre: "dc0", Region: "r0", Random: rand.New(rand.NewPCG(1, 2))})
+}
+
+// engines returns n mixed engines; engine i is in data centre i mod dcs, and
+// two data centres make a region.
+func engines(n, dcs int) []fleet.Target {
+	ts := make([]fleet.Target, n)
+	for i := range ts {
+		ts[i] = fleet.Target{
+			Name: fleet.TargetName(fmt.Sprintf("t%d", i)), Pool: "m", Kind: fleet.Engine, Phase: fleet.Ready, Slots: 16,
+			DataCentre: fleet.DataCentre(fmt.Sprintf("dc%d", i%dcs)),
+			Region:     fleet.Region(fmt.Sprintf("r%d", i%dcs/2)),
+		}
+	}
+	return ts
+}
+
+func request(prompt float64, promise time.Duration) route.Request {
+	return route.Request{Pool: "m", PromptTokens: prompt, OutputTokens: 100, FirstTokenBy: start.Add(promise)}
+}
+
+// Guards against traffic leaving the data centre while it keeps the promise,
+// and against staying when only another region can keep it.
+func TestLocality(t *testing.T) {
+	for name, c := range map[string]struct {
+		busy []string // overloaded targets
+		want fleet.TargetName
+	}{
+		"own data centre": {nil, "t0"},
+		"own region":      {[]string{"t0"}, "t1"},
+		"other region":    {[]string{"t0", "t1"}, "t2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRouter()
+			r.Step(start, route.Configure{Targets: engines(3, 3)})
+			for _, b := range c.busy {
+				r.Step(start, route.Load{Target: fleet.TargetName(b), Taken: start, PrefillTokens: 80000})
+			}
+			choice, err := r.Pick(start, request(500, 330*time.Millisecond))
+			is.NoErr(err)
+			is.Equal(choice.Target, c.want)
+			r.Step(start, route.Outcome{Choice: choice, Customer: "a", Bytes: 10})
+			is.Equal(r.Crossed["a"] == 10, c.want == "t2")
+		})
+	}
+}
+
+// Guards against a target that fails fast drawing traffic, and against more
+// than one probe at a time of an ejected target.
+func TestFailingTarget(t *testing.T) {
+	is := is.New(t)
+	r := newRouter()
+	r.Step(start, route.Configure{Targets: engines(4, 1)})
+	failed := 0
+	probes := 0
+	var open []route.Choice
+	for i := range 3000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		c, err := r.Pick(now, request(500, time.Hour))
+		is.NoErr(err)
+		if c.Target != "t0" {
+			open = append(open, c)
+			if len(open) > 8 {
+				r.Step(now, route.Outcome{Choice: open[0], FirstToken: open[0].Expected})
+				open = open[1:]
+			}
+			continue
+		}
+		failed++
+		if c.Probe {
+			probes++
+		}
+		r.Step(now, route.Outcome{Choice: c, Result: route.Failed})
+	}
+	is.True(failed-probes <= 3) // before the ejection
+	is.True(probes <= 6)        // 30 s with a doubling backoff
+}
+
+// Guards against a returned target being flooded before it is known to work.
+func TestSlowStart(t *testing.T) {
+	is := is.New(t)
+	r := newRouter()
+	r.Step(start, route.Configure{Targets: engines(4, 1)})
+	for range 200 {
+		c, err := r.Pick(start, request(500, time.Hour))
+		is.NoErr(err)
+		result := route.Served
+		if c.Target == "t0" {
+			result = route.Failed
+		}
+		r.Step(start, route.Outcome{Choice: c, Result: result})
+	}
+	now := start.Add(2 * time.Second)
+	for {
+		c, err := r.Pick(now, request(500, time.Hour))
+		is.NoErr(err)
+		r.Step(now, route.Outcome{Choice: c})
+		if c.Target == "t0" {
+			is.True(c.Probe)
+			break
+		}
+	}
+	counts := map[fleet.TargetName]int{}
+	for range 100 {
+		c, err := r.Pick(now, request(500, time.Hour))
+		is.NoErr(err)
+		counts[c.Target]++
+	}
+	is.True(counts["t0"]*3 < counts["t1"]) // a tenth of the usual share at first
+}
+
+// Guards against a prefix whose cached copy is not used, against a hot prefix
+// that overloads its holder, and against trust in entries after lost events.
+func TestPrefix(t *testing.T) {
+	is := is.New(t)
+	r := newRouter()
+	r.Step(start, route.Configure{Targets: engines(40, 1)})
+	is.Equal(len(r.Step(start, route.Cache{Target: "t7", Sequence: 1, Stored: []uint64{11, 12}})), 0)
+	q := request(600, time.Hour)
+	q.Prefix = []uint64{11, 12, 13}
+	c, err := r.Pick(start, q)
+	is.NoErr(err)
+	is.Equal(c.Target, fleet.TargetName("t7"))
+	seen := map[fleet.TargetName]bool{}
+	for range 40 {
+		c, err := r.Pick(start, q)
+		is.NoErr(err)
+		seen[c.Target] = true
+	}
+	is.True(len(seen) > 3)
+
+	is.Equal(r.Step(start, route.Cache{Target: "t7", Sequence: 5}), []route.Resync{{Target: "t7"}})
+	is.Equal(len(r.Step(start, route.Cache{Target: "t7", Sequence: 7})), 0) // asked once
+	r.Step(start, route.Cache{Target: "t7", Sequence: 9, Whole: true, Stored: []uint64{99}})
+	q.Prefix = []uint64{99}
+	is.Equal(len(r.Step(start, route.Cache{Target: "t7", Sequence: 10})), 0)
+}
+
+// Guards against work that is counted for ever or twice: after every attempt
+// has ended and each target has reported an empty queue, targets of equal
+// figures are chosen equally.
+func TestBooksBalance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRouter()
+		r.Step(start, route.Configure{Targets: engines(2, 1)})
+		now := start
+		var open []route.Choice
+		for range rapid.IntRange(0, 300).Draw(t, "steps") {
+			now = now.Add(time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				c, err := r.Pick(now, request(500, time.Hour))
+				if err != nil {
+					t.Fatal(err)
+				}
+				open = append(open, c)
+			case 1:
+				if len(open) > 0 {
+					i := rapid.IntRange(0, len(open)-1).Draw(t, "open")
+					r.Step(now, route.Outcome{Choice: open[i]})
+					open = append(open[:i], open[i+1:]...)
+				}
+			case 2:
+				r.Step(now, route.Load{Target: "t0", Taken: now.Add(-time.Millisecond), PrefillTokens: 100})
+			}
+		}
+		for _, c := range open {
+			r.Step(now, route.Outcome{Choice: c})
+		}
+		now = now.Add(time.Second)
+		for _, n := range []fleet.TargetName{"t0", "t1"} {
+			r.Step(now, route.Load{Target: n, Taken: now})
+		}
+		a, err := r.Pick(now, request(500, time.Hour))
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := r.Pick(now, request(500, time.Hour))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a.Target == b.Target {
+			t.Fatalf("both to %s", a.Target)
+		}
+	})
+}
+
+// Guards against a Pick that allocates, or whose cost grows faster than
+// logarithmically with the number of targets.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{10, 100, 1100} {
+		b.Run(fmt.Sprintf("targets-%d", n), func(b *testing.B) {
+			r := newRouter()
+			r.Step(start, route.Configure{Targets: engines(n, min(11, (n+9)/10))})
+			q := request(500, time.Hour)
+			q.Prefix = []uint64{1, 2, 3, 4}
+			b.ReportAllocs()
+			now := start
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				c, err := r.Pick(now, q)
+				if err != nil {
+					b.Fatal(err)
+				}
+				r.Step(now, route.Outcome{Choice: c})
+			}
+		})
+	}
+}
+
+// Guards against allocation in Pick.
+func TestPickAllocatesNothing(t *testing.T) {
+	is := is.New(t)
+	r := newRouter()
+	r.Step(start, route.Configure{Targets: engines(1100, 11)})
+	q := request(500, time.Hour)
+	q.Prefix = []uint64{1, 2, 3, 4}
+	n := testing.AllocsPerRun(1000, func() {
+		if _, err := r.Pick(start, q); err != nil {
+			t.Fatal(err)
+		}
+	})
+	is.Equal(n, 0.0)
+}
