core/route: place a request by stage

Cause: a request on a prefill engine needs a second choice, for its decode phase, which Pick by role could not express. Change: Request.Stage is Start or Decode; Choice names role and agent. Conclusion: the owner picks again when Choice.Role is Prefill.

--- a/core/route/event.go
+++ b/core/route/event.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"net/netip"
 	"time"
 
 	"papayarock/core/fleet"
@@ -30,7 +31,7 @@
 type Summary struct {
 	Pool       string
 	DataCentre fleet.DataCentre
-	Stage      fleet.Role
+	Stage      Stage
 	Taken      time.Time
 	Work       float64 // mean backlog per target in seconds
 }
@@ -74,21 +75,33 @@
 // a gap in its cache events.
 type Resync struct{ Target fleet.TargetName }
 
+// Stage says which part of a request is placed.
+type Stage uint8
+
+// Stages of a request. A plain service and a mixed engine run the whole
+// request at its start; after a prefill engine the request is placed again.
+const (
+	Start Stage = iota
+	Decode
+)
+
 // Request is what Pick needs to know of a request.
 type Request struct {
 	Pool         string
 	Customer     fleet.Customer
-	Stage        fleet.Role // Mixed: the whole request; Prefill, Decode: one phase
-	PromptTokens float64    // 0 for plain services
-	OutputTokens float64    // estimate
-	FirstTokenBy time.Time  // promise; zero means none
-	Prefix       []uint64   // hashes of the prompt's prefixes in blocks of Options.BlockTokens, shortest first
+	Stage        Stage
+	PromptTokens float64   // 0 for plain services
+	OutputTokens float64   // estimate
+	FirstTokenBy time.Time // promise; zero means none
+	Prefix       []uint64  // hashes of the prompt's prefixes in blocks of Options.BlockTokens, shortest first
 	Tried        []fleet.TargetName
 }
 
 // Choice is a chosen target. It is passed back in the Outcome.
 type Choice struct {
 	Target   fleet.TargetName
+	Agent    netip.AddrPort
+	Role     fleet.Role // Prefill: Pick again with stage Decode after the prompt
 	Sent     time.Time
 	Expected time.Duration // expected time to the first token
 	Work     float64       // seconds of target time this attempt adds
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -136,10 +136,10 @@
 	if t.Kind == fleet.Service {
 		return t.service / float64(max(t.Slots, 1)), 0
 	}
-	if q.Stage != fleet.Decode {
+	if q.Stage == Start {
 		first = (q.PromptTokens - held) / t.prefill
 	}
-	if q.Stage != fleet.Prefill {
+	if q.Stage == Decode || t.Role == fleet.Mixed {
 		rest = q.OutputTokens / t.decode
 	}
 	return first, rest
@@ -153,13 +153,13 @@
 	if c.probe {
 		t.health.probing = true
 	}
-	if q.Stage != fleet.Decode {
+	if q.Stage == Start {
 		for _, h := range q.Prefix {
 			r.cache.insert(h, holder{target: c.slot, epoch: t.cache.epoch, expires: now.Add(optimisticLife)})
 		}
 	}
 	return Choice{
-		Target: t.Name, Sent: now, Work: c.work, Probe: c.probe, Crosses: g.distance == 2,
+		Target: t.Name, Agent: t.Agent, Role: t.Role, Sent: now, Work: c.work, Probe: c.probe, Crosses: g.distance == 2,
 		Expected:    time.Duration((c.wait + 2*g.delay.Seconds()) * float64(time.Second)),
 		incarnation: t.Incarnation,
 	}
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -15,7 +15,7 @@
 var ErrNoTarget = errors.New("no target is available")
 
 const (
-	stages         = 3 // Mixed, Prefill, Decode
+	stages         = 2
 	sentRing       = 64
 	defaultPrefill = 8000.0 // prompt tokens/s until a target reports its speed
 	defaultDecode  = 1500.0 // output tokens/s until a target reports its speed
@@ -137,7 +137,7 @@
 			n.reported, n.since, n.n = 0, 0, 0
 		}
 		n.Target = t
-		n.groups = [stages]int32{-1, -1, -1}
+		n.groups = [stages]int32{-1, -1}
 		r.byName[t.Name] = int32(len(r.targets))
 		r.targets = append(r.targets, n)
 		if t.Phase == fleet.Ready {
@@ -157,7 +157,7 @@
 		r.pools[t.Pool] = p
 	}
 	for s := range stages {
-		if !serves(&t.Target, fleet.Role(s)) {
+		if !serves(&t.Target, Stage(s)) {
 			continue
 		}
 		g := r.groupOf(p, s, &t.Target)
@@ -167,8 +167,11 @@
 	}
 }
 
-func serves(t *fleet.Target, stage fleet.Role) bool {
-	return t.Kind == fleet.Service || t.Role == fleet.Mixed || t.Role == stage
+func serves(t *fleet.Target, stage Stage) bool {
+	if t.Kind == fleet.Service {
+		return stage == Start
+	}
+	return t.Role == fleet.Mixed || (t.Role == fleet.Decode) == (stage == Decode)
 }
 
 func (r *Router) groupOf(p *pool, stage int, t *fleet.Target) int32 {
