internal/fake: add engine, platform and weight store

Cause: tests of every role need the systems around papayarock, and the only fake was a service without faults. Change: Engine (completion API in JSON and SSE, continuous batching, prefix cache, resume, KV export and import, cache events, load reports, orders with and without fencing, crashes), Platform (targets, price, usage reports) and WeightStore (one rate limit); Service gains faults. All take the time from package time and run under testing/synctest; Memory and Serve provide in-memory connections.

--- /dev/null
+++ b/internal/fake/engine_test.go
@@ -0,0 +1,283 @@
+package fake_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"papayarock/core/fleet"
+	"papayarock/internal/fake"
+)
+
+type caller struct {
+	t      *testing.T
+	client *http.Client
+}
+
+func (c caller) do(ctx context.Context, method, path, id, class string, body any) (*http.Response, error) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://fake"+path, bytes.NewReader(text))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Papayarock-Class", class)
+	return c.client.Do(req)
+}
+
+func (c caller) post(path, id, class string, body any) (int, string, error) {
+	resp, err := c.do(c.t.Context(), http.MethodPost, path, id, class, body)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err
+}
+
+func (c caller) get(path string, v any) {
+	c.t.Helper()
+	resp, err := c.do(c.t.Context(), http.MethodGet, path, "", "", nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func completion(prompt string, tokens int, stream bool) map[string]any {
+	return map[string]any{"prompt": prompt, "max_tokens": tokens, "stream": stream}
+}
+
+// text joins the output of a streamed completion.
+func text(t *testing.T, stream string) string {
+	t.Helper()
+	var b strings.Builder
+	for line := range strings.Lines(stream) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		var m struct {
+			Choices []struct{ Text string }
+		}
+		if err := json.Unmarshal([]byte(data), &m); err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range m.Choices {
+			b.WriteString(c.Text)
+		}
+	}
+	return b.String()
+}
+
+func bubble(t *testing.T, h http.Handler, f func(t *testing.T, c caller)) {
+	synctest.Test(t, func(t *testing.T) {
+		client, stop := fake.Serve(h)
+		defer stop()
+		f(t, caller{t, client})
+	})
+}
+
+// Guards against answers that lack text, usage or the closing event.
+func TestEngineAnswersWhole(t *testing.T) {
+	e := &fake.Engine{}
+	bubble(t, e, func(t *testing.T, c caller) {
+		is := is.New(t)
+		status, body, err := c.post("/v1/completions", "a", "", completion("stone seven moved", 3, false))
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.True(strings.Contains(body, fake.Completion("stone seven moved", 3)))
+		is.True(strings.Contains(body, `"total_tokens":6`))
+
+		_, stream, err := c.post("/v1/completions", "b", "", completion("stone eight", 4, true))
+		is.NoErr(err)
+		is.Equal(text(t, stream), fake.Completion("stone eight", 4))
+		is.True(strings.Contains(stream, `"completion_tokens":4`))
+		is.True(strings.HasSuffix(stream, "data: [DONE]\n\n"))
+
+		_, chat, err := c.post("/v1/chat/completions", "c", "", map[string]any{
+			"messages": []map[string]string{{"role": "user", "content": "is it safe"}}, "max_tokens": 2})
+		is.NoErr(err)
+		is.True(strings.Contains(chat, fake.Completion("user: is it safe", 2)))
+		is.Equal(e.Counts().Completed, 3)
+	})
+}
+
+// Guards against a batch that serves requests one after the other, and against
+// patient work ahead of urgent work in the queue.
+func TestEngineBatchesUrgentFirst(t *testing.T) {
+	e := &fake.Engine{Slots: 2, Step: 10 * time.Millisecond}
+	bubble(t, e, func(t *testing.T, c caller) {
+		is := is.New(t)
+		order := make(chan string, 4)
+		start := time.Now()
+		classes, tokens := []string{"patient", "patient", "patient", "urgent"}, []int{20, 30, 20, 5}
+		for i, class := range classes {
+			go func() {
+				_, _, err := c.post("/v1/completions", fmt.Sprint(i), class, completion("some words", tokens[i], false))
+				is.NoErr(err)
+				order <- fmt.Sprint(i)
+			}()
+			synctest.Wait()
+		}
+		got := ""
+		for range 4 {
+			got += <-order
+		}
+		is.Equal(got, "3012") // the urgent request overtakes the two that wait; "0132" without priority
+		// 75 steps of 10 ms one after the other, 45 in two slots; a step has
+		// up to 2 ms for its tokens.
+		is.True(time.Since(start) < 600*time.Millisecond)
+	})
+}
+
+// Guards against work that goes on for a caller that left.
+func TestEngineCancelsOnDisconnect(t *testing.T) {
+	e := &fake.Engine{Step: time.Second}
+	bubble(t, e, func(t *testing.T, c caller) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		resp, err := c.do(ctx, http.MethodPost, "/v1/completions", "a", "", completion("x", 1000, true))
+		is.NoErr(err)
+		_, err = io.ReadAll(resp.Body)
+		is.True(err != nil)
+		synctest.Wait()
+		is.Equal(e.Counts().Cancelled, 1)
+		is.Equal(e.Counts().Completed, 0)
+		e.Crash()
+	})
+}
+
+// Guards against a resumed answer that lacks bytes, repeats them or runs the
+// request again.
+func TestEngineResumesAtOffset(t *testing.T) {
+	e := &fake.Engine{ResumeWindow: time.Minute}
+	e.Set(func(f *fake.EngineFaults) { f.DropAfterFrames = 3 })
+	bubble(t, e, func(t *testing.T, c caller) {
+		is := is.New(t)
+		_, first, err := c.post("/v1/completions", "a", "", completion("gauge two", 10, true))
+		is.True(err != nil)
+		resp, err := c.do(t.Context(), http.MethodGet, fmt.Sprintf("/resume/a?offset=%d", len(first)), "", "", nil)
+		is.NoErr(err)
+		rest, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(text(t, first+string(rest)), fake.Completion("gauge two", 10))
+		is.Equal(e.Runs("a"), 1)
+		time.Sleep(2 * time.Minute)
+		status, _, err := c.post("/resume/a?offset=0", "", "", nil)
+		is.NoErr(err)
+		is.Equal(status, http.StatusMethodNotAllowed)
+		resp, err = c.do(t.Context(), http.MethodGet, "/resume/a?offset=0", "", "", nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusNotFound) // the answer is no longer kept
+		is.NoErr(resp.Body.Close())
+	})
+}
+
+// Guards against an answer that ends cleanly although the engine crashed.
+func TestEngineCrashesInAnswer(t *testing.T) {
+	e := &fake.Engine{}
+	e.Set(func(f *fake.EngineFaults) { f.CrashAfterFrames = 2 })
+	bubble(t, e, func(t *testing.T, c caller) {
+		is := is.New(t)
+		_, _, err := c.post("/v1/completions", "a", "", completion("x", 10, true))
+		is.True(err != nil)
+		_, _, err = c.post("/v1/completions", "b", "", completion("x", 1, false))
+		is.True(err != nil) // down until Restart
+		e.Restart()
+		status, _, err := c.post("/v1/completions", "c", "", completion("x", 1, false))
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.Equal(e.Counts().Crashes, 1)
+		is.Equal(e.Counts().Interrupted, 1)
+	})
+}
+
+// Guards against a cache without bound, and against events that are early or
+// have no gaps.
+func TestEngineCacheAndEvents(t *testing.T) {
+	e := &fake.Engine{CacheBlocks: 2, EventLag: time.Minute, EventGapEvery: 3}
+	bubble(t, e, func(t *testing.T, c caller) {
+		is := is.New(t)
+		prompt := strings.Repeat("w ", 40) // two whole blocks
+		for _, id := range []string{"a", "b"} {
+			_, _, err := c.post("/v1/completions", id, "", completion(prompt, 1, false))
+			is.NoErr(err)
+		}
+		is.Equal(e.Counts().CachedTokens, 32) // of the second request
+		var events []fake.CacheEvent
+		c.get("/events", &events)
+		is.Equal(len(events), 0)
+		_, _, err := c.post("/v1/completions", "c", "", completion("v "+prompt, 1, false))
+		is.NoErr(err)
+		time.Sleep(time.Minute)
+		c.get("/events?after=1", &events)
+		var got []string
+		for _, ev := range events {
+			got = append(got, fmt.Sprintf("%d %s", ev.Sequence, ev.Kind))
+		}
+		is.Equal(strings.Join(got, " "), "2 stored 4 removed 5 stored") // 3 and 6 are lost
+	})
+}
+
+// Guards against KV cache that is lost on its way between engines.
+func TestEngineMovesKV(t *testing.T) {
+	from := &fake.Engine{CacheBlocks: 8, KVBytesPerToken: 100, Role: fleet.Prefill}
+	to := &fake.Engine{CacheBlocks: 8, Role: fleet.Decode}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		prompt := strings.Repeat("w ", 32)
+		client, stop := fake.Serve(from)
+		defer stop()
+		c := caller{t, client}
+		_, _, err := c.post("/v1/completions", "a", "", completion(prompt, 1, false))
+		is.NoErr(err)
+		_, kv, err := c.post("/kv/export", "", "", completion(prompt, 0, false))
+		is.NoErr(err)
+		is.True(len(kv) > 3200)
+		client2, stop2 := fake.Serve(to)
+		defer stop2()
+		for name, body := range map[string]string{"cut": kv[:len(kv)-1], "whole": kv} {
+			resp, err := client2.Post("http://fake/kv/import", "", strings.NewReader(body))
+			is.NoErr(err)
+			is.NoErr(resp.Body.Close())
+			is.Equal(resp.StatusCode == http.StatusOK, name == "whole")
+		}
+		_, _, err = caller{t, client2}.post("/v1/completions", "b", "", completion(prompt, 5, false))
+		is.NoErr(err)
+		is.Equal(to.Counts().CachedTokens, 32)
+	})
+}
+
+// Guards against load reports that show the present.
+func TestEngineLoadLags(t *testing.T) {
+	e := &fake.Engine{LoadLag: 10 * time.Second, Step: time.Second}
+	bubble(t, e, func(t *testing.T, c caller) {
+		is := is.New(t)
+		go func() { _, _, _ = c.post("/v1/completions", "a", "", completion("x", 15, false)) }()
+		time.Sleep(5500 * time.Millisecond)
+		var load fake.EngineLoad
+		c.get("/load", &load)
+		is.Equal(load.Running, 0)
+		time.Sleep(8 * time.Second)
+		c.get("/load", &load)
+		is.Equal(load.Running, 1)
+		time.Sleep(30 * time.Second)
+	})
+}
--- /dev/null
+++ b/internal/fake/memory.go
@@ -0,0 +1,76 @@
+package fake
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// Memory is a listener on in-memory connections, for servers under
+// testing/synctest. The zero value is not ready; use NewMemory.
+type Memory struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+// NewMemory returns a listener.
+func NewMemory() *Memory {
+	return &Memory{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// Accept waits for a connection.
+func (m *Memory) Accept() (net.Conn, error) {
+	select {
+	case c := <-m.conns:
+		return c, nil
+	case <-m.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends Accept and Dial. Connections stay open.
+func (m *Memory) Close() error {
+	m.once.Do(func() { close(m.closed) })
+	return nil
+}
+
+// Addr returns an address that names the network only.
+func (m *Memory) Addr() net.Addr { return memoryAddr{} }
+
+// Dial connects to the listener. Network and address are ignored.
+func (m *Memory) Dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	client, server := net.Pipe()
+	select {
+	case m.conns <- server:
+		return client, nil
+	case <-m.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+type memoryAddr struct{}
+
+func (memoryAddr) Network() string { return "memory" }
+func (memoryAddr) String() string  { return "memory" }
+
+// Serve serves h in memory and returns a client for it; any host name reaches
+// h. The function returned ends server and client.
+func Serve(h http.Handler) (*http.Client, func()) {
+	m := NewMemory()
+	server := &http.Server{Handler: h}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(m) // returns when the server is closed
+	}()
+	transport := &http.Transport{DialContext: m.Dial}
+	return &http.Client{Transport: transport}, func() {
+		transport.CloseIdleConnections()
+		_ = server.Close()
+		<-done
+	}
+}
--- /dev/null
+++ b/internal/fake/weights.go
@@ -0,0 +1,104 @@
+package fake
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"golang.org/x/time/rate"
+)
+
+const weightChunkBytes = 64 << 10
+
+// WeightStore serves model weights, GET /weights/{name}/{version}, under one
+// rate limit for all downloads.
+type WeightStore struct {
+	BytesPerSecond int              // 0 means no limit
+	Bytes          map[string]int64 // size by name or name/version
+
+	once      sync.Once
+	limiter   *rate.Limiter
+	mu        sync.Mutex
+	downloads map[string]int
+	sent      int64
+	active    int
+	peak      int
+}
+
+// ServeHTTP sends one download.
+func (s *WeightStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /weights/{name}/{version}", s.download)
+	mux.ServeHTTP(w, r)
+}
+
+func (s *WeightStore) download(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("name") + "/" + r.PathValue("version")
+	size, ok := s.Bytes[id]
+	if !ok {
+		size, ok = s.Bytes[r.PathValue("name")]
+	}
+	if !ok {
+		apiError(w, http.StatusNotFound, fmt.Sprintf("no weights of %q", id))
+		return
+	}
+	s.begin()
+	defer s.end()
+	w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+	for left := size; left > 0; {
+		n := min(left, weightChunkBytes)
+		if s.limiter != nil && s.limiter.WaitN(r.Context(), int(n)) != nil {
+			panic(http.ErrAbortHandler)
+		}
+		sent, err := io.CopyN(w, zeros{}, n)
+		s.mu.Lock()
+		s.sent += sent
+		s.mu.Unlock()
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		left -= n
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.downloads[id]++
+}
+
+func (s *WeightStore) begin() {
+	s.once.Do(func() {
+		s.downloads = make(map[string]int)
+		if s.BytesPerSecond > 0 {
+			s.limiter = rate.NewLimiter(rate.Limit(s.BytesPerSecond), weightChunkBytes)
+		}
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active++
+	s.peak = max(s.peak, s.active)
+}
+
+func (s *WeightStore) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active--
+}
+
+// WeightCounts says what a store sent.
+type WeightCounts struct {
+	Downloads map[string]int // completed, by name/version
+	Bytes     int64
+	Peak      int // most downloads at once
+}
+
+// Counts returns what the store sent so far.
+func (s *WeightStore) Counts() WeightCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := WeightCounts{Downloads: make(map[string]int), Bytes: s.sent, Peak: s.peak}
+	for id, n := range s.downloads {
+		c.Downloads[id] = n
+	}
+	return c
+}
