io/wire: messages and result codec of the calls to control

Cause: entries, agents and operators need to poll, submit commands and ask for progress, and get the result of a command back.

--- /dev/null
+++ b/io/wire/codec_result.go
@@ -0,0 +1,100 @@
+package wire
+
+import (
+	"github.com/pkg/errors"
+
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+)
+
+// EncodeResult maps the result of a command that another process submitted.
+func EncodeResult(r state.Result) (*ControlResult, error) {
+	switch r := r.(type) {
+	case state.ClaimResult:
+		return &ControlResult{Result: &ControlResult_Claim{Claim: encodeClaimResult(r)}}, nil
+	case state.ChangeResult:
+		return &ControlResult{Result: &ControlResult_Change{Change: &ControlChangeResult{
+			Outcome: uint32(r.Outcome), Revision: r.Revision, Winner: encodeRef(r.Winner), Reason: r.Reason,
+		}}}, nil
+	case state.TargetResult:
+		return &ControlResult{Result: &ControlResult_Target{Target: &ControlTargetResult{
+			Outcome: uint32(r.Outcome), Target: encodeTarget(r.Target), Revision: r.Revision,
+		}}}, nil
+	case state.UsageResult:
+		return &ControlResult{Result: &ControlResult_Usage{Usage: &ControlUsageResult{
+			Refused: mapped(r.Refused, encodeUsageID), TooLate: mapped(r.TooLate, encodeUsageID),
+		}}}, nil
+	case state.ShareResult:
+		return &ControlResult{Result: &ControlResult_Share{Share: &ControlShareResult{
+			Granted: r.Granted, Share: encodeShare(r.Share),
+		}}}, nil
+	case state.SettleResult:
+		return &ControlResult{Result: &ControlResult_Settle{Settle: uint32(r.Outcome)}}, nil
+	}
+	return nil, errors.Wrapf(ErrCodec, "result %T is not sent to other processes", r)
+}
+
+// DecodeResult reads what EncodeResult wrote.
+func DecodeResult(m *ControlResult) (state.Result, error) {
+	var r reader
+	out := r.result(m)
+	return out, r.err
+}
+
+func (r *reader) result(m *ControlResult) state.Result {
+	switch x := m.GetResult().(type) {
+	case *ControlResult_Claim:
+		return r.claimResult(x.Claim)
+	case *ControlResult_Change:
+		return state.ChangeResult{
+			Outcome:  enum(r, "change outcome", x.Change.GetOutcome(), state.ChangeInvalid),
+			Revision: x.Change.GetRevision(), Winner: decodeRef(x.Change.GetWinner()), Reason: x.Change.GetReason(),
+		}
+	case *ControlResult_Target:
+		return state.TargetResult{
+			Outcome: enum(r, "target outcome", x.Target.GetOutcome(), state.TargetLimit),
+			Target:  r.target(x.Target.GetTarget()), Revision: x.Target.GetRevision(),
+		}
+	case *ControlResult_Usage:
+		return state.UsageResult{
+			Refused: mapped(x.Usage.GetRefused(), decodeUsageID), TooLate: mapped(x.Usage.GetTooLate(), decodeUsageID),
+		}
+	case *ControlResult_Share:
+		return state.ShareResult{Granted: x.Share.GetGranted(), Share: decodeShare(x.Share.GetShare())}
+	case *ControlResult_Settle:
+		return state.SettleResult{Outcome: enum(r, "settle outcome", x.Settle, state.SettleNotHolder)}
+	}
+	r.fail("result is missing")
+	return nil
+}
+
+func encodeClaimResult(c state.ClaimResult) *ControlClaimResult {
+	m := &ControlClaimResult{
+		Outcome: uint32(c.Outcome), Index: c.Index, Holder: c.Holder[:], Target: string(c.Target),
+	}
+	if c.Outcome == state.ClaimAnswered {
+		m.Answer = encodeAnswer(&c.Answer)
+	}
+	return m
+}
+
+func (r *reader) claimResult(m *ControlClaimResult) state.ClaimResult {
+	c := state.ClaimResult{
+		Outcome: enum(r, "claim outcome", m.GetOutcome(), state.ClaimMismatch),
+		Index:   m.GetIndex(), Holder: r.requestID(m.GetHolder()), Target: targetName(m.GetTarget()),
+	}
+	if a := decodeAnswer(m.GetAnswer()); a != nil {
+		c.Answer = *a
+	}
+	return c
+}
+
+func encodeUsageID(u state.UsageID) *ControlUsageID {
+	return &ControlUsageID{Node: string(u.Node), Incarnation: uint64(u.Incarnation), Sequence: u.Sequence}
+}
+
+func decodeUsageID(m *ControlUsageID) state.UsageID {
+	return state.UsageID{
+		Node: fleet.Host(m.GetNode()), Incarnation: fleet.Incarnation(m.GetIncarnation()), Sequence: m.GetSequence(),
+	}
+}
