io/answers: check answers and generate the configuration

Cause: the configuration of a team could only be written by hand. Change: a questionnaire whose check lists every fault with key, line and how to mend it; Generate writes a config.Document and a TOML form in which each value names its answer; ReadDocument reads that form; Diff lists changes, whom they concern and which need confirmation. Both users are filled in under examples. internal/tomlfile reads TOML files key by key with positions.

--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,16 @@
+// Package examples holds the filled-in questionnaires of both current users.
+package examples
+
+import _ "embed" // for the questionnaires
+
+// Terengganu is the questionnaire of the Terengganu coastal conservation
+// department.
+//
+//go:embed terengganu/answers.toml
+var Terengganu []byte
+
+// Association is the questionnaire of the Northeastern Brazilian association
+// of roof snow removers.
+//
+//go:embed association/answers.toml
+var Association []byte
--- /dev/null
+++ b/io/answers/answers_test.go
@@ -0,0 +1,243 @@
+package answers_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+	"papayarock/examples"
+	"papayarock/io/answers"
+)
+
+func filled() map[string][]byte {
+	return map[string][]byte{"template": answers.Template, "terengganu": examples.Terengganu, "association": examples.Association}
+}
+
+func check(t *testing.T, text string) answers.Answers {
+	t.Helper()
+	a, faults := answers.Check([]byte(text))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	return a
+}
+
+// Guards against filled-in questionnaires with faults, and against a generated
+// file that says something else than the configuration it was generated with.
+func TestGenerateReadsBack(t *testing.T) {
+	for name, text := range filled() {
+		t.Run(name, func(t *testing.T) {
+			g := answers.Generate(check(t, string(text)))
+			d, faults := answers.ReadDocument(g.TOML)
+			if len(faults) > 0 {
+				t.Fatal(faults)
+			}
+			if !reflect.DeepEqual(d, g.Document) {
+				t.Errorf("read back %+v, want %+v", d, g.Document)
+			}
+		})
+	}
+}
+
+// Guards against examples of another size than the users have.
+func TestExampleSizes(t *testing.T) {
+	tests := map[string]struct {
+		text              []byte
+		language, service int
+		pool              string
+	}{
+		"terengganu":  {examples.Terengganu, 8, 3, "repair-log"},
+		"association": {examples.Association, 6, 3, "booking"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := check(t, string(tt.text))
+			is.Equal(len(a.DataCentres), 3)
+			is.Equal(len(a.Customers), 8)
+			is.Equal(a.Pools[0].Total(), tt.language)
+			is.Equal(a.Pools[1].Name, tt.pool)
+			is.Equal(a.Pools[1].Total(), tt.service)
+		})
+	}
+}
+
+// Guards against a value in the generated file without the answer it came
+// from.
+func TestGenerateNamesSources(t *testing.T) {
+	g := answers.Generate(check(t, string(examples.Terengganu)))
+	text := string(g.TOML)
+	for _, want := range []string{
+		"weight = 4 # customer[0].weight, line 19\n",
+		"weight = 1 # default\n",
+		"safe-reads = true # work[4].idempotent, line ",
+		"minimum = 3 # pool[1].targets, line ",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no %q in:\n%s", want, text)
+		}
+	}
+	for line := range strings.Lines(text) {
+		if strings.Contains(line, " = ") && !strings.Contains(line, " # ") {
+			t.Errorf("no source: %s", line)
+		}
+	}
+}
+
+// Guards against repeated windows that drift, and against answers that lose
+// their meaning in a route.
+func TestGenerateDocument(t *testing.T) {
+	is := is.New(t)
+	d := answers.Generate(check(t, string(examples.Terengganu))).Document
+	is.Equal(len(d.Windows), 58)
+	is.Equal(d.Windows[57].Name, "low tide 58")
+	is.Equal(d.Windows[57].Opens.Sub(d.Windows[0].Opens), 57*(12*time.Hour+25*time.Minute))
+	is.Equal(d.Windows[57].Closes.Sub(d.Windows[57].Opens), 2*time.Hour+15*time.Minute)
+	orders, log := d.Routes[3], d.Routes[4]
+	is.Equal([]bool{orders.Idempotent, orders.SafeReads}, []bool{false, false})
+	is.Equal([]bool{log.Idempotent, log.SafeReads}, []bool{false, true})
+	is.Equal(d.Routes[0].Class, fleet.Urgent)
+	is.Equal(d.Routes[0].Protocol, config.Language)
+	is.Equal(d.Budget.MinimumPerPool["repair-log"], 3)
+}
+
+// Guards against a fault that passes the check, or is reported at another line
+// or key than the one to mend.
+func TestCheckFaults(t *testing.T) {
+	good := string(examples.Association)
+	tests := map[string]struct{ old, next, key, problem string }{
+		"not TOML":              {`team = "N`, `team = N`, "", "expected"},
+		"unknown key":           {`application = `, `application-name = `, "application-name", "not a known key"},
+		"missing team":          {`team = "Northeastern Brazilian association of roof snow removers"`, ``, "team", "missing"},
+		"customer twice":        {`name = "olinda"`, `name = "caruaru"`, "customer[4].name", "used twice"},
+		"customer name":         {`name = "olinda"`, "name = \"olinda\\r\\nx\"", "customer[3].name", "has the value"},
+		"weight":                {`weight = 4`, `weight = 0`, "customer[0].weight", "has the value 0"},
+		"callers":               {`callers = ["salvador"]`, `callers = ["belem"]`, "customer[2].callers[0]", "no data centre"},
+		"targets elsewhere":     {`{recife = 1,`, `{belem = 1,`, "pool[1].targets.belem", "no data centre"},
+		"unknown pool":          {`pool = "booking"`, `pool = "bookings"`, "work[2].pool", "no pool is named"},
+		"unknown model":         {`model = "roof-safety"`, `model = "roof"`, "pool[0].model", "no model is named"},
+		"idempotent unanswered": {`idempotent = "never"`, ``, "work[2].idempotent", "missing"},
+		"open but claimed":      {`idempotent = "never"`, "idempotent = \"never\"\nopen = true", "work[2].open", "claimed for a customer"},
+		"late first token":      {`first-token = "1s"`, `first-token = "6s"`, "work[0].first-token", "later than the whole"},
+		"path twice":            {`path = "/schedule"`, `path = "/bookings"`, "work[3].path", "used twice"},
+		"path form":             {`path = "/schedule"`, `path = "schedule/"`, "work[3].path", "has the value"},
+		"closed window":         {`2026-09-01`, `2026-05-01`, "window[0].closes", "not after"},
+		"endless window":        {`reserved = 0.4`, "reserved = 0.4\nevery = \"1h\"\ntimes = 9", "window[0].every", "before it closes"},
+		"over the cap":          {`hourly-cap = 22.0`, `hourly-cap = 9.0`, "spending.hourly-cap", "more than the cap"},
+		"too many targets":      {`most = 6`, `most = 5`, "pool[0].most", "at most 5"},
+		"unused pool":           {`name = "language"`, "name = \"idle\"\nkind = \"service\"\ntargets = {}\n[[pool]]\nname = \"language\"", "pool[0].name", "no work uses"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			text := strings.Replace(good, tt.old, tt.next, 1)
+			is.True(text != good)
+			_, faults := answers.Check([]byte(text))
+			if len(faults) != 1 {
+				t.Fatalf("%d faults:\n%v", len(faults), faults)
+			}
+			is.Equal(faults[0].Key, tt.key)
+			is.True(strings.Contains(faults[0].Problem, tt.problem))
+			is.True(faults[0].Mend != "")
+			is.True(faults[0].Line >= 1)
+		})
+	}
+}
+
+// Guards against a check that stops at the first fault.
+func TestCheckListsAll(t *testing.T) {
+	is := is.New(t)
+	_, faults := answers.Check([]byte("team = 1\n[[customer]]\nweight = 0\n[[work]]\nname = \"a\"\n"))
+	keys := make([]string, 0, len(faults))
+	for _, f := range faults {
+		keys = append(keys, fmt.Sprintf("%d %s", f.Line, f.Key))
+	}
+	is.Equal(strings.Join(keys, ", "), "1 data-centre, 1 pool, 1 spending, 1 team, 2 customer[0].name, "+
+		"3 customer[0].weight, 4 work[0].idempotent, 4 work[0].path, 4 work[0].pool, 4 work[0].promise, 4 work[0].urgency")
+}
+
+// Guards against a revision that takes away a customer, an open route or the
+// last targets of a route without confirmation, and against confirmation of a
+// harmless one.
+func TestDiffConfirm(t *testing.T) {
+	good := string(examples.Terengganu)
+	tests := map[string]struct{ old, next, change, confirm string }{
+		"customer removed": {"[[customer]]\nname = \"setiu\"\ntokens-per-second = 2000\ncallers = [\"kuala-terengganu\"]\n", "",
+			`customer "setiu"  present>`, "removes a served customer"},
+		"customer renamed": {`name = "setiu"`, `name = "setiu-2"`, `customer "setiu"  present>`, "removes a served customer"},
+		"open route keyed": {"open = true", "open = false", `route "tide-table" open true>false`, "removes an open route"},
+		"open route gone": {"[[work]]\nname = \"tide-table\"\npath = \"/tides\"\npool = \"repair-log\"\nurgency = \"patient\"\npromise = \"20s\"\nidempotent = \"always\"\nopen = true\n", "",
+			`route "tide-table"  present>`, "removes an open route"},
+		"route moved": {`path = "/log"`, `path = "/logs"`, `route "repair-log" prefix /log>/logs`, "lose this route"},
+		"last targets": {"targets = {kuala-terengganu = 1, klang = 1, kota-kinabalu = 1}", "targets = {}",
+			`route "work-orders" targets present>`, "removes the last target pool"},
+		"weight":       {"weight = 3", "weight = 2", `customer "sabah-west-coast" weight 3>2`, ""},
+		"new customer": {"[[work]]", "[[customer]]\nname = \"paka\"\n[[work]]", `customer "paka"  >present`, ""},
+		"cap":          {"hourly-cap = 34.0", "hourly-cap = 0", "budget hourly-cap 34>no limit", ""},
+		"window":       {"reserved = 0.6", "reserved = 0.5", `window "low tide 1" reserved 0.6>0.5`, ""},
+	}
+	before := answers.Generate(check(t, good)).Document
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			next := strings.Replace(good, tt.old, tt.next, 1)
+			for _, c := range answers.Diff(before, answers.Generate(check(t, next)).Document) {
+				if fmt.Sprintf("%s %s %s>%s", c.Subject, c.Field, c.Before, c.After) != tt.change {
+					continue
+				}
+				if c.For == "" || (tt.confirm == "") != (c.Confirm == "") || !strings.Contains(c.Confirm, tt.confirm) {
+					t.Errorf("%+v, want confirmation %q", c, tt.confirm)
+				}
+				return
+			}
+			t.Errorf("no change %q in %+v", tt.change, answers.Diff(before, answers.Generate(check(t, next)).Document))
+		})
+	}
+	if changes := answers.Diff(before, before); len(changes) != 0 {
+		t.Errorf("a configuration differs from itself: %+v", changes)
+	}
+}
+
+// Guards against a missing file that is not an ErrAnswers, and against faults
+// without the name of the file.
+func TestLoad(t *testing.T) {
+	is := is.New(t)
+	_, err := answers.Load(filepath.Join(t.TempDir(), "none.toml"))
+	is.True(errors.Is(err, answers.ErrAnswers))
+	path := filepath.Join(t.TempDir(), "answers.toml")
+	is.NoErr(os.WriteFile(path, []byte("team = 1"), 0o600))
+	_, err = answers.Load(path)
+	is.True(errors.Is(err, answers.ErrAnswers))
+	is.True(strings.HasPrefix(err.Error(), path+": "))
+}
+
+// Guards against input that stops the check or the generation, and against
+// accepted answers whose generated file cannot be read back.
+func FuzzCheck(f *testing.F) {
+	for _, text := range filled() {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		a, faults := answers.Check(text)
+		if len(faults) > 0 {
+			_ = faults.Error()
+			return
+		}
+		g := answers.Generate(a)
+		d, faults := answers.ReadDocument(g.TOML)
+		if len(faults) > 0 || !reflect.DeepEqual(d, g.Document) {
+			t.Fatalf("read back %v\n%+v, want\n%+v", faults, d, g.Document)
+		}
+		if changes := answers.Diff(d, g.Document); len(changes) > 0 {
+			t.Fatalf("differs from itself: %+v", changes)
+		}
+	})
+}
