io/settings: check the settings of a process as a whole

Cause: a load stopped at the first fault, named no line, and knew two roles with four keys. The fixed configuration of the thin path is now [entry.static], which names a generated configuration and lists key digests and targets. Conclusion: a process refuses to start on any doubtful setting.

--- a/internal/tomlfile/fault.go
+++ b/internal/tomlfile/fault.go
@@ -45,3 +45,18 @@
 		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Key, b.Key))
 	})
 }
+
+// FileError reports a file with faults.
+type FileError struct {
+	Kind   error // of the layer that read the file, matched by errors.Is
+	Path   string
+	Faults Faults
+}
+
+// Error lists the faults, one a line.
+func (e *FileError) Error() string {
+	return e.Path + ": " + e.Kind.Error() + ":\n" + e.Faults.Error()
+}
+
+// Unwrap returns the kind.
+func (e *FileError) Unwrap() error { return e.Kind }
--- a/io/answers/answers.go
+++ b/io/answers/answers.go
@@ -108,21 +108,7 @@
 	}
 	a, faults := Check(text)
 	if len(faults) > 0 {
-		return Answers{}, &FaultError{Path: path, Faults: faults}
+		return Answers{}, &tomlfile.FileError{Kind: ErrAnswers, Path: path, Faults: faults}
 	}
 	return a, nil
 }
-
-// FaultError reports a file with faults. It is an ErrAnswers.
-type FaultError struct {
-	Path   string
-	Faults tomlfile.Faults
-}
-
-// Error lists the faults, one a line.
-func (e *FaultError) Error() string {
-	return e.Path + ": " + ErrAnswers.Error() + ":\n" + e.Faults.Error()
-}
-
-// Is reports whether target is ErrAnswers.
-func (e *FaultError) Is(target error) bool { return target == ErrAnswers }
--- a/io/answers/document.go
+++ b/io/answers/document.go
@@ -18,7 +18,7 @@
 	}
 	d, faults := ReadDocument(text)
 	if len(faults) > 0 {
-		return config.Document{}, &FaultError{Path: path, Faults: faults}
+		return config.Document{}, &tomlfile.FileError{Kind: ErrAnswers, Path: path, Faults: faults}
 	}
 	return d, nil
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/url"
 	"sync/atomic"
 
 	"github.com/go-kratos/kratos/v2"
@@ -29,6 +28,9 @@
 	tree := suture.New("papayarock", suture.Spec{EventHook: func(e suture.Event) {
 		log.Warn("supervisor event", "event", e.String())
 	}})
+	if s.Control != nil {
+		return errors.Wrap(ErrStart, "control: the role is not available yet")
+	}
 	servers := []transport.Server{&supervisor{tree: tree}}
 	if s.Agent != nil {
 		a, err := newAgent(ctx, *s.Agent, log)
@@ -44,23 +46,22 @@
 		}
 		servers = append(servers, server)
 	}
-	app := kratos.New(kratos.Name("papayarock"), kratos.Context(ctx), kratos.Server(servers...))
+	app := kratos.New(kratos.Name("papayarock"), kratos.Context(ctx), kratos.Server(servers...), kratos.StopTimeout(s.Shutdown))
 	return errors.Wrap(app.Run(), "run process")
 }
 
 func newAgent(ctx context.Context, s settings.Agent, log hclog.Logger) (*agent.Agent, error) {
-	target, err := url.Parse(s.Target)
-	if err != nil {
-		return nil, errors.Wrapf(ErrStart, "agent target: %v", err)
-	}
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Listen.String())
 	if err != nil {
 		return nil, errors.Wrapf(ErrStart, "agent: %v", err)
 	}
-	return &agent.Agent{Listener: l, Target: target, Client: http.DefaultClient, Log: log.Named("agent")}, nil
+	return &agent.Agent{Listener: l, Target: s.Target, Client: http.DefaultClient, Log: log.Named("agent")}, nil
 }
 
 func newEntry(s settings.Entry, log hclog.Logger) (*khttp.Server, error) {
+	if s.Static == nil {
+		return nil, errors.Wrap(ErrStart, "entry: a configuration from control is not available yet; use [entry.static]")
+	}
 	snapshot, err := settings.LoadStatic(s.Static)
 	if err != nil {
 		return nil, errors.Wrapf(ErrStart, "entry: %v", err)
--- a/io/settings/doc.go
+++ b/io/settings/doc.go
@@ -1,3 +1,3 @@
-// Package settings reads the TOML settings of one process and checks them as
-// a whole before anything starts.
+// Package settings reads and checks the settings of one process, a TOML file.
+// A check lists all faults of a file with key, line and how to mend them.
 package settings
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -2,12 +2,17 @@
 
 import (
 	"net/netip"
+	"net/url"
 	"os"
+	"path/filepath"
+	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"papayarock/core/config"
 	"papayarock/core/fleet"
+	"papayarock/internal/tomlfile"
 )
 
 // ErrSettings reports settings that cannot be used.
@@ -15,79 +20,108 @@
 
 // Settings are the settings of one process. A nil role is not run.
 type Settings struct {
-	Host       fleet.Host
-	Region     fleet.Region
-	DataCentre fleet.DataCentre
-	Entry      *Entry
-	Agent      *Agent
+	Host         fleet.Host
+	Region       fleet.Region
+	DataCentre   fleet.DataCentre
+	Addresses    []netip.Addr // at which other hosts reach this process
+	ControlHosts []ControlHost
+	Links        Links
+	LogLevel     hclog.Level
+	Shutdown     time.Duration // after which a graceful shutdown gives up
+	Entry        *Entry
+	Agent        *Agent
+	Control      *Control
+}
+
+// ControlHost is a voter of the replicated log.
+type ControlHost struct {
+	Host    fleet.Host
+	Address netip.AddrPort // link address
+}
+
+// Links says how this process proves its identity on links. The files are in
+// PEM.
+type Links struct {
+	Plain       bool // no TLS; the files are then empty
+	Certificate string
+	Key         string
+	Authority   string
 }
 
 // Entry are the settings of the entry role.
 type Entry struct {
-	Listen netip.AddrPort
-	Static string // file with a fixed configuration; used without control
+	Listen netip.AddrPort // for callers
+	Link   netip.AddrPort // for links from other processes; zero means none
+	Limits Limits
+	Static *Static // nil means that control provides the configuration
 }
 
-// Agent are the settings of the agent role.
-type Agent struct {
-	Listen netip.AddrPort
-	Target string // base URL of the target
+// Limits bound what callers can make an entry hold.
+type Limits struct {
+	HeaderBytes    int
+	BodyBytes      int
+	FirstByte      time.Duration // from accepting a connection to the first byte of a request
+	Idle           time.Duration // after which an idle connection is closed
+	Connections    int
+	StreamsPerPeer int
 }
 
-type file struct {
-	Host       string     `toml:"host"`
-	Region     string     `toml:"region"`
-	DataCentre string     `toml:"data-centre"`
-	Entry      *fileEntry `toml:"entry"`
-	Agent      *fileAgent `toml:"agent"`
+// Static is a fixed configuration, for running without control.
+type Static struct {
+	Configuration string // file written by papayarock answers generate
+	Keys          []config.Key
+	Targets       []fleet.Target
 }
 
-type fileEntry struct {
-	Listen string `toml:"listen"`
-	Static string `toml:"static"`
+// Agent are the settings of the agent role.
+type Agent struct {
+	Listen        netip.AddrPort // for links
+	Target        *url.URL       // base URL of the target, on a loopback address
+	Name          fleet.TargetName
+	Kind          fleet.Kind
+	Pool          string
+	Role          fleet.Role
+	Slots         uint32
+	ChecksFencing bool
 }
 
-type fileAgent struct {
-	Listen string `toml:"listen"`
-	Target string `toml:"target"`
+// Control are the settings of the control role.
+type Control struct {
+	Data     string         // directory
+	Listen   netip.AddrPort // for links
+	Operator netip.AddrPort // for operators
+	Platform *url.URL       // orders targets
+	Usage    *url.URL       // takes usage reports
+	Learner  bool           // relays the configuration and does not vote
 }
 
-// Load reads the settings in the file at path.
+// Load reads the settings in the file at path. Relative paths in it are
+// relative to its directory.
 func Load(path string) (Settings, error) {
-	f, err := os.Open(path)
+	text, err := os.ReadFile(path)
 	if err != nil {
 		return Settings{}, errors.Wrap(ErrSettings, err.Error())
 	}
-	defer func() { _ = f.Close() }()
-	var in file
-	if err := toml.NewDecoder(f).DisallowUnknownFields().Decode(&in); err != nil {
-		return Settings{}, errors.Wrapf(ErrSettings, "%s: %v", path, err)
+	s, faults := Check(text)
+	if len(faults) > 0 {
+		return Settings{}, &tomlfile.FileError{Kind: ErrSettings, Path: path, Faults: faults}
 	}
-	return decode(in)
+	s.resolve(filepath.Dir(path))
+	return s, nil
 }
 
-func decode(in file) (Settings, error) {
-	s := Settings{
-		Host:       fleet.Host(in.Host),
-		Region:     fleet.Region(in.Region),
-		DataCentre: fleet.DataCentre(in.DataCentre),
+// resolve makes relative paths relative to dir.
+func (s *Settings) resolve(dir string) {
+	paths := []*string{&s.Links.Certificate, &s.Links.Key, &s.Links.Authority}
+	if s.Entry != nil && s.Entry.Static != nil {
+		paths = append(paths, &s.Entry.Static.Configuration)
 	}
-	if in.Entry != nil {
-		addr, err := netip.ParseAddrPort(in.Entry.Listen)
-		if err != nil {
-			return s, errors.Wrapf(ErrSettings, "entry.listen: %v", err)
-		}
-		s.Entry = &Entry{Listen: addr, Static: in.Entry.Static}
+	if s.Control != nil {
+		paths = append(paths, &s.Control.Data)
 	}
-	if in.Agent != nil {
-		addr, err := netip.ParseAddrPort(in.Agent.Listen)
-		if err != nil {
-			return s, errors.Wrapf(ErrSettings, "agent.listen: %v", err)
+	for _, p := range paths {
+		if *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(dir, *p)
 		}
-		s.Agent = &Agent{Listen: addr, Target: in.Agent.Target}
-	}
-	if s.Entry == nil && s.Agent == nil {
-		return s, errors.Wrap(ErrSettings, "no role is set")
 	}
-	return s, nil
 }
