io/identity: issue host certificates and check the role of a peer

Cause: links carried no proof of who is at the other end. Conclusion: peers without certificate, with another role, host or authority, or with an expired certificate are refused in the handshake (tests).

--- /dev/null
+++ b/io/identity/identity_test.go
@@ -0,0 +1,127 @@
+package identity_test
+
+import (
+	"crypto/tls"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"papayarock/core/fleet"
+	"papayarock/io/identity"
+)
+
+func authority(t *testing.T) *identity.Authority {
+	t.Helper()
+	now := time.Now()
+	a, err := identity.NewAuthority(now, now.Add(time.Hour))
+	is.New(t).NoErr(err)
+	return a
+}
+
+func issue(t *testing.T, a *identity.Authority, host fleet.Host, roles ...identity.Role) *identity.Credentials {
+	t.Helper()
+	now := time.Now()
+	c, err := a.Issue(host, roles, now, now.Add(time.Hour))
+	is.New(t).NoErr(err)
+	return c
+}
+
+// handshake returns what each side says about a connection. The first read is
+// included, since a TLS 1.3 client learns of a refusal only then. It uses a
+// socket because an alert written to a net.Pipe blocks until it is read.
+func handshake(t *testing.T, server, client *tls.Config) (serverErr, clientErr error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer func() { _ = l.Close() }()
+	done := make(chan error, 1)
+	go func() {
+		a, err := l.Accept()
+		if err != nil {
+			done <- err
+			return
+		}
+		defer func() { _ = a.Close() }()
+		s := tls.Server(a, server)
+		if err = s.Handshake(); err == nil {
+			_, err = s.Write([]byte("x"))
+		}
+		done <- err
+	}()
+	b, err := net.Dial("tcp", l.Addr().String())
+	is.New(t).NoErr(err)
+	c := tls.Client(b, client)
+	_, clientErr = c.Read(make([]byte, 1))
+	_ = b.Close()
+	return <-done, clientErr
+}
+
+// Guards against a peer that gets through without proving host and role.
+func TestRefusesPeersWithoutProof(t *testing.T) {
+	a := authority(t)
+	agent := issue(t, a, "a1", identity.Agent)
+	entry := issue(t, a, "e1", identity.Entry)
+	foreign := issue(t, authority(t), "e1", identity.Entry)
+	now := time.Now()
+	old, err := a.Issue("e1", []identity.Role{identity.Entry}, now.Add(-3*time.Hour), now.Add(-time.Hour))
+	is.New(t).NoErr(err)
+	server := identity.ServerConfig(agent, identity.Entry)
+	tests := map[string]struct {
+		server, client *tls.Config
+		ok             bool
+	}{
+		"right roles":         {server, identity.ClientConfig(entry, "a1", identity.Agent), true},
+		"any host":            {server, identity.ClientConfig(entry, "", identity.Agent), true},
+		"no certificate":      {server, &tls.Config{InsecureSkipVerify: true}, false},
+		"other role":          {server, identity.ClientConfig(issue(t, a, "o1", identity.Operator), "a1", identity.Agent), false},
+		"foreign authority":   {server, identity.ClientConfig(foreign, "a1", identity.Agent), false},
+		"expired certificate": {server, identity.ClientConfig(old, "a1", identity.Agent), false},
+		"server other host":   {server, identity.ClientConfig(entry, "a2", identity.Agent), false},
+		"server other role":   {server, identity.ClientConfig(entry, "a1", identity.Control), false},
+		"server asks no role": {identity.ServerConfig(agent), identity.ClientConfig(entry, "a1", identity.Agent), false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, c := handshake(t, tt.server, tt.client)
+			is.New(t).Equal(s == nil && c == nil, tt.ok) // handshake
+		})
+	}
+}
+
+// Guards against identities that change on their way through the files, and
+// against an authority that is replaced by a second issue command.
+func TestFiles(t *testing.T) {
+	is := is.New(t)
+	dir, host := t.TempDir(), t.TempDir()
+	is.NoErr(authority(t).Save(dir))
+	a, err := identity.LoadAuthority(dir)
+	is.NoErr(err)
+	is.NoErr(issue(t, a, "e1", identity.Entry, identity.Agent).Save(host))
+	c, err := identity.Load(host)
+	is.NoErr(err)
+	p, err := c.Peer()
+	is.NoErr(err)
+	is.Equal(p, identity.Peer{Host: "e1", Roles: []identity.Role{identity.Entry, identity.Agent}})
+	is.True(authority(t).Save(dir) != nil) // second authority in the same directory
+}
+
+// Guards against certificates whose host name could be read as another one.
+func TestRefusesNames(t *testing.T) {
+	a := authority(t)
+	now := time.Now()
+	for name, tt := range map[string]struct {
+		host  fleet.Host
+		roles []identity.Role
+	}{
+		"no host":      {"", []identity.Role{identity.Entry}},
+		"slash":        {"a/b", []identity.Role{identity.Entry}},
+		"no role":      {"a1", nil},
+		"unknown role": {"a1", []identity.Role{"root"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := a.Issue(tt.host, tt.roles, now, now.Add(time.Hour))
+			is.New(t).True(err != nil) // issue
+		})
+	}
+}
