io/link: authenticate peers, dispatch by type, stop in order

Cause: sessions had no proof of the peer, Serve cut streams on stop, Pool held its lock while it dialled, and a stream could wait for ever. Change: mutual TLS; the type of the first message selects the handler; one dial at a time for each peer without a common lock; a progress deadline for each Send and Receive; limits on streams and message size; a stop that goes away first and waits for open streams; Call[Resp]; the server's incarnation is known to the caller. Conclusion: tests show that a silent session is replaced in either direction, a slow dial holds up its own peer only, and a stop cuts no stream.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"papayarock/io/identity"
 	"papayarock/io/link"
 	"papayarock/io/wire"
 )
@@ -36,15 +37,12 @@
 
 // Serve runs until ctx ends.
 func (a *Agent) Serve(ctx context.Context) error {
-	return link.Serve(ctx, a.Listener, a.handle)
+	server := &link.Server{Listener: a.Listener, Log: a.Log}
+	link.Handle(server, a.handle, identity.Entry)
+	return server.Serve(ctx)
 }
 
-func (a *Agent) handle(ctx context.Context, s *link.Stream) {
-	var open wire.Open
-	if err := s.Receive(&open); err != nil {
-		a.Log.Warn("call refused", "error", err)
-		return
-	}
+func (a *Agent) handle(ctx context.Context, s *link.Stream, open *wire.Open) {
 	run := open.GetRun()
 	if run == nil {
 		a.Log.Warn("call refused", "error", "unknown call")
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -85,16 +85,15 @@
 	w.Header().Set("Request-Id", id.String())
 	ctx, cancel := context.WithTimeout(r.Context(), route.Promise)
 	defer cancel()
-	s, err := e.Links.Open(ctx, target.Agent)
+	deadline, _ := ctx.Deadline()
+	s, err := e.Links.Open(ctx, link.Address{Host: target.Host, AddrPort: target.Agent}, runMessage(r, route, customer, id, deadline))
 	if err != nil {
 		e.Log.Warn("target unreachable", "request", id, "target", target.Name, "error", err)
 		refuse(w, http.StatusBadGateway, "target-unreachable", "the target cannot be reached")
 		return
 	}
 	defer func() { _ = s.Close() }()
-	deadline, _ := ctx.Deadline()
-	_ = s.SetDeadline(deadline)
-	if err := send(s, runMessage(r, route, customer, id, deadline), body); err != nil {
+	if err := send(s, body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	if err := receive(w, s, id); err != nil {
@@ -120,10 +119,7 @@
 	return &wire.Open{Call: &wire.Open_Run{Run: run}}
 }
 
-func send(s *link.Stream, open *wire.Open, body []byte) error {
-	if err := s.Send(open); err != nil {
-		return err
-	}
+func send(s *link.Stream, body []byte) error {
 	for len(body) > bodyPartBytes {
 		if err := s.Send(&wire.BodyPart{Data: body[:bodyPartBytes]}); err != nil {
 			return err
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -1,154 +1,128 @@
 package link
 
 import (
-	"bufio"
 	"context"
+	"crypto/tls"
+	"encoding/binary"
 	"io"
 	"net"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/encoding/protodelim"
-	"google.golang.org/protobuf/proto"
+
+	"papayarock/core/fleet"
+	"papayarock/io/identity"
 )
 
 const (
-	maxMessageBytes   = 1 << 20
+	maxMessageBytes = 1 << 20
+	// A silent session is replaced after heartbeatInterval + heartbeatTimeout.
 	heartbeatInterval = time.Second
-	writeTimeout      = 3 * time.Second
-	streamOpenTimeout = 3 * time.Second
+	heartbeatTimeout  = 3 * time.Second
+	streamOpenTimeout = 10 * time.Second
+	// streamCloseTimeout bounds how long a stream that this side has closed
+	// waits for the close of the other side.
+	streamCloseTimeout = 30 * time.Second
+	handshakeTimeout   = 3 * time.Second
+	// WindowBytes is what a peer sends on a stream at most before this side
+	// has read it.
+	WindowBytes = 256 << 10
+	// DefaultProgress is the time within which a stream must move on.
+	DefaultProgress = 10 * time.Second
+	// DefaultMaxStreams bounds the open streams of one peer.
+	DefaultMaxStreams = 4096
+	acceptBacklog     = 1024
 )
 
-// ErrLink reports a peer that could not be reached or stopped answering.
-var ErrLink = errors.New("link failed")
-
-// Stream is one call to a peer.
-type Stream struct {
-	net.Conn
-	r *bufio.Reader
-}
-
-// NewStream frames messages on c.
-func NewStream(c net.Conn) *Stream { return &Stream{Conn: c, r: bufio.NewReader(c)} }
+// Errors of a call. ErrUnreachable and ErrRefused mean that the peer has not
+// handled the call; ErrLink leaves that open.
+var (
+	ErrUnreachable = errors.New("peer cannot be reached")
+	ErrRefused     = errors.New("peer refused the call")
+	ErrLink        = errors.New("link failed")
+	ErrMessage     = errors.New("message is not valid")
+)
 
-// Send writes one message.
-func (s *Stream) Send(m proto.Message) error {
-	_, err := protodelim.MarshalTo(s.Conn, m)
-	return errors.Wrap(err, "send message")
+// Address names a peer. An empty Host accepts any host with the right role.
+type Address struct {
+	Host     fleet.Host
+	AddrPort netip.AddrPort
 }
 
-// Receive reads one message. It returns io.EOF when the peer ended the stream
-// between messages.
-func (s *Stream) Receive(m proto.Message) error {
-	o := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
-	err := o.UnmarshalFrom(s.r, m)
-	if errors.Is(err, io.EOF) {
-		return io.EOF
-	}
-	return errors.Wrap(err, "receive message")
+// Peer is the other end of a stream. Over plain TCP, Host and Roles are empty.
+type Peer struct {
+	identity.Peer
+	Plain       bool
+	Address     string
+	Incarnation uint64 // run of the serving process; set at the calling side only
 }
 
-func sessionConfig() *yamux.Config {
-	c := yamux.DefaultConfig()
-	c.KeepAliveInterval = heartbeatInterval
-	c.ConnectionWriteTimeout = writeTimeout
-	c.StreamOpenTimeout = streamOpenTimeout
-	c.LogOutput = io.Discard
-	return c
-}
-
-// Handler serves one stream. The stream is closed when it returns.
-type Handler func(ctx context.Context, s *Stream)
-
-// Serve accepts sessions on l until ctx ends, and hands each stream to h. It
-// returns once all handlers have returned.
-func Serve(ctx context.Context, l net.Listener, h Handler) error {
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
-	defer stop()
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			return errors.Wrap(err, "accept link")
-		}
-		wg.Go(func() { serveSession(ctx, c, h) })
-	}
-}
+// preface opens a connection before yamux takes over. The server's preface
+// carries its incarnation, so that a caller knows which run of the peer it
+// speaks to without a further call.
+const (
+	prefaceMagic = "papaya\x00\x01"
+	prefaceBytes = len(prefaceMagic) + 8
+)
 
-func serveSession(ctx context.Context, c net.Conn, h Handler) {
-	session, err := yamux.Server(c, sessionConfig())
-	if err != nil {
-		_ = c.Close()
-		return
-	}
-	defer func() { _ = session.Close() }()
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for {
-		s, err := session.AcceptStreamWithContext(ctx)
-		if err != nil {
-			return
-		}
-		wg.Go(func() {
-			defer func() { _ = s.Close() }()
-			h(ctx, NewStream(s))
-		})
+func exchangePreface(c net.Conn, own uint64) (uint64, error) {
+	out := binary.BigEndian.AppendUint64([]byte(prefaceMagic), own)
+	sent := make(chan error, 1)
+	go func() {
+		_, err := c.Write(out)
+		sent <- err
+	}()
+	in := make([]byte, prefaceBytes)
+	_, err := io.ReadFull(c, in)
+	if err == nil && string(in[:len(prefaceMagic)]) != prefaceMagic {
+		err = errors.Wrap(ErrMessage, "peer speaks another protocol")
 	}
-}
-
-// Pool keeps one session for each peer. The zero value is ready to use.
-type Pool struct {
-	mu       sync.Mutex
-	sessions map[netip.AddrPort]*yamux.Session
-}
-
-// Open starts a call to the peer at addr.
-func (p *Pool) Open(ctx context.Context, addr netip.AddrPort) (*Stream, error) {
-	session, err := p.session(ctx, addr)
 	if err != nil {
-		return nil, err
+		_ = c.Close() // ends the write if the peer does not read
 	}
-	s, err := session.OpenStream()
-	if err != nil {
-		return nil, errors.Wrapf(ErrLink, "open stream to %s: %v", addr, err)
+	if sendErr := <-sent; err == nil {
+		err = sendErr
 	}
-	return NewStream(s), nil
+	return binary.BigEndian.Uint64(in[len(prefaceMagic):]), err
 }
 
-func (p *Pool) session(ctx context.Context, addr netip.AddrPort) (*yamux.Session, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if s := p.sessions[addr]; s != nil && !s.IsClosed() {
-		return s, nil
+// secure performs the TLS handshake, or none if config is nil, and returns the
+// peer.
+func secure(ctx context.Context, c net.Conn, config *tls.Config, client bool) (net.Conn, Peer, error) {
+	p := Peer{Plain: config == nil, Address: c.RemoteAddr().String()}
+	if config == nil {
+		return c, p, nil
 	}
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", addr.String())
-	if err != nil {
-		return nil, errors.Wrapf(ErrLink, "dial %s: %v", addr, err)
-	}
-	s, err := yamux.Client(c, sessionConfig())
-	if err != nil {
-		return nil, errors.Wrapf(ErrLink, "start session with %s: %v", addr, err)
+	t := tls.Server(c, config)
+	if client {
+		t = tls.Client(c, config)
 	}
-	if p.sessions == nil {
-		p.sessions = make(map[netip.AddrPort]*yamux.Session)
+	if err := t.HandshakeContext(ctx); err != nil {
+		return nil, p, errors.Wrap(err, "handshake")
 	}
-	p.sessions[addr] = s
-	return s, nil
+	var err error
+	p.Peer, err = identity.PeerOf(t.ConnectionState().PeerCertificates[0])
+	return abruptConn{t}, p, err
 }
 
-// Close ends all sessions.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, s := range p.sessions {
-		_ = s.Close()
-	}
+// abruptConn closes the TCP connection without a TLS close alert. On a silent
+// connection the alert waits up to 5 s for a write, while readers of the
+// closing session spin; yamux marks the end of a stream itself.
+type abruptConn struct{ *tls.Conn }
+
+// Close closes the connection below TLS.
+func (c abruptConn) Close() error { return c.NetConn().Close() }
+
+func sessionConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.AcceptBacklog = acceptBacklog
+	c.KeepAliveInterval = heartbeatInterval
+	c.ConnectionWriteTimeout = heartbeatTimeout
+	c.StreamOpenTimeout = streamOpenTimeout
+	c.StreamCloseTimeout = streamCloseTimeout
+	c.MaxStreamWindowSize = WindowBytes
+	c.LogOutput = io.Discard
+	return c
 }
