io/daemon: start and stop the supervisor tree without a race

Cause: kratos calls Start and Stop of a server from different goroutines; Stop read the cancel function and the channel that Start was writing. The race detector reported it when a scenario stopped a process. Change: both are set before the app runs; Start runs the tree itself. Conclusion: a process can be stopped at any moment after its start.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -31,7 +31,7 @@
 	if s.Control != nil {
 		return errors.Wrap(ErrStart, "control: the role is not available yet")
 	}
-	servers := []transport.Server{&supervisor{tree: tree}}
+	servers := []transport.Server{newSupervisor(ctx, tree)}
 	if s.Agent != nil {
 		a, err := newAgent(ctx, *s.Agent, log)
 		if err != nil {
@@ -73,25 +73,35 @@
 	return server, nil
 }
 
-// supervisor makes a supervisor tree a server of the kratos app.
+// supervisor makes a supervisor tree a server of the kratos app, which calls
+// Start and Stop from different goroutines.
 type supervisor struct {
 	tree   *suture.Supervisor
+	ctx    context.Context // ends the tree
 	cancel context.CancelFunc
-	done   <-chan error
+	done   chan struct{}
+	err    error // of the tree, set before done is closed
+}
+
+func newSupervisor(ctx context.Context, tree *suture.Supervisor) *supervisor {
+	s := &supervisor{tree: tree, done: make(chan struct{})}
+	s.ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	return s
 }
 
 // Start runs the tree until it is stopped.
-func (s *supervisor) Start(ctx context.Context) error {
-	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	s.done = s.tree.ServeBackground(ctx)
+func (s *supervisor) Start(context.Context) error {
+	defer close(s.done)
+	s.err = s.tree.Serve(s.ctx)
 	return nil
 }
 
 // Stop ends the tree and waits for its children.
 func (s *supervisor) Stop(context.Context) error {
 	s.cancel()
-	if err := <-s.done; err != nil && !errors.Is(err, context.Canceled) {
-		return errors.Wrap(err, "stop supervisor")
+	<-s.done
+	if s.err != nil && !errors.Is(s.err, context.Canceled) {
+		return errors.Wrap(s.err, "stop supervisor")
 	}
 	return nil
 }
