cmd/papayarock: add settings and answers commands and scenarios

Cause: checks and generation were reachable from Go code only, and nothing tested processes and commands together. Change: one file per command group, results as tables or JSON, documented exit codes, help with examples, shell completion. internal/scenario runs testscript files with commands that serve fakes, run processes inside the test on loopback, send requests and assert the counts of the fakes.

--- a/cmd/papayarock/main.go
+++ b/cmd/papayarock/main.go
@@ -4,46 +4,101 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
-	"papayarock/io/daemon"
+	"papayarock/internal/tomlfile"
+	"papayarock/io/answers"
 	"papayarock/io/settings"
 )
 
+// Exit codes.
+const (
+	exitFailure = 1
+	exitFaulty  = 2 // a file has faults
+	exitConfirm = 3 // a revision has changes that need confirmation
+)
+
+// errConfirm reports a revision with changes that need confirmation.
+var errConfirm = errors.New("must be confirmed")
+
+const rootDescription = `Results go to standard output, as tables or with --output json as JSON. Faults
+of a file are listed on standard error, or as JSON on standard output.
+
+Exit codes:
+  0  done
+  1  failed, or used with wrong arguments
+  2  settings or answers have faults, or cannot be read
+  3  a revision has changes that an operator must confirm
+
+Examples:
+  papayarock settings example entry > entry.toml
+  papayarock settings check entry.toml
+  papayarock run --settings entry.toml
+  papayarock completion bash > /etc/bash_completion.d/papayarock`
+
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "papayarock:", err)
-		os.Exit(1)
-	}
+	os.Exit(run(os.Args, os.Stdout, os.Stderr))
 }
 
-func run() error {
+func run(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cli.Command{
-		Name:     "papayarock",
-		Usage:    "serve language models and plain services on a limited fleet",
-		Commands: []*cli.Command{runCommand()},
+		Name:                  "papayarock",
+		Usage:                 "serve language models and plain services on a limited fleet",
+		Description:           rootDescription,
+		Writer:                stdout,
+		ErrWriter:             stderr,
+		Flags:                 []cli.Flag{outputFlag()},
+		Commands:              []*cli.Command{runCommand(), settingsCommand(), answersCommand()},
+		EnableShellCompletion: true,
+		Suggest:               true,
+		// Errors are printed below, once.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		ConfigureShellCompletionCommand: func(c *cli.Command) {
+			c.Hidden = false
+			c.Usage = "print the completion script of a shell"
+		},
+	}
+	err := root.Run(ctx, args)
+	if err == nil {
+		return 0
 	}
-	return root.Run(ctx, os.Args)
+	report(root, stdout, stderr, err)
+	return exitCode(err)
 }
 
-func runCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "run",
-		Usage: "run the roles named in a settings file",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Required: true, Usage: "TOML `FILE`"}},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			s, err := settings.Load(c.String("settings"))
-			if err != nil {
-				return cli.Exit(err, 2)
-			}
-			return daemon.Run(ctx, s, hclog.New(&hclog.LoggerOptions{Name: "papayarock"}))
-		},
+func exitCode(err error) int {
+	switch {
+	case errors.Is(err, errConfirm):
+		return exitConfirm
+	case errors.Is(err, settings.ErrSettings), errors.Is(err, answers.ErrAnswers):
+		return exitFaulty
+	}
+	return exitFailure
+}
+
+// report prints an error to stderr, and faults as JSON to stdout if JSON was
+// asked for.
+func report(root *cli.Command, stdout, stderr io.Writer, err error) {
+	var file *tomlfile.FileError
+	if !errors.As(err, &file) {
+		if err.Error() != "" {
+			_, _ = fmt.Fprintln(stderr, "papayarock:", err)
+		}
+		return
+	}
+	o := newOutput(root, stderr)
+	if o.json {
+		o.w = stdout
+	} else {
+		_, _ = fmt.Fprintf(stderr, "papayarock: %s: %v\n", file.Path, file.Kind)
 	}
+	_ = o.faults(file.Path, file.Faults)
 }
--- /dev/null
+++ b/cmd/papayarock/scenario_test.go
@@ -0,0 +1,19 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"papayarock/internal/scenario"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"papayarock": main})
+}
+
+// Guards against commands and processes that do not do together what their
+// packages do alone; each script says more.
+func TestScenarios(t *testing.T) {
+	scenario.Run(t, "../../internal/scenario/testdata", nil)
+}
--- /dev/null
+++ b/internal/scenario/fakes.go
@@ -0,0 +1,248 @@
+package scenario
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"papayarock/core/fleet"
+	"papayarock/internal/fake"
+)
+
+// awaitLimit bounds the time until counts must be reached. It only ends a
+// script that would fail anyway.
+const (
+	awaitLimit    = 20 * time.Second
+	awaitInterval = 5 * time.Millisecond
+)
+
+type fakeServer struct {
+	handler http.Handler
+	server  *httptest.Server
+}
+
+func startFake(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 2, "fake KIND NAME [FIELD=VALUE...]")
+	kinds := map[string]http.Handler{
+		"engine": &fake.Engine{}, "service": &fake.Service{}, "platform": &fake.Platform{}, "weights": &fake.WeightStore{},
+	}
+	h, ok := kinds[args[0]]
+	if !ok {
+		ts.Fatalf("fake %q does not exist", args[0])
+	}
+	ts.Check(assign(reflect.ValueOf(h).Elem(), args[2:]))
+	w := of(ts)
+	if _, ok := w.fakes[args[1]]; ok {
+		ts.Fatalf("fake %q exists", args[1])
+	}
+	server := httptest.NewServer(h)
+	w.fakes[args[1]] = fakeServer{handler: h, server: server}
+	ts.Setenv(args[1], server.URL)
+}
+
+func find(ts *testscript.TestScript, name string) http.Handler {
+	f, ok := of(ts).fakes[name]
+	if !ok {
+		ts.Fatalf("fake %q does not exist", name)
+	}
+	return f.handler
+}
+
+func fault(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 2, "fault NAME FIELD=VALUE...")
+	var err error
+	switch f := find(ts, args[0]).(type) {
+	case *fake.Engine:
+		f.Set(func(faults *fake.EngineFaults) { err = assign(reflect.ValueOf(faults).Elem(), args[1:]) })
+	case *fake.Service:
+		f.Set(func(faults *fake.ServiceFaults) { err = assign(reflect.ValueOf(faults).Elem(), args[1:]) })
+	case *fake.Platform:
+		f.Set(func(faults *fake.PlatformFaults) { err = assign(reflect.ValueOf(faults).Elem(), args[1:]) })
+	default:
+		ts.Fatalf("fake %q has no faults", args[0])
+	}
+	ts.Check(err)
+}
+
+func engine(ts *testscript.TestScript, neg bool, args []string, usage string) *fake.Engine {
+	positive(ts, neg, args, 1, usage)
+	e, ok := find(ts, args[0]).(*fake.Engine)
+	if !ok {
+		ts.Fatalf("fake %q is no engine", args[0])
+	}
+	return e
+}
+
+func crash(ts *testscript.TestScript, neg bool, args []string) {
+	engine(ts, neg, args, "crash NAME").Crash()
+}
+
+func recoverEngine(ts *testscript.TestScript, neg bool, args []string) {
+	engine(ts, neg, args, "recover NAME").Restart()
+}
+
+func count(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, false, args, 2, "count NAME FIELD=VALUE...")
+	err := matches(find(ts, args[0]), args[1:])
+	if (err == nil) == neg {
+		ts.Fatalf("fake %q: counts match: %v: %v", args[0], !neg, err)
+	}
+}
+
+func await(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 2, "await NAME FIELD=VALUE...")
+	h, end := find(ts, args[0]), time.Now().Add(awaitLimit)
+	for {
+		err := matches(h, args[1:])
+		if err == nil {
+			return
+		}
+		if time.Now().After(end) {
+			ts.Fatalf("fake %q: %v", args[0], err)
+		}
+		time.Sleep(awaitInterval)
+	}
+}
+
+// serviceCounts, platformCounts and weightCounts are the counts of fakes that
+// scripts can assert, besides fake.EngineCounts.
+type serviceCounts struct{ Runs, Repeated int }
+
+type platformCounts struct {
+	Orders, Starting, Running, Stopped, DuplicateStarts, UsageReports, ConflictingUsage int
+}
+
+type weightCounts struct {
+	Downloads, Peak int
+	Bytes           int64
+}
+
+func counts(h http.Handler) any {
+	switch f := h.(type) {
+	case *fake.Engine:
+		return f.Counts()
+	case *fake.Service:
+		runs, repeated := f.Total()
+		return serviceCounts{Runs: runs, Repeated: repeated}
+	case *fake.Platform:
+		return countPlatform(f)
+	case *fake.WeightStore:
+		c := f.Counts()
+		n := 0
+		for _, d := range c.Downloads {
+			n += d
+		}
+		return weightCounts{Downloads: n, Peak: c.Peak, Bytes: c.Bytes}
+	}
+	return struct{}{}
+}
+
+func countPlatform(p *fake.Platform) platformCounts {
+	c := platformCounts{
+		Orders: len(p.Orders()), DuplicateStarts: p.DuplicateStarts(),
+		UsageReports: len(p.Usage()), ConflictingUsage: len(p.ConflictingUsage()),
+	}
+	for _, t := range p.Targets() {
+		switch t.State {
+		case "starting":
+			c.Starting++
+		case "running":
+			c.Running++
+		case "stopped":
+			c.Stopped++
+		}
+	}
+	return c
+}
+
+// matches compares counts with FIELD=VALUE pairs. The field runs:BODY is the
+// number of runs of one body or request id.
+func matches(h http.Handler, pairs []string) error {
+	all := reflect.ValueOf(counts(h))
+	for _, pair := range pairs {
+		key, want, ok := strings.Cut(pair, "=")
+		if !ok {
+			return errors.Errorf("%q is not FIELD=VALUE", pair)
+		}
+		got, err := lookUp(h, all, key)
+		if err != nil {
+			return err
+		}
+		if got != want {
+			return errors.Errorf("%s is %s, want %s", key, got, want)
+		}
+	}
+	return nil
+}
+
+func lookUp(h http.Handler, all reflect.Value, key string) (string, error) {
+	if body, ok := strings.CutPrefix(key, "runs:"); ok {
+		if f, ok := h.(interface{ Runs(string) int }); ok {
+			return strconv.Itoa(f.Runs(body)), nil
+		}
+	}
+	v := fieldOf(all, key)
+	if !v.IsValid() {
+		return "", errors.Errorf("count %q does not exist", key)
+	}
+	return fmt.Sprint(v), nil
+}
+
+// fieldOf finds an exported field by its name in kebab case.
+func fieldOf(v reflect.Value, kebab string) reflect.Value {
+	name := strings.ReplaceAll(kebab, "-", "")
+	f, ok := v.Type().FieldByNameFunc(func(s string) bool { return strings.EqualFold(s, name) })
+	if !ok || !f.IsExported() {
+		return reflect.Value{}
+	}
+	return v.FieldByIndex(f.Index)
+}
+
+// assign sets the fields of a struct from FIELD=VALUE pairs.
+func assign(v reflect.Value, pairs []string) error {
+	for _, pair := range pairs {
+		key, value, ok := strings.Cut(pair, "=")
+		f := fieldOf(v, key)
+		if !ok || !f.IsValid() {
+			return errors.Errorf("%q does not set a field of %s", pair, v.Type())
+		}
+		if err := parse(f, value); err != nil {
+			return errors.Wrapf(err, "field %q", key)
+		}
+	}
+	return nil
+}
+
+func parse(f reflect.Value, text string) error {
+	var err error
+	switch p := f.Addr().Interface().(type) {
+	case *bool:
+		*p, err = strconv.ParseBool(text)
+	case *int:
+		*p, err = strconv.Atoi(text)
+	case *float64:
+		*p, err = strconv.ParseFloat(text, 64)
+	case *string:
+		*p = text
+	case *time.Duration:
+		*p, err = time.ParseDuration(text)
+	case *fleet.Role:
+		for _, r := range []fleet.Role{fleet.Mixed, fleet.Prefill, fleet.Decode} {
+			if r.String() == text {
+				*p = r
+				return nil
+			}
+		}
+		return errors.Errorf("role %q does not exist", text)
+	default:
+		return errors.Errorf("type %s cannot be set by a script", f.Type())
+	}
+	return err
+}
--- /dev/null
+++ b/internal/scenario/scenario.go
@@ -0,0 +1,122 @@
+package scenario
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// Command is a command of scripts. A command that does not support negation
+// calls positive.
+type Command = func(ts *testscript.TestScript, neg bool, args []string)
+
+// Run runs the scripts in a directory. More adds commands to those of the
+// package; it may be nil.
+func Run(t *testing.T, dir string, more map[string]Command) {
+	commands := map[string]Command{
+		"ports": ports, "digest": digest, "expand": expand, "exits": exits,
+		"fake": startFake, "fault": fault, "crash": crash, "recover": recoverEngine, "count": count, "await": await,
+		"start": start, "stop": stop, "restart": restart, "request": request, "log": showLog,
+	}
+	for name, c := range more {
+		commands[name] = c
+	}
+	testscript.Run(t, testscript.Params{
+		Dir:                 dir,
+		Cmds:                commands,
+		RequireExplicitExec: true,
+		RequireUniqueNames:  true,
+		Setup:               setup,
+	})
+}
+
+// world holds what one script started.
+type world struct {
+	fakes     map[string]fakeServer
+	processes map[string]*process
+	logs      map[string]*record
+	client    *http.Client
+}
+
+type worldKey struct{}
+
+func setup(env *testscript.Env) error {
+	transport := &http.Transport{}
+	w := &world{fakes: make(map[string]fakeServer), processes: make(map[string]*process), logs: make(map[string]*record), client: &http.Client{Transport: transport}}
+	env.Values[worldKey{}] = w
+	// A process built with -race sleeps for 1 s at its end by default, which
+	// would be most of the time of a script.
+	env.Setenv("GORACE", "atexit_sleep_ms=50")
+	env.Defer(func() {
+		for _, p := range w.processes {
+			p.cancel()
+			<-p.done
+		}
+		for _, f := range w.fakes {
+			f.server.CloseClientConnections()
+			f.server.Close()
+		}
+		transport.CloseIdleConnections()
+	})
+	return nil
+}
+
+func of(ts *testscript.TestScript) *world {
+	return ts.Value(worldKey{}).(*world)
+}
+
+// positive checks that a command is not negated and has at least n arguments.
+func positive(ts *testscript.TestScript, neg bool, args []string, n int, usage string) {
+	if neg || len(args) < n {
+		ts.Fatalf("usage: %s", usage)
+	}
+}
+
+func ports(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 1, "ports NAME...")
+	for _, name := range args {
+		l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // listens on loopback at once
+		ts.Check(err)
+		defer func() { _ = l.Close() }() // after all ports are drawn, so that they differ
+		ts.Setenv(name, l.Addr().String())
+	}
+}
+
+func digest(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 2, "digest NAME SECRET")
+	sum := sha256.Sum256([]byte(args[1]))
+	ts.Setenv(args[0], hex.EncodeToString(sum[:]))
+}
+
+func expand(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 1, "expand FILE...")
+	for _, file := range args {
+		text := os.Expand(ts.ReadFile(file), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(file), []byte(text), 0o600))
+	}
+}
+
+func exits(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 2, "exits CODE COMMAND...")
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	code := 0
+	if err := ts.Exec(args[1], args[2:]...); err != nil {
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) {
+			ts.Fatalf("%s: %v", args[1], err)
+		}
+		code = exit.ExitCode()
+	}
+	if code != want {
+		ts.Fatalf("exit code %d, want %d", code, want)
+	}
+}
--- a/io/answers/diff.go
+++ b/io/answers/diff.go
@@ -28,7 +28,7 @@
 // Diff lists what a revision changes, in the order customers, routes, pools,
 // models, windows, budget.
 func Diff(before, after config.Document) []Change {
-	var changes []Change
+	changes := []Change{}
 	if before.Team != after.Team {
 		changes = append(changes, Change{Subject: "team", Field: "name", Before: before.Team, After: after.Team, For: keyed})
 	}
