internal/fake: slow engines, later load reports, cheaper streams

Cause: an engine could be fast, silent or down but not slow, its load reports could not become late during a test, and each streamed token hashed the whole prompt and searched all earlier frames. Change: faults Slowdown and ExtraLoadLag, count OrdersRepeated; the hash is kept per request and the frame found by binary search. Conclusion: a load test with fakes measures less of the fakes.

--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -54,6 +54,7 @@
 
 	mu         sync.Mutex
 	started    bool
+	mux        *http.ServeMux
 	down       bool
 	generation int           // counts crashes
 	crashed    chan struct{} // closed by a crash
@@ -72,13 +73,15 @@
 
 // EngineFaults are the faults a test sets. A count of frames fires once.
 type EngineFaults struct {
-	CrashAfterFrames int  // crash once an answer has sent so many SSE events
-	DropAfterFrames  int  // drop the connection of an answer, the work goes on
-	CrashInOrder     bool // crash halfway through the next order
-	CrashKeepsChange bool // the order in progress is in effect after that crash
-	LoseOrderAnswers int  // so many orders are done without an answer
-	Silent           bool // accept requests and never answer
-	FailFast         bool // answer 500 at once
+	CrashAfterFrames int           // crash once an answer has sent so many SSE events
+	DropAfterFrames  int           // drop the connection of an answer, the work goes on
+	CrashInOrder     bool          // crash halfway through the next order
+	CrashKeepsChange bool          // the order in progress is in effect after that crash
+	LoseOrderAnswers int           // so many orders are done without an answer
+	Slowdown         float64       // batch steps take so many times as long; 0 means 1
+	ExtraLoadLag     time.Duration // added to LoadLag
+	Silent           bool          // accept requests and never answer
+	FailFast         bool          // answer 500 at once
 }
 
 // EngineCounts says what an engine did since its creation, crashes included.
@@ -95,6 +98,7 @@
 	OrdersRun       int
 	OrdersRefused   int // old number, while the engine checks
 	OldOrdersRun    int // old number, while the engine does not check
+	OrdersRepeated  int // run again under a number that had run
 	OrderConflicts  int // orders that arrived during another order
 	ContentConflict int // orders with the number of another content
 }
@@ -191,6 +195,7 @@
 	e.crashed = make(chan struct{})
 	e.jobs = make(map[string]*job)
 	e.runs = make(map[string]int)
+	e.mux = e.routes()
 	e.orders.adapters = make(map[string]string)
 }
 
@@ -217,6 +222,10 @@
 		apiError(w, http.StatusInternalServerError, "engine fails fast")
 		return
 	}
+	e.mux.ServeHTTP(w, r)
+}
+
+func (e *Engine) routes() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", e.complete)
 	mux.HandleFunc("POST /v1/chat/completions", e.complete)
@@ -227,5 +236,5 @@
 	mux.HandleFunc("POST /order", e.serveOrder)
 	mux.HandleFunc("POST /kv/export", e.exportKV)
 	mux.HandleFunc("POST /kv/import", e.importKV)
-	mux.ServeHTTP(w, r)
+	return mux
 }
--- a/internal/fake/engine_answer.go
+++ b/internal/fake/engine_answer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -41,21 +42,25 @@
 // can check a whole answer. Chat prompts are given as "role: content" joined
 // by spaces.
 func Completion(prompt string, tokens int) string {
-	words := strings.Fields(prompt)
+	return outputText(outputSeed(strings.Fields(prompt)), tokens)
+}
+
+// outputSeed derives output from the prompt, so that answers of different
+// prompts cannot be mistaken for each other.
+func outputSeed(prompt []string) uint32 {
+	return uint32(xxhash.Sum64String(strings.Join(prompt, " ")))
+}
+
+func outputToken(seed uint32, i int) string { return fmt.Sprintf("%08x.%d ", seed, i) }
+
+func outputText(seed uint32, tokens int) string {
 	var b strings.Builder
 	for i := range tokens {
-		b.WriteString(token(words, i))
+		b.WriteString(outputToken(seed, i))
 	}
 	return b.String()
 }
 
-// token derives output from the prompt, so that answers of different prompts
-// cannot be mistaken for each other.
-func token(prompt []string, i int) string {
-	sum := xxhash.Sum64String(strings.Join(prompt, " "))
-	return fmt.Sprintf("%08x.%d ", uint32(sum), i)
-}
-
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
 	var in completionRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&in); err != nil {
@@ -78,6 +83,7 @@
 		changed: make(chan struct{}),
 		readers: 1,
 	}
+	j.seed = outputSeed(j.prompt)
 	if j.id == "" {
 		j.id = rand.Text()
 	}
@@ -169,10 +175,8 @@
 func (e *Engine) next(j *job, offset int) (frame []byte, done, failed bool, changed <-chan struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, end := range j.frames {
-		if end > offset {
-			return j.body[offset:end], false, false, nil
-		}
+	if i, _ := slices.BinarySearch(j.frames, offset+1); i < len(j.frames) {
+		return j.body[offset:j.frames[i]], false, false, nil
 	}
 	return nil, j.done, j.failed, j.changed
 }
--- a/internal/fake/engine_batch.go
+++ b/internal/fake/engine_batch.go
@@ -13,10 +13,11 @@
 	class    fleet.Class
 	format   format
 	prompt   []string
-	cached   int // prompt tokens found in the cache
-	prefill  int // prompt tokens still to be processed
-	produced int // output tokens so far
-	output   int // output tokens in all
+	seed     uint32 // of the output
+	cached   int    // prompt tokens found in the cache
+	prefill  int    // prompt tokens still to be processed
+	produced int    // output tokens so far
+	output   int    // output tokens in all
 
 	body    []byte
 	frames  []int // end of each SSE event in body
@@ -146,6 +147,9 @@
 	prefillSpeed, decodeSpeed := e.speeds()
 	seconds := float64(prefill)/prefillSpeed + float64(decode)/decodeSpeed
 	s.length = e.Step + time.Duration(seconds*float64(time.Second))
+	if e.faults.Slowdown > 0 {
+		s.length = time.Duration(float64(s.length) * e.faults.Slowdown)
+	}
 	return s
 }
 
--- a/internal/fake/engine_format.go
+++ b/internal/fake/engine_format.go
@@ -1,9 +1,6 @@
 package fake
 
-import (
-	"encoding/json"
-	"strings"
-)
+import "encoding/json"
 
 // format writes the answer of one request in the completion API.
 type format struct {
@@ -32,14 +29,14 @@
 
 // token is the SSE event of the output token produced last.
 func (f format) token(j *job) []byte {
-	return f.event(j, f.choice(token(j.prompt, j.produced-1), nil), nil)
+	return f.event(j, f.choice(outputToken(j.seed, j.produced-1), nil), nil)
 }
 
 // last ends an answer: for a stream the finish reason, the usage and the
 // closing event, else the whole answer.
 func (f format) last(j *job) [][]byte {
 	if !f.stream {
-		text := Completion(strings.Join(j.prompt, " "), j.produced)
+		text := outputText(j.seed, j.produced)
 		return [][]byte{append(f.message(j, f.choice(text, "length"), f.usage(j)), '\n')}
 	}
 	return [][]byte{
--- a/internal/fake/engine_order.go
+++ b/internal/fake/engine_order.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"papayarock/core/fleet"
@@ -210,6 +211,9 @@
 // change makes an order effective.
 func (e *Engine) change(o Order) {
 	e.counts.OrdersRun++
+	if slices.ContainsFunc(e.orders.log, func(d Order) bool { return d.Number() == o.Number() }) {
+		e.counts.OrdersRepeated++
+	}
 	e.orders.log = append(e.orders.log, o)
 	switch o.Kind {
 	case "load-model":
@@ -271,10 +275,10 @@
 	}
 }
 
-// serveLoad returns the load as it was LoadLag ago.
+// serveLoad returns the load as it was LoadLag and ExtraLoadLag ago.
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	visible := time.Now().Add(-e.LoadLag)
+	visible := time.Now().Add(-e.LoadLag - e.faults.ExtraLoadLag)
 	var load EngineLoad
 	for i := len(e.loads) - 1; i >= 0; i-- {
 		if !e.loads[i].At.After(visible) {
--- a/internal/fake/engine_test.go
+++ b/internal/fake/engine_test.go
@@ -265,6 +265,21 @@
 	})
 }
 
+// Guards against a slow engine that is as fast as the others.
+func TestEngineSlowdown(t *testing.T) {
+	e := &fake.Engine{Step: 10 * time.Millisecond, DecodeTokensPerSecond: 1e6}
+	bubble(t, e, func(t *testing.T, c caller) {
+		is := is.New(t)
+		for _, slowdown := range []float64{1, 5} {
+			e.Set(func(f *fake.EngineFaults) { f.Slowdown = slowdown })
+			start := time.Now()
+			_, _, err := c.post("/v1/completions", "", "", completion("x", 10, false))
+			is.NoErr(err)
+			is.Equal(time.Since(start).Round(time.Millisecond), time.Duration(110*slowdown)*time.Millisecond)
+		}
+	})
+}
+
 // Guards against load reports that show the present.
 func TestEngineLoadLags(t *testing.T) {
 	e := &fake.Engine{LoadLag: 10 * time.Second, Step: time.Second}
@@ -281,3 +296,21 @@
 		time.Sleep(30 * time.Second)
 	})
 }
+
+// Measures the work of the fake itself: 100 streamed tokens without waiting.
+func BenchmarkEngineStream(b *testing.B) {
+	e := &fake.Engine{Step: time.Nanosecond, PrefillTokensPerSecond: 1e12, DecodeTokensPerSecond: 1e12}
+	client, stop := fake.Serve(e)
+	defer stop()
+	body := fmt.Sprintf(`{"prompt": %q, "max_tokens": 100, "stream": true}`, strings.Repeat("w ", 1000))
+	for b.Loop() {
+		resp, err := client.Post("http://fake/v1/completions", "", strings.NewReader(body))
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			b.Fatal(err)
+		}
+		_ = resp.Body.Close()
+	}
+}
--- a/internal/fake/order_test.go
+++ b/internal/fake/order_test.go
@@ -106,10 +106,14 @@
 		_, _, err := c.post("/order", "", "", load)
 		is.True(err != nil)
 		is.Equal(e.State().Adapters["klang"], "3")
-		status, _, err := c.post("/order", "", "", fake.Order{Term: 1, Sequence: 2, Kind: "melt"})
+		status, _, err := c.post("/order", "", "", load)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.Equal(e.Counts().OrdersRepeated, 1) // the engine ignores the number
+		status, _, err = c.post("/order", "", "", fake.Order{Term: 1, Sequence: 2, Kind: "melt"})
 		is.NoErr(err)
 		is.Equal(status, http.StatusBadRequest)
-		is.Equal(len(e.Orders()), 1)
+		is.Equal(len(e.Orders()), 2)
 		synctest.Wait()
 	})
 }
