io/answers: refuse windows whose occurrences share a name

Cause: a repeated window numbers its occurrences, so "storm" and "storm 2" could give two windows with one name, of which Diff saw one. Conclusion: each window of a generated configuration has a name of its own.

--- a/io/answers/answers_test.go
+++ b/io/answers/answers_test.go
@@ -132,9 +132,11 @@
 		"path form":             {`path = "/schedule"`, `path = "schedule/"`, "work[3].path", "has the value"},
 		"closed window":         {`2026-09-01`, `2026-05-01`, "window[0].closes", "not after"},
 		"endless window":        {`reserved = 0.4`, "reserved = 0.4\nevery = \"1h\"\ntimes = 9", "window[0].every", "before it closes"},
-		"over the cap":          {`hourly-cap = 22.0`, `hourly-cap = 9.0`, "spending.hourly-cap", "more than the cap"},
-		"too many targets":      {`most = 6`, `most = 5`, "pool[0].most", "at most 5"},
-		"unused pool":           {`name = "language"`, "name = \"idle\"\nkind = \"service\"\ntargets = {}\n[[pool]]\nname = \"language\"", "pool[0].name", "no work uses"},
+		"window of both": {"[[window]]\n", "[[window]]\nname = \"storm\"\nopens = 2026-06-01T00:00:00Z\ncloses = 2026-06-02T00:00:00Z\nreserved = 0\nevery = \"48h\"\ntimes = 2\n" +
+			"[[window]]\nname = \"storm 2\"\nopens = 2026-06-01T00:00:00Z\ncloses = 2026-06-02T00:00:00Z\nreserved = 0\n[[window]]\n", "window[1].name", "is one of window"},
+		"over the cap":     {`hourly-cap = 22.0`, `hourly-cap = 9.0`, "spending.hourly-cap", "more than the cap"},
+		"too many targets": {`most = 6`, `most = 5`, "pool[0].most", "at most 5"},
+		"unused pool":      {`name = "language"`, "name = \"idle\"\nkind = \"service\"\ntargets = {}\n[[pool]]\nname = \"language\"", "pool[0].name", "no work uses"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/io/answers/check.go
+++ b/io/answers/check.go
@@ -293,31 +293,43 @@
 func (r *reader) readWindows(root *tomlfile.Table) {
 	urgent := slices.ContainsFunc(r.a.Work, func(w Work) bool { return w.Class == fleet.Urgent })
 	total := 0
-	seen := make(map[string]bool)
+	names, owner := make(map[string]bool), make(map[string]string)
 	for _, t := range root.Subs("window") {
-		w := Window{Times: int(t.Int("times", 1, maxWindowTimes, 1))}
-		w.Name = unique(t, titlePattern, seen)
-		w.Opens, w.Closes = t.Time("opens"), t.Time("closes")
-		if t.Need("opens", "write when it opens") && t.Need("closes", "write when it closes") && !w.Closes.After(w.Opens) {
-			t.Fault("closes", "is not after opens", "write a later time")
-		}
-		t.Need("reserved", "write the share of capacity kept for urgent work, such as 0.5")
-		w.Reserved = t.Float("reserved", 0, 1, 0)
-		w.Every = t.Duration("every", time.Minute, maxInterval, 0)
-		if w.Times > 1 && w.Every < w.Closes.Sub(w.Opens) {
-			t.Fault("every", "the window repeats before it closes", `write a longer interval, such as "12h25m"`)
-		}
+		w := readWindow(t, names)
 		if !urgent {
 			t.Fault("", "no work is urgent, so nothing uses the reserve", "remove the window or make work urgent")
 		}
 		if total += w.Times; total > maxWindows {
 			t.Fault("times", fmt.Sprintf("there are %d windows so far", total), fmt.Sprintf("keep the total below %d", maxWindows))
 		}
+		for _, o := range w.repeat() {
+			if other, ok := owner[o.Name]; ok && other != w.Name {
+				t.Fault("name", fmt.Sprintf("the occurrence %q is one of window %q, too", o.Name, other), "rename one of them")
+				break
+			}
+			owner[o.Name] = w.Name
+		}
 		t.Close()
 		r.a.Windows = append(r.a.Windows, w)
 	}
 }
 
+func readWindow(t *tomlfile.Table, names map[string]bool) Window {
+	w := Window{Times: int(t.Int("times", 1, maxWindowTimes, 1))}
+	w.Name = unique(t, titlePattern, names)
+	w.Opens, w.Closes = t.Time("opens"), t.Time("closes")
+	if t.Need("opens", "write when it opens") && t.Need("closes", "write when it closes") && !w.Closes.After(w.Opens) {
+		t.Fault("closes", "is not after opens", "write a later time")
+	}
+	t.Need("reserved", "write the share of capacity kept for urgent work, such as 0.5")
+	w.Reserved = t.Float("reserved", 0, 1, 0)
+	w.Every = t.Duration("every", time.Minute, maxInterval, 0)
+	if w.Times > 1 && w.Every < w.Closes.Sub(w.Opens) {
+		t.Fault("every", "the window repeats before it closes", `write a longer interval, such as "12h25m"`)
+	}
+	return w
+}
+
 func (r *reader) readSpending(root *tomlfile.Table) {
 	if !root.Need("spending", "add a table [spending]") {
 		return
