internal/scenario: kill and pause processes, break links

Cause: a process inside the test can be shut down and not killed or paused, and scripts could not break a link.

--- a/internal/scenario/fakes.go
+++ b/internal/scenario/fakes.go
@@ -58,6 +58,11 @@
 func fault(ts *testscript.TestScript, neg bool, args []string) {
 	positive(ts, neg, args, 2, "fault NAME FIELD=VALUE...")
 	var err error
+	if p, ok := of(ts).proxies[args[0]]; ok {
+		p.Set(func(faults *fake.ProxyFaults) { err = assign(reflect.ValueOf(faults).Elem(), args[1:]) })
+		ts.Check(err)
+		return
+	}
 	switch f := find(ts, args[0]).(type) {
 	case *fake.Engine:
 		f.Set(func(faults *fake.EngineFaults) { err = assign(reflect.ValueOf(faults).Elem(), args[1:]) })
--- a/internal/scenario/process.go
+++ b/internal/scenario/process.go
@@ -5,11 +5,12 @@
 	"context"
 	"io"
 	"net"
-	"net/http"
 	"net/netip"
-	"strconv"
-	"strings"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -25,60 +26,137 @@
 	startInterval = 5 * time.Millisecond
 )
 
-// process is a process of papayarock that runs inside the test.
+// process is a process of papayarock, inside the test or beside it.
 type process struct {
-	file   string
-	cancel context.CancelFunc
-	done   chan struct{}
-	err    error // set before done is closed
+	file string
+	own  *os.Process        // nil inside the test
+	end  context.CancelFunc // begins a graceful shutdown inside the test
+	done chan struct{}
+	err  error // set before done is closed
 }
 
-func start(ts *testscript.TestScript, neg bool, args []string) {
-	positive(ts, false, args, 2, "start NAME SETTINGS")
-	w := of(ts)
-	if _, ok := w.processes[args[0]]; ok {
-		ts.Fatalf("process %q runs", args[0])
+// kill ends a process at once. Inside the test it can only be shut down.
+func (p *process) kill() {
+	if p.own != nil {
+		_ = p.own.Kill() // fails if it has ended
+		return
+	}
+	p.end()
+}
+
+func (p *process) shutDown() {
+	if p.own != nil {
+		_ = p.own.Signal(syscall.SIGTERM) // fails if it has ended
+		return
+	}
+	p.end()
+}
+
+func start(ts *testscript.TestScript, neg bool, args []string) { begin(ts, neg, args, launch) }
+
+func spawn(ts *testscript.TestScript, neg bool, args []string) { begin(ts, neg, args, execute) }
+
+// begin starts a process by run and waits until it accepts connections.
+func begin(ts *testscript.TestScript, neg bool, args []string, run func(*testscript.TestScript, string, settings.Settings, *process) error) {
+	positive(ts, false, args, 2, "start | spawn NAME SETTINGS")
+	w, name := of(ts), args[0]
+	if _, ok := w.processes[name]; ok {
+		ts.Fatalf("process %q runs", name)
 	}
-	p, err := launch(ts, args[0], args[1])
+	if w.logs[name] == nil {
+		w.logs[name] = &record{}
+	}
+	p := &process{file: args[1], done: make(chan struct{})}
+	err := p.begin(ts, name, run)
 	switch {
 	case err == nil && neg:
-		p.cancel()
+		p.kill()
 		<-p.done
-		ts.Fatalf("process %q started", args[0])
+		ts.Fatalf("process %q started", name)
 	case err == nil:
-		w.processes[args[0]] = p
+		w.processes[name] = p
 	case neg:
 		_, _ = io.WriteString(ts.Stderr(), err.Error()+"\n")
 	default:
-		ts.Fatalf("process %q: %v", args[0], err)
+		ts.Fatalf("process %q: %v", name, err)
 	}
 }
 
-// launch runs a process and returns once it accepts connections.
-func launch(ts *testscript.TestScript, name, file string) (*process, error) {
-	s, err := settings.Load(ts.MkAbs(file))
+func (p *process) begin(ts *testscript.TestScript, name string, run func(*testscript.TestScript, string, settings.Settings, *process) error) error {
+	s, err := settings.Load(ts.MkAbs(p.file))
 	if err != nil {
-		return nil, err
+		return err
+	}
+	if err := run(ts, name, s, p); err != nil {
+		return err
 	}
+	for _, addr := range listeners(s) {
+		if err := p.reachable(addr); err != nil {
+			p.kill()
+			<-p.done
+			return err
+		}
+	}
+	return nil
+}
+
+// launch runs a process inside the test.
+func launch(ts *testscript.TestScript, name string, s settings.Settings, p *process) error {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &process{file: file, cancel: cancel, done: make(chan struct{})}
+	p.end = cancel
+	log := hclog.New(&hclog.LoggerOptions{Name: name, Level: s.LogLevel, Output: of(ts).logs[name]})
+	go func() {
+		defer close(p.done)
+		p.err = daemon.Run(ctx, s, log)
+	}()
+	return nil
+}
+
+// execute runs a process of its own.
+func execute(ts *testscript.TestScript, name string, _ settings.Settings, p *process) error {
 	w := of(ts)
-	if w.logs[name] == nil {
-		w.logs[name] = &record{}
+	binary, err := lookUpPath(ts.Getenv("PATH"), "papayarock")
+	if err != nil {
+		return err
 	}
-	log := hclog.New(&hclog.LoggerOptions{Name: name, Level: s.LogLevel, Output: w.logs[name]})
+	c := exec.Command(binary, "run", "--settings", ts.MkAbs(p.file)) //nolint:noctx // killed at the end of the script
+	c.Env, c.Dir, c.Stderr, c.Stdout = w.vars, ts.MkAbs("."), w.logs[name], w.logs[name]
+	if err := c.Start(); err != nil {
+		return err
+	}
+	p.own = c.Process
 	go func() {
 		defer close(p.done)
-		p.err = daemon.Run(ctx, s, log)
+		p.err = c.Wait()
 	}()
-	for _, addr := range listeners(s) {
-		if err := p.reachable(addr); err != nil {
-			cancel()
-			<-p.done
-			return nil, err
+	return nil
+}
+
+func lookUpPath(path, name string) (string, error) {
+	for _, dir := range filepath.SplitList(path) {
+		file := filepath.Join(dir, name)
+		if info, err := os.Stat(file); err == nil && !info.IsDir() {
+			return file, nil
 		}
 	}
-	return p, nil
+	return "", errors.Errorf("no command %q in the script's path", name)
+}
+
+// sendSignal sends a signal to a spawned process. After KILL it waits for the
+// end of the process, which can then be spawned again under its name.
+func sendSignal(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 2, "signal NAME KILL | STOP | CONT")
+	signals := map[string]syscall.Signal{"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+	sig, ok := signals[args[1]]
+	p := of(ts).processes[args[0]]
+	if !ok || p == nil || p.own == nil {
+		ts.Fatalf("signal %q cannot be sent to %q: unknown signal, or no spawned process", args[1], args[0])
+	}
+	ts.Check(p.own.Signal(sig))
+	if sig == syscall.SIGKILL {
+		<-p.done
+		delete(of(ts).processes, args[0])
+	}
 }
 
 // record is the log of a process over all its runs.
@@ -144,7 +222,7 @@
 	if !ok {
 		ts.Fatalf("process %q does not run", args[0])
 	}
-	p.cancel()
+	p.shutDown()
 	<-p.done
 	delete(w.processes, args[0])
 	if p.err != nil {
@@ -159,76 +237,9 @@
 		ts.Fatalf("process %q does not run", args[0])
 	}
 	stop(ts, false, args)
-	start(ts, false, []string{args[0], p.file})
-}
-
-// call is one request of a script.
-type call struct {
-	status int
-	header http.Header
-	method string
-	url    string
-	body   string
-}
-
-func readCall(ts *testscript.TestScript, args []string) call {
-	const usage = "request [-key K] [-header H:V] [-status N] METHOD URL [BODY | @FILE]"
-	c := call{status: http.StatusOK, header: make(http.Header)}
-	for len(args) >= 2 && strings.HasPrefix(args[0], "-") {
-		switch args[0] {
-		case "-key":
-			c.header.Set("Authorization", "Bearer "+args[1])
-		case "-header":
-			name, value, _ := strings.Cut(args[1], ":")
-			c.header.Add(name, strings.TrimSpace(value))
-		case "-status":
-			n, err := strconv.Atoi(args[1])
-			ts.Check(err)
-			c.status = n
-		default:
-			ts.Fatalf("usage: %s", usage)
-		}
-		args = args[2:]
-	}
-	positive(ts, false, args, 2, usage)
-	c.method, c.url = args[0], args[1]
-	if len(args) > 2 {
-		c.body = args[2]
-		if file, ok := strings.CutPrefix(c.body, "@"); ok {
-			c.body = ts.ReadFile(file)
-		}
-	}
-	return c
-}
-
-func request(ts *testscript.TestScript, neg bool, args []string) {
-	c := readCall(ts, args)
-	status, body, err := c.send(of(ts).client)
-	_, _ = ts.Stdout().Write(body)
-	switch {
-	case neg && err == nil:
-		ts.Fatalf("%s %s: whole answer with status %d", c.method, c.url, status)
-	case neg:
-	case err != nil:
-		ts.Fatalf("%s %s: %v", c.method, c.url, err)
-	case status != c.status:
-		ts.Fatalf("%s %s: status %d, want %d: %s", c.method, c.url, status, c.status, body)
-	}
-}
-
-func (c call) send(client *http.Client) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, c.method, c.url, strings.NewReader(c.body))
-	if err != nil {
-		return 0, nil, err
-	}
-	req.Header = c.header
-	resp, err := client.Do(req)
-	if err != nil {
-		return 0, nil, err
+	again := start
+	if p.own != nil {
+		again = spawn
 	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, body, err
+	again(ts, false, []string{args[0], p.file})
 }
--- /dev/null
+++ b/internal/scenario/proxy.go
@@ -0,0 +1,53 @@
+package scenario
+
+import (
+	"context"
+	"net"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"papayarock/internal/fake"
+)
+
+// proxy is a fake.Proxy on loopback.
+type proxy struct {
+	*fake.Proxy
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func startProxy(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 2, "proxy NAME TARGET")
+	w := of(ts)
+	if _, ok := w.proxies[args[0]]; ok {
+		ts.Fatalf("proxy %q exists", args[0])
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // listens on loopback at once
+	ts.Check(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &proxy{Proxy: &fake.Proxy{Target: strings.TrimPrefix(args[1], "http://")}, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		p.Serve(ctx, l)
+	}()
+	w.proxies[args[0]] = p
+	ts.Setenv(args[0], l.Addr().String())
+}
+
+func findProxy(ts *testscript.TestScript, neg bool, args []string, usage string) *proxy {
+	positive(ts, neg, args, 1, usage)
+	p, ok := of(ts).proxies[args[0]]
+	if !ok {
+		ts.Fatalf("proxy %q does not exist", args[0])
+	}
+	return p
+}
+
+func drop(ts *testscript.TestScript, neg bool, args []string) {
+	findProxy(ts, neg, args, "drop NAME").Drop()
+}
+
+func holdOpen(ts *testscript.TestScript, neg bool, args []string) {
+	findProxy(ts, neg, args, "hold-open NAME").HoldOpen()
+}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -24,7 +24,8 @@
 	commands := map[string]Command{
 		"ports": ports, "digest": digest, "expand": expand, "exits": exits,
 		"fake": startFake, "fault": fault, "crash": crash, "recover": recoverEngine, "count": count, "await": await,
-		"start": start, "stop": stop, "restart": restart, "request": request, "log": showLog,
+		"start": start, "spawn": spawn, "stop": stop, "restart": restart, "signal": sendSignal,
+		"request": request, "log": showLog, "proxy": startProxy, "drop": drop, "hold-open": holdOpen,
 	}
 	for name, c := range more {
 		commands[name] = c
@@ -43,6 +44,8 @@
 	fakes     map[string]fakeServer
 	processes map[string]*process
 	logs      map[string]*record
+	proxies   map[string]*proxy
+	vars      []string // environment of spawned processes
 	client    *http.Client
 }
 
@@ -50,13 +53,21 @@
 
 func setup(env *testscript.Env) error {
 	transport := &http.Transport{}
-	w := &world{fakes: make(map[string]fakeServer), processes: make(map[string]*process), logs: make(map[string]*record), client: &http.Client{Transport: transport}}
+	w := &world{
+		fakes: make(map[string]fakeServer), processes: make(map[string]*process), logs: make(map[string]*record),
+		proxies: make(map[string]*proxy), client: &http.Client{Transport: transport},
+	}
 	env.Values[worldKey{}] = w
 	// A process built with -race sleeps for 1 s at its end by default, which
 	// would be most of the time of a script.
 	env.Setenv("GORACE", "atexit_sleep_ms=50")
+	w.vars = env.Vars
 	env.Defer(func() {
 		for _, p := range w.processes {
+			p.kill()
+			<-p.done
+		}
+		for _, p := range w.proxies {
 			p.cancel()
 			<-p.done
 		}
