--- a/internal/fake/memory.go
+++ b/internal/fake/memory.go
@@ -42,13 +42,21 @@
 // Dial connects to the listener. Network and address are ignored.
 func (m *Memory) Dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	client, server := net.Pipe()
+	if err := m.Offer(ctx, server); err != nil {
+		return nil, err
+	}
+	return client, nil
+}
+
+// Offer hands the listener one end of a connection that the caller made.
+func (m *Memory) Offer(ctx context.Context, server net.Conn) error {
 	select {
 	case m.conns <- server:
-		return client, nil
+		return nil
 	case <-m.closed:
-		return nil, net.ErrClosed
+		return net.ErrClosed
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return ctx.Err()
 	}
 }
 
--- /dev/null
+++ b/io/operator/types.go
@@ -0,0 +1,179 @@
+package operator
+
+import "time"
+
+// Actions of a Change.
+const (
+	ApplyAnswers  = "apply-answers"
+	IssueKey      = "issue-key"
+	WithdrawKey   = "withdraw-key"
+	DrainTarget   = "drain-target"
+	ReplaceTarget = "replace-target"
+	SetRole       = "set-role"
+	CancelDrain   = "cancel-drain"
+)
+
+// Change is an operator's change. Which fields count depends on the action.
+type Change struct {
+	ID         string `json:"id"`
+	Base       uint64 `json:"base"` // revision the operator saw
+	Action     string `json:"action"`
+	Answers    string `json:"answers,omitempty"` // questionnaire in TOML
+	Key        string `json:"key,omitempty"`     // public identifier
+	Digest     string `json:"digest,omitempty"`  // SHA-256 of the key, hexadecimal
+	Customer   string `json:"customer,omitempty"`
+	Cut        bool   `json:"cut,omitempty"`
+	Target     string `json:"target,omitempty"`
+	Role       string `json:"role,omitempty"` // mixed, prefill, decode
+	Leave      bool   `json:"leave,omitempty"`
+	ForSeconds int    `json:"for-seconds,omitempty"` // time a drain may take
+}
+
+// Outcomes of a Change.
+const (
+	Accepted = "accepted"
+	Conflict = "conflict"  // another change was accepted after Base
+	IDReused = "id-reused" // the id names a change with other content
+	Invalid  = "invalid"
+)
+
+// ChangeAnswer says what became of a Change.
+type ChangeAnswer struct {
+	Outcome  string     `json:"outcome"`
+	Revision uint64     `json:"revision,omitempty"` // after an accepted change
+	Winner   *ChangeRef `json:"winner,omitempty"`   // with conflict and id-reused
+	Reason   string     `json:"reason,omitempty"`   // with invalid
+}
+
+// ChangeRef names an accepted change.
+type ChangeRef struct {
+	ID       string    `json:"id"`
+	Operator string    `json:"operator"`
+	Revision uint64    `json:"revision"`
+	Time     time.Time `json:"time"`
+}
+
+// Progress says how far the change to a revision has come.
+type Progress struct {
+	InForce bool   `json:"in-force"`
+	Holding uint32 `json:"holding"` // nodes that have the change
+	Waiting uint32 `json:"waiting"` // nodes that may still serve without it
+}
+
+// List carries items with the revision they were read at.
+type List[T any] struct {
+	Revision uint64 `json:"revision"`
+	Items    []T    `json:"items"`
+}
+
+// Configuration is the generated configuration in force, in the TOML that
+// papayarock answers generate writes.
+type Configuration struct {
+	Revision uint64 `json:"revision"`
+	TOML     string `json:"toml"`
+}
+
+// Target is one target.
+type Target struct {
+	Name        string    `json:"name"`
+	Host        string    `json:"host"`
+	DataCentre  string    `json:"data-centre"`
+	Pool        string    `json:"pool"`
+	Kind        string    `json:"kind"`
+	Role        string    `json:"role"`
+	Phase       string    `json:"phase"`
+	Until       time.Time `json:"until,omitzero"`
+	Incarnation uint64    `json:"incarnation"`
+	Running     uint32    `json:"running"`
+	Model       string    `json:"model,omitempty"`
+	Version     string    `json:"version,omitempty"`
+	Order       string    `json:"order,omitempty"` // number of the open order
+}
+
+// Key is a customer's key, without the key itself.
+type Key struct {
+	ID       string    `json:"id"`
+	Customer string    `json:"customer"`
+	Issued   time.Time `json:"issued"`
+}
+
+// Usage is the usage of one customer on one route in a window.
+type Usage struct {
+	Window       uint64    `json:"window"`
+	From         time.Time `json:"from"`
+	Until        time.Time `json:"until,omitzero"`
+	State        string    `json:"state"` // open, sealed, acknowledged
+	Customer     string    `json:"customer,omitempty"`
+	Route        string    `json:"route,omitempty"`
+	Requests     uint64    `json:"requests"`
+	PromptTokens uint64    `json:"prompt-tokens"`
+	OutputTokens uint64    `json:"output-tokens"`
+}
+
+// Order is an order to a target or to the platform.
+type Order struct {
+	Number   string    `json:"number"`
+	To       string    `json:"to"` // target or platform
+	Target   string    `json:"target"`
+	Kind     string    `json:"kind"`
+	State    string    `json:"state"` // open, done, failed, abandoned
+	Detail   string    `json:"detail,omitempty"`
+	Deadline time.Time `json:"deadline"`
+}
+
+// Audit is an accepted change.
+type Audit struct {
+	Time     time.Time `json:"time"`
+	Operator string    `json:"operator"`
+	What     string    `json:"what"`
+	Change   string    `json:"change"`
+	Revision uint64    `json:"revision"`
+}
+
+// Host is a host that takes part in control or polls it.
+type Host struct {
+	Name     string    `json:"name"`
+	Member   string    `json:"member,omitempty"` // voter, learner; empty for a subscriber
+	Leading  bool      `json:"leading,omitempty"`
+	Via      string    `json:"via,omitempty"` // replica it polls
+	Revision uint64    `json:"revision"`      // it holds
+	Seen     time.Time `json:"seen,omitzero"`
+}
+
+// Actions of a HostChange.
+const (
+	AddLearner = "add-learner"
+	Promote    = "promote"
+	Remove     = "remove"
+)
+
+// HostChange changes the members of the log, one at a time.
+type HostChange struct {
+	Action string `json:"action"`
+	Host   string `json:"host"`
+}
+
+// HostAnswer lists the members after a HostChange.
+type HostAnswer struct {
+	Voters   []string `json:"voters"`
+	Learners []string `json:"learners"`
+}
+
+// Status is a short account of a replica.
+type Status struct {
+	Host       string    `json:"host"`
+	Leader     string    `json:"leader"`
+	Leading    bool      `json:"leading"` // with a lease
+	Term       uint64    `json:"term"`
+	LeaseUntil time.Time `json:"lease-until,omitzero"`
+	Revision   uint64    `json:"revision"`
+	Current    bool      `json:"current"` // the copy of the configuration is confirmed
+	Nodes      int       `json:"nodes"`   // that poll this replica, directly or through relays
+}
+
+// Problem is a refusal.
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+}
--- /dev/null
+++ b/io/subscribe/client.go
@@ -0,0 +1,261 @@
+package subscribe
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+	"papayarock/core/watch"
+	"papayarock/io/link"
+	"papayarock/io/wire"
+)
+
+// Errors of calls to control.
+var (
+	ErrUnreachable  = errors.New("control cannot be reached")
+	ErrStale        = errors.New("the replica cannot confirm its copy of the configuration")
+	ErrNotCommitted = errors.New("the command was not committed")
+	ErrUncertain    = errors.New("the command may or may not be committed")
+	ErrRefused      = errors.New("control refused the command")
+	ErrAnswer       = errors.New("the answer of control cannot be read")
+)
+
+const (
+	// pollTimeout bounds one poll. It is above watch.PollHold and leaves time
+	// for a second replica before the copy is stale.
+	pollTimeout = watch.PollHold + 600*time.Millisecond
+	// retryDelay is the pause after a poll that failed.
+	retryDelay = 100 * time.Millisecond
+)
+
+// Demand is the work an entry received for a pool in a period.
+type Demand struct {
+	Pool         string
+	DataCentre   fleet.DataCentre
+	Class        fleet.Class
+	PromptTokens float64
+	OutputTokens float64
+	Period       time.Duration
+}
+
+// Options configure a Client.
+type Options struct {
+	Links     *link.Pool
+	Addresses []link.Address // control replicas, nearest first
+	Host      fleet.Host
+	Sign      func() watch.Sign // what an agent says of its target; nil on other nodes
+	Demand    func() []Demand   // work received since the last call; nil on other nodes
+	Log       hclog.Logger
+}
+
+// Client is a node's connection to control. Use New.
+type Client struct {
+	// Index is the node's copy of the configuration; nil until the first poll
+	// has been answered.
+	Index atomic.Pointer[config.Index]
+
+	o  Options
+	mu sync.Mutex
+	// guarded by mu
+	copy    watch.Copy
+	changed chan struct{} // closed and replaced with each new revision
+	current int           // index of the replica in use
+	polls   uint64
+	fails   uint64
+	lastErr string
+}
+
+// New returns a Client that Serve keeps current.
+func New(o Options) *Client { return &Client{o: o, changed: make(chan struct{})} }
+
+// Fresh says whether the copy may be used for keyed requests at now.
+func (c *Client) Fresh(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.copy.Fresh(now)
+}
+
+// FreshUntil returns the time from which keyed requests are refused.
+func (c *Client) FreshUntil() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.copy.FreshUntil
+}
+
+// Changed returns a channel that is closed with the next revision.
+func (c *Client) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// Serve polls until ctx ends.
+func (c *Client) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		addr, ok := c.address()
+		if !ok {
+			return errors.Wrap(ErrUnreachable, "no control address is set")
+		}
+		err := c.poll(ctx, addr)
+		c.note(err)
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		c.o.Log.Debug("poll failed", "control", addr, "error", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryDelay):
+		}
+	}
+	return nil
+}
+
+func (c *Client) address() (link.Address, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.o.Addresses) == 0 {
+		return link.Address{}, false
+	}
+	return c.o.Addresses[c.current%len(c.o.Addresses)], true
+}
+
+// note counts a poll and moves to the next replica after a failed one.
+func (c *Client) note(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.polls++
+	if err != nil {
+		c.fails++
+		c.lastErr = err.Error()
+		c.current++
+	}
+}
+
+func (c *Client) poll(ctx context.Context, addr link.Address) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	sent := time.Now()
+	s, err := c.o.Links.Open(ctx, addr, c.request(sent))
+	if err != nil {
+		return errors.Wrap(ErrUnreachable, err.Error())
+	}
+	defer func() { _ = s.Close() }()
+	return c.receive(s, sent)
+}
+
+func (c *Client) request(now time.Time) *wire.ControlPoll {
+	s := watch.Subscriber{Host: c.o.Host, Seen: now}
+	if x := c.Index.Load(); x != nil {
+		s.Revision = x.Revision
+	}
+	if c.o.Sign != nil {
+		s.Target = c.o.Sign()
+	}
+	m := &wire.ControlPoll{Self: wire.EncodeSubscriber(s, now)}
+	if c.o.Demand == nil {
+		return m
+	}
+	for _, d := range c.o.Demand() {
+		m.Demand = append(m.Demand, &wire.ControlDemand{
+			Pool: d.Pool, DataCentre: string(d.DataCentre), Class: uint32(d.Class),
+			PromptTokens: d.PromptTokens, OutputTokens: d.OutputTokens, Seconds: d.Period.Seconds(),
+		})
+	}
+	return m
+}
+
+// receive reads the parts of an answer and applies it.
+func (c *Client) receive(s *link.Stream, sent time.Time) error {
+	var whole []byte
+	for {
+		var m wire.ControlPollAnswer
+		if err := s.Receive(&m); err != nil {
+			return errors.Wrap(ErrUnreachable, err.Error())
+		}
+		whole = append(whole, m.GetSnapshotPart()...)
+		if !m.GetLast() {
+			continue
+		}
+		if m.GetStale() {
+			return ErrStale
+		}
+		return c.apply(&m, whole, sent)
+	}
+}
+
+// apply replaces the copy by the newer one in an answer and notes how long it
+// is fresh. The copy is replaced first: a fresh copy must hold what the answer
+// confirms.
+func (c *Client) apply(m *wire.ControlPollAnswer, whole []byte, sent time.Time) error {
+	held := c.Index.Load()
+	next, err := newer(held, m, whole)
+	if err != nil {
+		return errors.Wrap(ErrAnswer, err.Error())
+	}
+	if next == nil || next.Revision < m.GetRevision() {
+		return errors.Wrapf(ErrAnswer, "revision %d is announced but not sent", m.GetRevision())
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if next != held {
+		c.Index.Store(next)
+		close(c.changed)
+		c.changed = make(chan struct{})
+		c.o.Log.Debug("configuration changed", "revision", next.Revision)
+	}
+	age := time.Duration(max(m.GetAgeNanos(), 0))
+	if !c.copy.Apply(watch.Answer{Sent: sent, Revision: m.GetRevision(), Age: age}) {
+		return errors.Wrapf(ErrStale, "it holds revision %d, this node %d", m.GetRevision(), c.copy.Revision)
+	}
+	return nil
+}
+
+// newer returns the configuration after an answer; it is held itself if the
+// answer brings nothing newer.
+func newer(held *config.Index, m *wire.ControlPollAnswer, whole []byte) (*config.Index, error) {
+	if len(whole) > 0 || held == nil && m.GetRevision() == 0 {
+		s, err := wire.DecodeConfig(whole)
+		if err != nil {
+			return nil, err
+		}
+		if held != nil && s.Revision <= held.Revision {
+			return held, nil
+		}
+		return config.NewIndex(s), nil
+	}
+	if len(m.GetDelta()) > 0 && held != nil {
+		d, err := wire.DecodeDelta(m.GetDelta())
+		if err != nil {
+			return nil, err
+		}
+		return held.Apply(d)
+	}
+	return held, nil
+}
+
+// Dump is the state of a Client for operators.
+type Dump struct {
+	Revision   uint64
+	FreshUntil time.Time
+	Control    string // replica in use
+	Polls      uint64
+	Failed     uint64
+	LastError  string
+}
+
+// Dump returns a copy of the state, of type Dump.
+func (c *Client) Dump() any {
+	addr, _ := c.address()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Dump{
+		Revision: c.copy.Revision, FreshUntil: c.copy.FreshUntil, Control: addr.AddrPort.String(),
+		Polls: c.polls, Failed: c.fails, LastError: c.lastErr,
+	}
+}
--- /dev/null
+++ b/io/subscribe/submit.go
@@ -0,0 +1,153 @@
+package subscribe
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+	"papayarock/io/link"
+	"papayarock/io/wire"
+)
+
+const (
+	// attemptTimeout bounds one submission to one replica.
+	attemptTimeout = 2 * time.Second
+	// announceFor is how long an announced target may take to become ready.
+	announceFor = 10 * time.Minute
+)
+
+// Submit commits a command whose repetition has no further effect, and returns
+// its result. It goes on over all replicas until ctx ends. ErrNotCommitted says
+// that no attempt has been committed or will be.
+func (c *Client) Submit(ctx context.Context, command state.Command) (state.Result, error) {
+	b, err := wire.EncodeCommand(command)
+	if err != nil {
+		return nil, errors.Wrap(ErrRefused, err.Error())
+	}
+	uncertain := false
+	for i := 0; ; i++ {
+		addr, ok := c.nth(i)
+		if !ok {
+			return nil, errors.Wrap(ErrNotCommitted, "no control address is set")
+		}
+		r, err := c.submit(ctx, addr, b)
+		if err == nil || errors.Is(err, ErrRefused) {
+			return r, err
+		}
+		uncertain = uncertain || errors.Is(err, ErrUncertain)
+		select {
+		case <-ctx.Done():
+			if uncertain {
+				return nil, errors.Wrapf(ErrUncertain, "%v", err)
+			}
+			return nil, errors.Wrapf(ErrNotCommitted, "%v", err)
+		case <-time.After(retryDelay):
+		}
+	}
+}
+
+// nth returns the i-th replica to try, beginning with the one in use.
+func (c *Client) nth(i int) (link.Address, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := len(c.o.Addresses)
+	if n == 0 {
+		return link.Address{}, false
+	}
+	return c.o.Addresses[(c.current+i)%n], true
+}
+
+func (c *Client) submit(ctx context.Context, addr link.Address, command []byte) (state.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	answer, err := link.Call[wire.ControlSubmitAnswer](ctx, c.o.Links, addr, &wire.ControlSubmit{Command: command})
+	switch {
+	case errors.Is(err, link.ErrUnreachable) || errors.Is(err, link.ErrRefused):
+		return nil, errors.Wrap(ErrNotCommitted, err.Error()) // no replica has handled it
+	case err != nil:
+		return nil, errors.Wrap(ErrUncertain, err.Error())
+	}
+	switch answer.GetError() {
+	case wire.ControlSubmitAnswer_NONE:
+	case wire.ControlSubmitAnswer_NOT_COMMITTED:
+		return nil, errors.Wrap(ErrNotCommitted, answer.GetDetail())
+	case wire.ControlSubmitAnswer_REFUSED:
+		return nil, errors.Wrap(ErrRefused, answer.GetDetail())
+	default:
+		return nil, errors.Wrap(ErrUncertain, answer.GetDetail())
+	}
+	r, err := wire.DecodeResult(answer.GetResult())
+	if err != nil {
+		return nil, errors.Wrap(ErrUncertain, err.Error())
+	}
+	return r, nil
+}
+
+// submitAs submits a command and checks the kind of its result.
+func submitAs[R state.Result](ctx context.Context, c *Client, command state.Command) (R, error) {
+	r, err := c.Submit(ctx, command)
+	if err != nil {
+		var none R
+		return none, err
+	}
+	out, ok := r.(R)
+	if !ok {
+		return out, errors.Wrapf(ErrAnswer, "command %T has result %T", command, r)
+	}
+	return out, nil
+}
+
+// Claim asks for the right to hand over a non-idempotent request. A claim
+// repeated by the same request is granted again.
+func (c *Client) Claim(ctx context.Context, claim state.Claim) (state.ClaimResult, error) {
+	return submitAs[state.ClaimResult](ctx, c, claim)
+}
+
+// Settle ends a claim.
+func (c *Client) Settle(ctx context.Context, s state.Settle) error {
+	_, err := submitAs[state.SettleResult](ctx, c, s)
+	return err
+}
+
+// Change submits an operator's change.
+func (c *Client) Change(ctx context.Context, ch state.Change) (state.ChangeResult, error) {
+	return submitAs[state.ChangeResult](ctx, c, ch)
+}
+
+// Share asks for this entry's share of the customer limits until the given
+// time.
+func (c *Client) Share(ctx context.Context, now, until time.Time) (state.ShareResult, error) {
+	return submitAs[state.ShareResult](ctx, c, state.RegisterEntry{Entry: c.o.Host, Time: now, Until: until})
+}
+
+// Announce registers a target.
+func (c *Client) Announce(ctx context.Context, t fleet.Target) error {
+	now := time.Now()
+	r, err := submitAs[state.TargetResult](ctx, c, state.Announce{Target: t, Until: now.Add(announceFor), Time: now})
+	if err != nil {
+		return err
+	}
+	if r.Outcome != state.TargetUpdated && r.Outcome != state.TargetUnchanged {
+		return errors.Wrapf(ErrRefused, "target %q: outcome %d, registered incarnation %d", t.Name, r.Outcome, r.Target.Incarnation)
+	}
+	return nil
+}
+
+// ReportUsage reports served requests. It returns an error unless every record
+// is counted or can never be.
+func (c *Client) ReportUsage(ctx context.Context, records []state.UsageRecord) error {
+	r, err := submitAs[state.UsageResult](ctx, c, state.ReportUsage{Records: records})
+	if err != nil {
+		return err
+	}
+	if len(r.TooLate) > 0 {
+		c.o.Log.Error("usage records are too late to be counted", "records", len(r.TooLate))
+	}
+	if len(r.Refused) > 0 {
+		return errors.Wrapf(ErrNotCommitted, "%d usage records", len(r.Refused))
+	}
+	return nil
+}
