--- /dev/null
+++ b/io/replica/replica.go
@@ -0,0 +1,244 @@
+package replica
+
+import (
+	"cmp"
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"papayarock/core/fleet"
+	"papayarock/core/log"
+	"papayarock/io/disk"
+	"papayarock/io/wire"
+)
+
+// Errors of a Group. A command refused with ErrNotLeader or ErrNotCommitted is
+// certainly not committed and never will be.
+var (
+	ErrNotLeader    = errors.New("this host does not lead the log")
+	ErrNotCommitted = errors.New("not committed")
+	ErrUncertain    = errors.New("may or may not be committed")
+	ErrOptions      = errors.New("invalid replica options")
+	ErrMachine      = errors.New("state machine failed")
+)
+
+// NotLeaderError is an ErrNotLeader that names the leader.
+type NotLeaderError struct {
+	Leader fleet.Host // empty when not known
+}
+
+// Error names the known leader.
+func (e *NotLeaderError) Error() string {
+	if e.Leader == "" {
+		return ErrNotLeader.Error() + "; no leader is known"
+	}
+	return ErrNotLeader.Error() + "; the leader is " + string(e.Leader)
+}
+
+// Is makes errors.Is(err, ErrNotLeader) hold.
+func (e *NotLeaderError) Is(target error) bool { return target == ErrNotLeader }
+
+// Machine is the state machine that the log is applied to. The Group calls it
+// from one goroutine. Equal commands in equal order must lead to equal states.
+type Machine interface {
+	Apply(index, term uint64, command []byte) any
+	Snapshot() ([]byte, error)
+	Restore(snapshot []byte) error // an empty snapshot stands for an empty machine
+}
+
+// Transport sends messages to other members. Send must not block for long; it
+// may drop messages.
+type Transport interface {
+	Send(to fleet.Host, m *wire.LogMessage)
+}
+
+// Options configure a Group. Durations must be equal on all members.
+type Options struct {
+	Self      fleet.Host
+	Members   []fleet.Host // first voters of a new group; empty on a host that joins as a learner
+	Dir       string
+	FS        disk.FS // nil means the file system of the machine
+	Machine   Machine
+	Transport Transport
+	Log       hclog.Logger
+
+	Lease         time.Duration // zero means log.DefaultLease
+	Heartbeat     time.Duration // zero means log.DefaultHeartbeat
+	LongestAction time.Duration // zero means log.DefaultLongestAction
+
+	SnapshotEntries uint64 // applied entries between snapshots; zero means DefaultSnapshotEntries
+	SnapshotBytes   uint64 // bytes of commands between snapshots; zero means DefaultSnapshotBytes
+}
+
+// Defaults of the zero fields of Options.
+const (
+	DefaultSnapshotEntries = 10_000
+	DefaultSnapshotBytes   = 16 << 20
+)
+
+// Bounds of the queues in front of the loop.
+const (
+	maxQueuedMessages = 1024
+	maxQueuedRequests = 1024
+	maxBatch          = 512 // proposals in one step
+)
+
+// Group is one member of a replicated log. Use New to make one.
+type Group struct {
+	o        Options
+	messages chan log.Message
+	requests chan *request
+	nextID   atomic.Uint64
+	lease    atomic.Pointer[log.Lease]
+	dropped  atomic.Uint64 // messages that did not fit the queue
+
+	mu     sync.Mutex // guards node and its use
+	node   *log.Node
+	opened *opened // by New, for the first Serve
+}
+
+// opened is an open data directory.
+type opened struct {
+	store    *disk.Store
+	identity log.Identity
+	stored   log.Stored
+}
+
+// New opens the data directory and returns a member that Serve runs.
+func New(o Options) (*Group, error) {
+	if o.Self == "" || o.Dir == "" || o.Machine == nil || o.Transport == nil {
+		return nil, errors.Wrap(ErrOptions, "host, directory, machine and transport are required")
+	}
+	o.Log = cmp.Or[hclog.Logger](o.Log, hclog.NewNullLogger())
+	o.Lease = cmp.Or(o.Lease, log.DefaultLease)
+	o.Heartbeat = cmp.Or(o.Heartbeat, log.DefaultHeartbeat)
+	o.LongestAction = cmp.Or(o.LongestAction, log.DefaultLongestAction)
+	o.SnapshotEntries = cmp.Or(o.SnapshotEntries, DefaultSnapshotEntries)
+	o.SnapshotBytes = cmp.Or(o.SnapshotBytes, DefaultSnapshotBytes)
+	if o.Heartbeat*4 > o.Lease {
+		return nil, errors.Wrapf(ErrOptions, "heartbeat %v exceeds a quarter of lease %v", o.Heartbeat, o.Lease)
+	}
+	g := &Group{
+		o:        o,
+		messages: make(chan log.Message, maxQueuedMessages),
+		requests: make(chan *request, maxQueuedRequests),
+	}
+	// Ids differ between runs: a late answer to a read of an earlier run must
+	// not answer a read of this one.
+	g.nextID.Store(randomUint64())
+	g.lease.Store(&log.Lease{})
+	var err error
+	g.opened, err = g.open()
+	return g, err
+}
+
+func randomUint64() uint64 {
+	var b [8]byte
+	_, _ = crand.Read(b[:]) // crypto/rand.Read never fails
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+func (g *Group) open() (*opened, error) {
+	store, id, stored, err := disk.Open(disk.Options{
+		FS: g.o.FS, Dir: g.o.Dir, Host: g.o.Self, Identity: log.Identity(randomUint64() | 1),
+		Members: log.Voters(g.o.Members...),
+	})
+	if err != nil {
+		return nil, errors.Wrapf(err, "replica %s", g.o.Self)
+	}
+	if err := g.o.Machine.Restore(stored.Snapshot.Data); err != nil {
+		_ = store.Close()
+		return nil, errors.Wrapf(ErrMachine, "restore snapshot %d: %v", stored.Snapshot.Index, err)
+	}
+	return &opened{store, id, stored}, nil
+}
+
+// Close releases the data directory of a Group that Serve was never called on.
+func (g *Group) Close() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened == nil {
+		return nil
+	}
+	d := g.opened
+	g.opened = nil
+	return d.store.Close()
+}
+
+// Serve runs the member until ctx ends or its storage fails. It may be called
+// again after it has returned.
+func (g *Group) Serve(ctx context.Context) error {
+	g.mu.Lock()
+	d := g.opened
+	g.opened = nil
+	g.mu.Unlock()
+	if d == nil {
+		var err error
+		if d, err = g.open(); err != nil {
+			return err
+		}
+	}
+	node := log.New(time.Now(), log.Options{
+		Self: g.o.Self, Identity: d.identity, Stored: d.stored,
+		Random: rand.New(rand.NewPCG(randomUint64(), randomUint64())),
+		Lease:  g.o.Lease, Heartbeat: g.o.Heartbeat, LongestAction: g.o.LongestAction,
+	})
+	g.mu.Lock()
+	g.node = node
+	g.mu.Unlock()
+	l := &loop{
+		Group: g, node: node, writer: newWriter(d.store),
+		applied: d.stored.Snapshot.Index, snapshot: d.stored.Snapshot.Index,
+		waiting: make(map[uint64]*request),
+	}
+	return l.run(ctx)
+}
+
+// Deliver hands a message of another member to the node. It never blocks; a
+// message that does not fit is dropped.
+func (g *Group) Deliver(from fleet.Host, m *wire.LogMessage) {
+	x, err := wire.DecodeLogMessage(m)
+	if err != nil || x.From != from || x.To != g.o.Self {
+		g.o.Log.Warn("message refused", "from", from, "claimed", m.GetFrom(), "to", m.GetTo(), "error", err)
+		return
+	}
+	select {
+	case g.messages <- x:
+	default:
+		g.dropped.Add(1)
+	}
+}
+
+// Lease returns the term of this member, the end of its lease, and whether it
+// may act outwardly now. An action must end before expires.
+func (g *Group) Lease() (term uint64, expires time.Time, held bool) {
+	l := g.lease.Load()
+	return l.Term, l.Expires, l.Held(time.Now())
+}
+
+// Dump is the state of a Group for operators.
+type Dump struct {
+	Running         bool
+	Status          log.Status
+	DroppedMessages uint64
+	QueuedMessages  int
+	QueuedRequests  int
+}
+
+// Dump returns a copy of the state, of type Dump.
+func (g *Group) Dump() any {
+	d := Dump{DroppedMessages: g.dropped.Load(), QueuedMessages: len(g.messages), QueuedRequests: len(g.requests)}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.node != nil {
+		d.Running, d.Status = true, g.node.Status()
+	}
+	return d
+}
--- a/io/wire/doc.go
+++ b/io/wire/doc.go
@@ -3,4 +3,4 @@
 // types.
 package wire
 
-//go:generate protoc --go_out=../.. --go_opt=module=papayarock -I . path.proto
+//go:generate protoc --go_out=../.. --go_opt=module=papayarock -I . path.proto log.proto
