io/controller: run a control replica

Cause: the replicated log and state need a process role around them: polls, commands, the leader's actions, and the interface of operators. Figures: in virtual time a change is in force under 4 s through a follower. The test with an isolated leader failed first: a new leader reported the change in force at once because its tracker still had the start time of an earlier term; it now starts a new term's tracker before it answers. Conclusion: control works over links; agents do not take orders yet.

--- a/internal/fake/platform_test.go
+++ b/internal/fake/platform_test.go
@@ -99,6 +99,7 @@
 		}
 		is.Equal(<-done+<-done, int64(10<<20))
 		is.True(time.Since(start) >= 9900*time.Millisecond) // 10 MiB at 1 MiB/s, less one burst
+		synctest.Wait()                                     // the store counts a download after its last byte
 		is.Equal(s.Counts().Downloads["notes/1"], 2)
 		is.Equal(s.Counts().Peak, 2)
 	})
--- /dev/null
+++ b/io/controller/cluster_test.go
@@ -0,0 +1,315 @@
+package controller_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+	"papayarock/internal/fake"
+	"papayarock/io/controller"
+	"papayarock/io/link"
+	"papayarock/io/subscribe"
+)
+
+// cluster is three control replicas on in-memory links, by host.
+type cluster struct {
+	t         *testing.T
+	addresses map[fleet.Host]netip.AddrPort
+	listeners map[netip.AddrPort]*fake.Memory
+	replicas  map[fleet.Host]*controller.Controller
+	stops     map[fleet.Host]func()
+
+	mu    sync.Mutex
+	cut   map[fleet.Host]bool // isolated hosts
+	conns map[fleet.Host][]*cuttable
+}
+
+// cuttable is a connection that goes silent when its host is isolated: writes
+// succeed and nothing arrives.
+type cuttable struct {
+	net.Conn
+	mu     sync.Mutex
+	silent bool
+}
+
+func (c *cuttable) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	silent := c.silent
+	c.mu.Unlock()
+	if silent {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{
+		t: t, addresses: make(map[fleet.Host]netip.AddrPort), listeners: make(map[netip.AddrPort]*fake.Memory),
+		replicas: make(map[fleet.Host]*controller.Controller), stops: make(map[fleet.Host]func()),
+		cut: make(map[fleet.Host]bool), conns: make(map[fleet.Host][]*cuttable),
+	}
+	for i, h := range []fleet.Host{"c1", "c2", "c3"} {
+		c.addresses[h] = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(7001+i))
+	}
+	for h := range c.addresses {
+		c.start(h, t.TempDir())
+	}
+	return c
+}
+
+func (c *cluster) start(h fleet.Host, dir string) {
+	is := is.New(c.t)
+	pool := c.pool(h)
+	var voters []fleet.Host
+	for v := range c.addresses {
+		voters = append(voters, v)
+	}
+	r, err := controller.New(controller.Options{
+		Self: h, Voters: voters, Addresses: c.addresses, Data: dir, Links: pool, Log: hclog.NewNullLogger(),
+	})
+	is.NoErr(err)
+	l := fake.NewMemory()
+	c.mu.Lock()
+	c.listeners[c.addresses[h]] = l
+	c.mu.Unlock()
+	server := &link.Server{Listener: l, StopTimeout: time.Second}
+	r.Register(server)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = server.Serve(ctx) })
+	wg.Go(func() { _ = r.Serve(ctx) })
+	c.replicas[h] = r
+	c.stops[h] = func() {
+		cancel()
+		pool.Close()
+		wg.Wait()
+	}
+}
+
+func (c *cluster) stop() {
+	for _, stop := range c.stops {
+		stop()
+	}
+}
+
+// pool dials from a host. A connection belongs to both of its ends.
+func (c *cluster) pool(from fleet.Host) *link.Pool {
+	return &link.Pool{Dial: func(ctx context.Context, a link.Address) (net.Conn, error) {
+		c.mu.Lock()
+		l := c.listeners[a.AddrPort]
+		silent := c.cut[from] || c.cut[a.Host]
+		c.mu.Unlock()
+		if l == nil || silent {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		x, y := net.Pipe()
+		out, in := &cuttable{Conn: x}, &cuttable{Conn: y}
+		c.mu.Lock()
+		for _, h := range []fleet.Host{from, a.Host} {
+			c.conns[h] = append(c.conns[h], out, in)
+		}
+		c.mu.Unlock()
+		if err := l.Offer(ctx, in); err != nil {
+			return nil, err
+		}
+		return out, nil
+	}}
+}
+
+// isolate cuts a host off silently.
+func (c *cluster) isolate(h fleet.Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[h] = true
+	for _, x := range c.conns[h] {
+		x.mu.Lock()
+		x.silent = true
+		x.mu.Unlock()
+	}
+}
+
+func (c *cluster) heal(h fleet.Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.cut, h) // silent connections stay silent
+}
+
+// client returns a node that polls the given replicas, nearest first.
+func (c *cluster) client(host fleet.Host, control ...fleet.Host) (*subscribe.Client, func()) {
+	pool := c.pool(host)
+	o := subscribe.Options{Links: pool, Host: host, Log: hclog.NewNullLogger()}
+	for _, h := range control {
+		o.Addresses = append(o.Addresses, link.Address{Host: h, AddrPort: c.addresses[h]})
+	}
+	s := subscribe.New(o)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = s.Serve(ctx) })
+	return s, func() { cancel(); pool.Close(); wg.Wait() }
+}
+
+func (c *cluster) leader() fleet.Host {
+	for h, r := range c.replicas {
+		if !c.cut[h] && r.Status().Leading {
+			return h
+		}
+	}
+	return ""
+}
+
+// await waits in virtual time until ok holds.
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 600 {
+		if ok() {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatalf("after 60 s: %s", what)
+}
+
+func submit(s *subscribe.Client, change state.Change) (state.ChangeResult, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	change.Time = time.Now()
+	return s.Change(ctx, change)
+}
+
+// TestCluster runs its cases one after the other in one bubble, since yamux
+// keeps timers in a pool that must not be shared between bubbles.
+func TestCluster(t *testing.T) {
+	cases := map[string]func(t *testing.T){
+		"a change reaches nodes":                              changeReachesNodes,
+		"an isolated leader cannot keep an old configuration": isolatedLeaderCannotKeepOldConfiguration,
+		"an isolated leader commits nothing":                  isolatedLeaderCommitsNothing,
+	}
+	synctest.Test(t, func(t *testing.T) {
+		for name, run := range cases {
+			t.Log(name)
+			run(t)
+		}
+	})
+}
+
+// Guards against a change that is accepted but does not reach a node that polls
+// a replica which does not lead.
+func changeReachesNodes(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	defer c.stop()
+	await(t, "no leader", func() bool { return c.leader() != "" })
+	node, stop := c.client("e1", follower(c)...)
+	defer stop()
+	await(t, "the node is not fresh", func() bool { return node.Fresh(time.Now()) })
+	r, err := submit(node, state.Change{
+		ID: "change-1", Base: node.Index.Load().Revision, Operator: "ana",
+		Action: state.ReplaceDocument{Document: config.Document{Customers: []config.Customer{{Name: "klang", Weight: 1}}}},
+	})
+	is.NoErr(err)
+	is.Equal(r.Outcome, state.ChangeAccepted)
+	accepted := time.Now()
+	await(t, "the node lacks the change", func() bool {
+		_, ok := node.Index.Load().Customer("klang")
+		return ok
+	})
+	await(t, "the change is not in force", func() bool { return c.inForce(r.Revision) })
+	if took := time.Since(accepted); took > 4*time.Second {
+		t.Fatalf("in force after %v", took) // virtual time
+	}
+	again, err := submit(node, state.Change{
+		ID: "change-1", Base: r.Revision - 1, Operator: "ana",
+		Action: state.ReplaceDocument{Document: config.Document{Customers: []config.Customer{{Name: "klang", Weight: 1}}}},
+	})
+	is.NoErr(err)
+	is.Equal(again, r) // the same id gets the same answer
+}
+
+func follower(c *cluster) []fleet.Host {
+	leader := c.leader()
+	for h := range c.replicas {
+		if h != leader {
+			return []fleet.Host{h}
+		}
+	}
+	return nil
+}
+
+func (c *cluster) inForce(revision uint64) bool {
+	r := c.replicas[c.leader()]
+	return r != nil && r.InForce(revision)
+}
+
+// Guards against a node that goes on serving by an old key after the change
+// that withdrew it is reported in force, when the node and the leader it polls
+// are cut off together.
+func isolatedLeaderCannotKeepOldConfiguration(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	defer c.stop()
+	await(t, "no leader", func() bool { return c.leader() != "" })
+	old := c.leader()
+	var rest []fleet.Host
+	for h := range c.replicas {
+		if h != old {
+			rest = append(rest, h)
+		}
+	}
+	cutOff, stopCutOff := c.client("e1", old)
+	defer stopCutOff()
+	operator, stopOperator := c.client("o1", rest...)
+	defer stopOperator()
+	await(t, "the nodes are not fresh", func() bool {
+		return cutOff.Fresh(time.Now()) && operator.Fresh(time.Now())
+	})
+	before := cutOff.Index.Load().Revision
+
+	c.isolate(old)
+	await(t, "no new leader", func() bool { return c.leader() != "" })
+	var r state.ChangeResult
+	await(t, "no change is accepted", func() bool {
+		var err error
+		r, err = submit(operator, state.Change{
+			ID: "change-1", Base: before, Operator: "ana",
+			Action: state.ReplaceDocument{Document: config.Document{Customers: []config.Customer{{Name: "klang", Weight: 1}}}},
+		})
+		return err == nil && r.Outcome == state.ChangeAccepted
+	})
+	await(t, "the change is not in force", func() bool { return c.inForce(r.Revision) })
+	is.True(cutOff.Index.Load().Revision < r.Revision)
+	is.True(!cutOff.Fresh(time.Now())) // refuses keyed requests
+	is.True(!c.replicas[old].Status().Leading)
+
+	c.heal(old)
+	await(t, "the node does not catch up", func() bool {
+		return cutOff.Fresh(time.Now()) && cutOff.Index.Load().Revision >= r.Revision
+	})
+}
+
+// Guards against a command that an isolated replica reports as committed.
+func isolatedLeaderCommitsNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	defer c.stop()
+	await(t, "no leader", func() bool { return c.leader() != "" })
+	leader := c.leader()
+	r := c.replicas[leader]
+	c.isolate(leader)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := r.Propose(ctx, state.Tick{Now: time.Now()})
+	is.True(err != nil)
+	is.True(!errors.Is(err, controller.ErrState))
+}
--- /dev/null
+++ b/io/controller/lead.go
@@ -0,0 +1,199 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"papayarock/core/authority"
+	"papayarock/core/dispatch"
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+	"papayarock/io/link"
+	"papayarock/io/wire"
+)
+
+// leadPeriod is how often the leader looks for due actions when nothing has
+// been committed in the meantime.
+const leadPeriod = 100 * time.Millisecond
+
+// leadLoop begins the actions that are due while this replica leads.
+func (c *Controller) leadLoop(ctx context.Context) error {
+	defer c.actions.Wait()
+	d := dispatch.New(dispatch.Options{UsageWindow: c.o.UsageWindow, Platform: c.platform != nil})
+	var term uint64
+	for ctx.Err() == nil {
+		next := c.machine.next()
+		lease := c.lease()
+		if lease.Held && lease.Term != term {
+			term = lease.Term
+			d = dispatch.New(dispatch.Options{UsageWindow: c.o.UsageWindow, Platform: c.platform != nil})
+		}
+		if lease.Held {
+			c.lead(time.Now())
+			c.drainDone(d)
+			for _, a := range d.Step(time.Now(), lease, c.view()) {
+				c.actions.Go(func() { c.begin(ctx, a) })
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(leadPeriod):
+		case <-next:
+		}
+	}
+	return nil
+}
+
+// lease returns the authority of this replica. The group reports a lease as
+// held only once the former one must have ended.
+func (c *Controller) lease() authority.Gate {
+	term, expires, held := c.group.Lease()
+	return authority.Gate{Held: held, Term: term, Expires: expires}
+}
+
+// drainDone tells d of the actions that have ended.
+func (c *Controller) drainDone(d *dispatch.Dispatcher) {
+	for {
+		select {
+		case k := <-c.done:
+			d.Done(time.Now(), k)
+		default:
+			return
+		}
+	}
+}
+
+func (c *Controller) view() dispatch.View {
+	v := dispatch.View{Signs: c.signs()}
+	c.machine.read(func(s *state.Machine) {
+		v.Config = s.Config()
+		v.Targets = s.Targets()
+		v.Platform = s.OpenPlatform()
+		v.Windows = s.Unreported()
+		v.OpenWindow, v.OpenFrom = s.OpenWindow()
+		v.Ticked = s.Now()
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v.Since = c.tracker.Since
+	return v
+}
+
+// signs returns the last sign of each target.
+func (c *Controller) signs() map[fleet.TargetName]dispatch.Seen {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[fleet.TargetName]dispatch.Seen)
+	for _, s := range c.tracker.Subscribers() {
+		if s.Target.Name != "" {
+			out[s.Target.Name] = dispatch.Seen{Sign: s.Target, At: s.Seen}
+		}
+	}
+	return out
+}
+
+// begin carries out one action and notes what follows from it.
+func (c *Controller) begin(ctx context.Context, a dispatch.Action) {
+	var key dispatch.Key
+	var err error
+	switch a := a.(type) {
+	case dispatch.Propose:
+		key = a.Key
+		err = c.commit(ctx, a.Command)
+	case dispatch.SendOrder:
+		key = a.Key
+		err = c.sendOrder(ctx, a)
+	case dispatch.ReadTarget:
+		key = a.Key
+		err = c.readTarget(ctx, a)
+	case dispatch.SendPlatform:
+		key = a.Key
+		err = c.sendPlatform(ctx, a)
+	case dispatch.SendUsage:
+		key = a.Key
+		err = c.sendUsage(ctx, a)
+	}
+	if err != nil {
+		c.log.Warn("action failed", "error", err)
+	}
+	select {
+	case c.done <- key:
+	default: // the dispatcher's own pause applies
+	}
+}
+
+func (c *Controller) commit(ctx context.Context, command state.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	r, err := c.Propose(ctx, command)
+	if err != nil {
+		return errors.Wrapf(err, "propose %T", command)
+	}
+	switch r := r.(type) {
+	case state.TargetResult:
+		if r.Outcome == state.TargetUpdated {
+			c.log.Info("target changed", "target", r.Target.Name, "phase", r.Target.Phase, "revision", r.Revision)
+		}
+	case state.OrderResult:
+		c.log.Info("order", "number", r.Order.Number, "target", r.Order.Target, "outcome", r.Outcome)
+	case state.PlatformResult:
+		c.log.Info("platform order", "number", r.Order.Number, "target", r.Order.Target, "outcome", r.Outcome)
+	}
+	return nil
+}
+
+// sendOrder hands an order to the agent beside its target, and records the
+// answer once the order has ended.
+func (c *Controller) sendOrder(ctx context.Context, a dispatch.SendOrder) error {
+	answer, err := callAgent[wire.ControlOrderAnswer](ctx, c, a.Target, a.Deadline, &wire.ControlOrder{Order: wire.EncodeOrder(a.Order)})
+	if err != nil {
+		return errors.Wrapf(err, "order %s to target %q", a.Order.Number, a.Target.Name)
+	}
+	switch answer.GetOutcome() {
+	case wire.ControlOrderAnswer_RUNNING:
+		return nil
+	case wire.ControlOrderAnswer_LOST:
+		term, _, _ := c.group.Lease()
+		return c.commit(ctx, state.AbandonOrder{Term: term, Number: a.Order.Number, Target: a.Target.Name, Time: time.Now()})
+	}
+	return c.commit(ctx, state.AcknowledgeOrder{
+		Number: a.Order.Number, Target: a.Target.Name, Incarnation: a.Order.Incarnation,
+		Done: answer.GetOutcome() == wire.ControlOrderAnswer_DONE, Detail: answer.GetDetail(), Time: time.Now(),
+	})
+}
+
+// observedFor is how long a target that was read may take to become ready.
+const observedFor = 10 * time.Minute
+
+func (c *Controller) readTarget(ctx context.Context, a dispatch.ReadTarget) error {
+	answer, err := callAgent[wire.ControlReadAnswer](ctx, c, a.Target, a.Deadline, &wire.ControlRead{
+		Number: wire.EncodeNumber(a.Number), Target: string(a.Target.Name), Incarnation: uint64(a.Target.Incarnation),
+	})
+	if err != nil {
+		return errors.Wrapf(err, "read target %q", a.Target.Name)
+	}
+	if !answer.GetKnown() {
+		return errors.Errorf("read target %q: %s", a.Target.Name, answer.GetDetail())
+	}
+	loaded, err := wire.DecodeContent(answer.GetLoaded())
+	if err != nil {
+		return err
+	}
+	return c.commit(ctx, state.Observed{
+		Target: a.Target.Name, Incarnation: a.Target.Incarnation, Number: a.Number,
+		Role: loaded.Role, Loaded: loaded, Until: time.Now().Add(observedFor), Time: time.Now(),
+	})
+}
+
+// callAgent makes one call to an agent. Nothing is written after the deadline.
+func callAgent[Resp any, P interface {
+	*Resp
+	proto.Message
+}](ctx context.Context, c *Controller, t fleet.Target, deadline time.Time, request proto.Message) (*Resp, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return link.Call[Resp, P](ctx, c.links, link.Address{Host: t.Host, AddrPort: t.Agent}, request)
+}
--- /dev/null
+++ b/io/controller/lists.go
@@ -0,0 +1,168 @@
+package controller
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+	"papayarock/io/operator"
+)
+
+// serveList answers with what list reads from the state.
+func serveList[T any](c *Controller, list func(c *Controller, i *state.Image) []T) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if _, ok := c.age(time.Now()); !ok {
+			refuse(w, http.StatusServiceUnavailable, "stale", errors.New("this replica cannot confirm that its state is current"))
+			return
+		}
+		var image *state.Image
+		c.machine.read(func(s *state.Machine) { image = s.Image() })
+		respond(w, http.StatusOK, operator.List[T]{Revision: image.Config.Revision, Items: list(c, image)})
+	}
+}
+
+func listTargets(c *Controller, i *state.Image) []operator.Target {
+	signs := c.signs()
+	out := make([]operator.Target, 0, len(i.Targets))
+	for _, r := range i.Targets {
+		t := r.Target
+		item := operator.Target{
+			Name: string(t.Name), Host: string(t.Host), DataCentre: string(t.DataCentre), Pool: t.Pool,
+			Kind: t.Kind.String(), Role: t.Role.String(), Phase: t.Phase.String(), Until: t.PhaseUntil,
+			Incarnation: uint64(t.Incarnation), Running: signs[t.Name].Running,
+			Model: r.Loaded.Model, Version: r.Loaded.Version,
+		}
+		if r.Open != nil {
+			item.Order = r.Open.Number.String()
+		}
+		out = append(out, item)
+	}
+	return out
+}
+
+// listHosts lists the members of the log and the nodes that poll.
+func listHosts(c *Controller, i *state.Image) []operator.Host {
+	byName := make(map[fleet.Host]*operator.Host)
+	c.mu.Lock()
+	for _, s := range c.tracker.Subscribers() {
+		byName[s.Host] = &operator.Host{Name: string(s.Host), Via: string(s.Via), Revision: s.Revision, Seen: s.Seen}
+	}
+	c.mu.Unlock()
+	leader := c.group.Leader()
+	for _, m := range c.group.Members() {
+		h := byName[m.Host]
+		if h == nil {
+			h = &operator.Host{Name: string(m.Host)}
+			byName[m.Host] = h
+		}
+		h.Member, h.Leading = "voter", m.Host == leader
+		if m.Learner {
+			h.Member = "learner"
+		}
+		if m.Host == c.self {
+			h.Revision, h.Seen = i.Config.Revision, time.Now()
+		}
+	}
+	out := make([]operator.Host, 0, len(byName))
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		out = append(out, *byName[name])
+	}
+	return out
+}
+
+func listKeys(_ *Controller, i *state.Image) []operator.Key {
+	out := make([]operator.Key, 0, len(i.Config.Keys))
+	for _, k := range i.Config.Keys {
+		out = append(out, operator.Key{ID: k.ID, Customer: string(k.Customer), Issued: k.Issued})
+	}
+	return out
+}
+
+func listUsage(_ *Controller, i *state.Image) []operator.Usage {
+	out := []operator.Usage{}
+	for _, w := range i.Usage.Sealed {
+		name := "sealed"
+		if w.Acknowledged {
+			name = "acknowledged"
+		}
+		out = append(out, usageItems(w, name)...)
+	}
+	return append(out, usageItems(i.Usage.Open, "open")...)
+}
+
+func usageItems(w state.UsageWindow, name string) []operator.Usage {
+	base := operator.Usage{Window: w.Number, From: w.From, Until: w.Until, State: name}
+	if len(w.Figures) == 0 {
+		return []operator.Usage{base}
+	}
+	out := make([]operator.Usage, 0, len(w.Figures))
+	for _, f := range w.Figures {
+		item := base
+		item.Customer, item.Route = string(f.Customer), f.Route
+		item.Requests, item.PromptTokens, item.OutputTokens = f.Requests, f.PromptTokens, f.OutputTokens
+		out = append(out, item)
+	}
+	return out
+}
+
+var orderKinds = map[state.OrderKind]string{
+	state.OrderLoad: "load", state.OrderRole: "role", state.OrderDrain: "drain",
+}
+
+func listOrders(_ *Controller, i *state.Image) []operator.Order {
+	out := []operator.Order{}
+	for _, r := range i.Targets {
+		if r.Open != nil {
+			out = append(out, targetOrder(*r.Open, "open", ""))
+		}
+		if r.Closed != nil {
+			out = append(out, targetOrder(r.Closed.Order, closedState(r.Closed.Done, r.Closed.Abandoned), r.Closed.Detail))
+		}
+	}
+	for _, p := range i.Platform {
+		item := operator.Order{
+			Number: p.Order.Number.String(), To: "platform", Target: string(p.Order.Target),
+			Kind: "start", State: "open", Detail: p.Detail, Deadline: p.Order.Deadline,
+		}
+		if p.Order.Kind == state.PlatformStop {
+			item.Kind = "stop"
+		}
+		if p.Closed {
+			item.State = closedState(p.Done, false)
+		}
+		out = append(out, item)
+	}
+	return out
+}
+
+func targetOrder(o state.Order, name, detail string) operator.Order {
+	return operator.Order{
+		Number: o.Number.String(), To: "target", Target: string(o.Target), Kind: orderKinds[o.Kind],
+		State: name, Detail: detail, Deadline: o.Deadline,
+	}
+}
+
+func closedState(done, abandoned bool) string {
+	switch {
+	case abandoned:
+		return "abandoned"
+	case done:
+		return "done"
+	}
+	return "failed"
+}
+
+func listAudit(_ *Controller, i *state.Image) []operator.Audit {
+	out := make([]operator.Audit, 0, len(i.Audit))
+	for _, a := range i.Audit {
+		out = append(out, operator.Audit{
+			Time: a.Time, Operator: a.Operator, What: a.What, Change: a.Change, Revision: a.Revision,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/io/controller/operator.go
@@ -0,0 +1,252 @@
+package controller
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+	"papayarock/io/answers"
+	"papayarock/io/identity"
+	"papayarock/io/link"
+	"papayarock/io/operator"
+	"papayarock/io/replica"
+	"papayarock/io/wire"
+)
+
+// maxChangeBytes bounds the body of an operator's change. A questionnaire of
+// 11,000 customers has about 1 MB.
+const maxChangeBytes = 8 << 20
+
+// Operators returns the HTTP handler that operators use. Name tells who made a
+// request; it returns an error for a caller that is not an operator.
+func (c *Controller) Operators(name func(r *http.Request) (string, error)) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/changes", func(w http.ResponseWriter, r *http.Request) {
+		who, _ := name(r) // checked below
+		c.serveChange(w, r, who)
+	})
+	mux.HandleFunc("GET /v1/progress", c.serveProgress)
+	mux.HandleFunc("GET /v1/targets", serveList(c, listTargets))
+	mux.HandleFunc("GET /v1/keys", serveList(c, listKeys))
+	mux.HandleFunc("GET /v1/usage", serveList(c, listUsage))
+	mux.HandleFunc("GET /v1/orders", serveList(c, listOrders))
+	mux.HandleFunc("GET /v1/audit", serveList(c, listAudit))
+	mux.HandleFunc("GET /v1/hosts", serveList(c, listHosts))
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { respond(w, http.StatusOK, c.Status()) })
+	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, _ *http.Request) { respond(w, http.StatusOK, c.Dump()) })
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := name(r); err != nil {
+			refuse(w, http.StatusForbidden, "operator", err)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (c *Controller) serveChange(w http.ResponseWriter, r *http.Request, name string) {
+	var in operator.Change
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&in); err != nil {
+		refuse(w, http.StatusBadRequest, "body", err)
+		return
+	}
+	change, err := newChange(in, name, time.Now())
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "change", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
+	defer cancel()
+	result, err := c.commitChange(ctx, change)
+	switch {
+	case err == nil:
+		respond(w, statusOf(result.Outcome), answerOf(result))
+	case errors.Is(err, ErrNoLeader), errors.Is(err, replica.ErrNotLeader), errors.Is(err, replica.ErrNotCommitted):
+		refuse(w, http.StatusServiceUnavailable, "not-committed", err)
+	default:
+		refuse(w, http.StatusGatewayTimeout, "uncertain", err)
+	}
+}
+
+// commitChange commits an operator's change, through the leader if that is another
+// replica.
+func (c *Controller) commitChange(ctx context.Context, change state.Change) (state.ChangeResult, error) {
+	r, err := c.Propose(ctx, change)
+	if errors.Is(err, replica.ErrNotLeader) {
+		r, err = c.proposeAtLeader(ctx, change)
+	}
+	if err != nil {
+		return state.ChangeResult{}, err
+	}
+	out, ok := r.(state.ChangeResult)
+	if !ok {
+		return out, errors.Wrapf(ErrState, "change %q has result %T", change.ID, r)
+	}
+	return out, nil
+}
+
+func (c *Controller) proposeAtLeader(ctx context.Context, command state.Command) (state.Result, error) {
+	_, addr, ok := c.leader()
+	if !ok {
+		return nil, errors.Wrap(ErrNoLeader, "pass on command")
+	}
+	b, err := wire.EncodeCommand(command)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := link.Call[wire.ControlSubmitAnswer](ctx, c.links, addr, &wire.ControlSubmit{Command: b, Forwarded: true})
+	if err != nil {
+		return nil, unsent(err)
+	}
+	switch answer.GetError() {
+	case wire.ControlSubmitAnswer_NONE:
+		return wire.DecodeResult(answer.GetResult())
+	case wire.ControlSubmitAnswer_NOT_COMMITTED:
+		return nil, errors.Wrap(replica.ErrNotCommitted, answer.GetDetail())
+	}
+	return nil, errors.Wrap(replica.ErrUncertain, answer.GetDetail())
+}
+
+func newChange(b operator.Change, name string, now time.Time) (state.Change, error) {
+	ch := state.Change{ID: b.ID, Base: b.Base, Operator: name, Time: now}
+	if b.ID == "" {
+		return ch, errors.New(`member "id" is missing`)
+	}
+	var err error
+	ch.Action, err = newAction(b, now)
+	return ch, err
+}
+
+func newAction(b operator.Change, now time.Time) (state.Action, error) {
+	target := fleet.TargetName(b.Target)
+	drain := time.Duration(b.ForSeconds) * time.Second
+	switch b.Action {
+	case operator.ApplyAnswers:
+		return newDocument(b.Answers)
+	case operator.IssueKey:
+		digest, err := hex.DecodeString(b.Digest)
+		var d config.Digest
+		if err != nil || copy(d[:], digest) != len(d) {
+			return nil, errors.Errorf(`member "digest" is not %d hexadecimal digits`, 2*len(d))
+		}
+		return state.IssueKey{ID: b.Key, Digest: d, Customer: fleet.Customer(b.Customer)}, nil
+	case operator.WithdrawKey:
+		return state.WithdrawKey{ID: b.Key, Cut: b.Cut}, nil
+	case operator.DrainTarget:
+		return state.DrainTarget{Target: target, Until: now.Add(drain), Leave: b.Leave}, nil
+	case operator.ReplaceTarget:
+		return state.ReplaceTarget{Target: target, DrainFor: drain, Deadline: now.Add(time.Hour)}, nil
+	case operator.SetRole:
+		for _, role := range []fleet.Role{fleet.Mixed, fleet.Prefill, fleet.Decode} {
+			if role.String() == b.Role {
+				return state.SetRole{Target: target, Role: role, Until: now.Add(drain)}, nil
+			}
+		}
+		return nil, errors.Errorf("role %q is not mixed, prefill or decode", b.Role)
+	case operator.CancelDrain:
+		return state.CancelDrain{Target: target}, nil
+	}
+	return nil, errors.Errorf("action %q does not exist", b.Action)
+}
+
+func newDocument(text string) (state.Action, error) {
+	a, faults := answers.Check([]byte(text))
+	if len(faults) > 0 {
+		return nil, errors.Errorf("answers have %d faults; the first: %v", len(faults), faults[0])
+	}
+	return state.ReplaceDocument{Document: answers.Generate(a).Document}, nil
+}
+
+func statusOf(o state.ChangeOutcome) int {
+	switch o {
+	case state.ChangeAccepted:
+		return http.StatusOK
+	case state.ChangeInvalid:
+		return http.StatusUnprocessableEntity
+	}
+	return http.StatusConflict
+}
+
+func answerOf(r state.ChangeResult) operator.ChangeAnswer {
+	names := map[state.ChangeOutcome]string{
+		state.ChangeAccepted: operator.Accepted, state.ChangeConflict: operator.Conflict,
+		state.ChangeIDReused: operator.IDReused, state.ChangeInvalid: operator.Invalid,
+	}
+	a := operator.ChangeAnswer{Outcome: names[r.Outcome], Revision: r.Revision, Reason: r.Reason}
+	if w := r.Winner; w.ID != "" {
+		a.Winner = &operator.ChangeRef{ID: w.ID, Operator: w.Operator, Revision: w.Revision, Time: w.Time}
+	}
+	return a
+}
+
+// serveProgress says how far the change to a revision has come.
+func (c *Controller) serveProgress(w http.ResponseWriter, r *http.Request) {
+	revision, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "revision", err)
+		return
+	}
+	answer := c.progress(time.Now(), revision)
+	if !answer.GetLeading() {
+		if answer, err = c.askProgress(r.Context(), revision); err != nil {
+			refuse(w, http.StatusServiceUnavailable, "no-leader", err)
+			return
+		}
+	}
+	respond(w, http.StatusOK, operator.Progress{
+		InForce: answer.GetInForce(), Holding: answer.GetHolding(), Waiting: answer.GetWaiting(),
+	})
+}
+
+func (c *Controller) askProgress(ctx context.Context, revision uint64) (*wire.ControlProgressAnswer, error) {
+	_, addr, ok := c.leader()
+	if !ok {
+		return nil, errors.Wrap(ErrNoLeader, "ask for progress")
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	answer, err := link.Call[wire.ControlProgressAnswer](ctx, c.links, addr, &wire.ControlProgress{Revision: revision})
+	if err != nil {
+		return nil, err
+	}
+	if !answer.GetLeading() {
+		return nil, errors.Wrap(ErrNoLeader, "ask for progress")
+	}
+	return answer, nil
+}
+
+func respond(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func refuse(w http.ResponseWriter, status int, kind string, err error) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(operator.Problem{Type: kind, Title: err.Error(), Status: status})
+}
+
+// OperatorName names the operator of a request by its client certificate.
+func OperatorName(r *http.Request) (string, error) {
+	if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
+		return "", errors.New("an operator's client certificate is required")
+	}
+	p, err := identity.PeerOf(r.TLS.PeerCertificates[0])
+	if err != nil {
+		return "", err
+	}
+	if !p.Is(identity.Operator) {
+		return "", errors.Errorf("host %q is not an operator", p.Host)
+	}
+	return string(p.Host), nil
+}
--- /dev/null
+++ b/io/controller/platform.go
@@ -0,0 +1,170 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayarock/core/dispatch"
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+)
+
+// ErrPlatform reports a call to the platform that failed or was refused.
+var ErrPlatform = errors.New("platform")
+
+// maxPlatformBytes bounds an answer of the platform.
+const maxPlatformBytes = 8 << 20
+
+// platform is the client of the platform's interfaces.
+type platform struct {
+	base   *url.URL
+	client *http.Client
+	host   fleet.Host
+}
+
+type platformTarget struct {
+	Name  string `json:"name"`
+	State string `json:"state"`
+	Order string `json:"order"`
+}
+
+type platformStart struct {
+	Number     string `json:"order"`
+	Target     string `json:"target"`
+	DataCentre string `json:"data-centre"`
+	Pool       string `json:"pool"`
+}
+
+type usageReport struct {
+	Customer     string `json:"customer"`
+	Window       string `json:"window"`
+	PromptTokens uint64 `json:"prompt-tokens"`
+	OutputTokens uint64 `json:"output-tokens"`
+	Requests     uint64 `json:"requests"`
+}
+
+// call makes one request. A nil in sends no body, a nil out ignores the answer.
+func (p *platform) call(ctx context.Context, method, path string, in, out any) (int, error) {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return 0, errors.Wrap(ErrPlatform, err.Error())
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, p.base.String()+path, body)
+	if err != nil {
+		return 0, errors.Wrap(ErrPlatform, err.Error())
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Papayarock-Host", string(p.host))
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return 0, errors.Wrap(ErrPlatform, err.Error())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxPlatformBytes))
+	if err != nil {
+		return 0, errors.Wrap(ErrPlatform, err.Error())
+	}
+	if out != nil && resp.StatusCode < http.StatusBadRequest {
+		if err := json.Unmarshal(b, out); err != nil {
+			return 0, errors.Wrap(ErrPlatform, err.Error())
+		}
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return resp.StatusCode, errors.Wrapf(ErrPlatform, "%s %s: status %d", method, path, resp.StatusCode)
+	}
+	return resp.StatusCode, nil
+}
+
+// find looks for the target that an order has started. It is asked before each
+// attempt, since the answer to an earlier one may have been lost and the
+// platform need not recognise a repeated number.
+func (p *platform) find(ctx context.Context, o state.PlatformOrder) (platformTarget, bool, error) {
+	var list []platformTarget
+	if _, err := p.call(ctx, http.MethodGet, "/targets", nil, &list); err != nil {
+		return platformTarget{}, false, err
+	}
+	for _, t := range list {
+		if o.Kind == state.PlatformStart && t.Order == o.Number.String() || o.Kind == state.PlatformStop && t.Name == string(o.Target) {
+			return t, true, nil
+		}
+	}
+	return platformTarget{}, false, nil
+}
+
+// order carries out o once. Done is false when the platform refused.
+func (p *platform) order(ctx context.Context, o state.PlatformOrder) (done bool, detail string, err error) {
+	known, found, err := p.find(ctx, o)
+	if err != nil {
+		return false, "", err
+	}
+	path, body := "/targets", any(platformStart{
+		Number: o.Number.String(), Target: string(o.Target), DataCentre: string(o.DataCentre), Pool: o.Pool,
+	})
+	if o.Kind == state.PlatformStop {
+		if !found || known.State == "stopped" {
+			return true, "not running", nil
+		}
+		path, body = "/targets/"+url.PathEscape(string(o.Target))+"/stop", platformStart{Number: o.Number.String()}
+	} else if found {
+		return true, known.Name, nil
+	}
+	status, err := p.call(ctx, http.MethodPost, path, body, nil)
+	if err != nil {
+		return false, "", err
+	}
+	return status < http.StatusBadRequest, fmt.Sprintf("status %d", status), nil
+}
+
+func (c *Controller) sendPlatform(ctx context.Context, a dispatch.SendPlatform) error {
+	act, cancel := context.WithDeadline(ctx, a.Deadline)
+	defer cancel()
+	done, detail, err := c.platform.order(act, a.Order)
+	if err != nil {
+		return errors.Wrapf(err, "order %s", a.Order.Number)
+	}
+	return c.commit(ctx, state.AcknowledgePlatform{Number: a.Order.Number, Done: done, Detail: detail, Time: time.Now()})
+}
+
+// sendUsage reports a window, one report for each customer. The figures are
+// those of the sealed window, so a repeated report is the same.
+func (c *Controller) sendUsage(ctx context.Context, a dispatch.SendUsage) error {
+	act, cancel := context.WithDeadline(ctx, a.Deadline)
+	defer cancel()
+	for _, r := range reports(a.Window) {
+		status, err := c.platform.call(act, http.MethodPost, "/usage", r, nil)
+		if err != nil {
+			return errors.Wrapf(err, "report window %d", a.Window.Number)
+		}
+		if status >= http.StatusBadRequest {
+			return errors.Wrapf(ErrPlatform, "report window %d of customer %q: status %d", a.Window.Number, r.Customer, status)
+		}
+	}
+	return c.commit(ctx, state.AcknowledgeUsage{Window: a.Window.Number})
+}
+
+// reports sums a window's figures by customer.
+func reports(w state.UsageWindow) []usageReport {
+	var out []usageReport
+	for _, f := range w.Figures { // sorted by customer
+		if len(out) == 0 || out[len(out)-1].Customer != string(f.Customer) {
+			out = append(out, usageReport{Customer: string(f.Customer), Window: fmt.Sprint(w.Number)})
+		}
+		r := &out[len(out)-1]
+		r.PromptTokens += f.PromptTokens
+		r.OutputTokens += f.OutputTokens
+		r.Requests += f.Requests
+	}
+	return out
+}
