core/log: probe a new peer that has nothing to be sent

Cause: a learner added while the log was quiet was sent nothing, because its next index lay after the last entry; it never caught up. Change: a peer added during a term starts with a probe. Figures: before, Promote failed for the whole virtual minute of the test; after, the test passes. Conclusion: TestReplaceHost guards the case.

--- a/core/log/lead.go
+++ b/core/log/lead.go
@@ -55,7 +55,7 @@
 	members := n.log.members()
 	for _, x := range members {
 		if n.lead.peers[x.Host] == nil && x.Host != n.o.Self {
-			n.lead.peers[x.Host] = &peer{identity: x.Identity, next: n.log.last() + 1, heard: n.now}
+			n.lead.peers[x.Host] = n.newPeer(x.Identity)
 		}
 	}
 	for h := range n.lead.peers {
@@ -65,6 +65,26 @@
 	}
 }
 
+// newPeer returns the progress of a member that has not answered. The first
+// append after the last entry serves as the probe.
+func (n *Node) newPeer(id Identity) *peer {
+	p := &peer{identity: id, next: n.log.last() + 1, heard: n.now}
+	if n.log.last() >= n.lead.noop {
+		p.probing, p.heard = true, time.Time{}
+	}
+	return p
+}
+
+// guess returns the next index to try after an answer is missing. While nothing
+// is known to match, the peer most likely holds what this leader held when it
+// was elected.
+func (n *Node) guess(p *peer) uint64 {
+	if p.match > 0 {
+		return p.match + 1
+	}
+	return max(n.lead.noop, n.log.base+1)
+}
+
 // appendOwn appends one entry of this leader's term and returns its index.
 func (n *Node) appendOwn(e Entry) uint64 {
 	e.Index, e.Term = n.log.last()+1, n.hard.Term
@@ -196,7 +216,7 @@
 	if n.log.members().Voter(m.From) {
 		return false
 	}
-	*p = peer{identity: m.FromIdentity, next: n.log.last() + 1, heard: n.now}
+	*p = *n.newPeer(m.FromIdentity)
 	return true
 }
 
@@ -288,7 +308,7 @@
 		return
 	}
 	if late && (p.probing || p.inflight > 0) {
-		p.next, p.inflight, p.probing, p.heard = p.match+1, 0, true, n.now
+		p.next, p.inflight, p.probing, p.heard = n.guess(p), 0, true, n.now
 		if p.next <= n.log.base {
 			n.sendChunk(p, h)
 			return
--- /dev/null
+++ b/io/replica/replica_test.go
@@ -0,0 +1,223 @@
+package replica_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"papayarock/core/fleet"
+	"papayarock/internal/fake"
+	"papayarock/io/disk"
+	"papayarock/io/replica"
+)
+
+// list is a machine that keeps the commands it has applied.
+type list struct {
+	mu       sync.Mutex
+	commands []string
+}
+
+func (l *list) Apply(_, _ uint64, command []byte) any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.commands = append(l.commands, string(command))
+	return len(l.commands)
+}
+
+func (l *list) Snapshot() ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return json.Marshal(l.commands)
+}
+
+func (l *list) Restore(b []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.commands = nil
+	if len(b) == 0 {
+		return nil
+	}
+	return json.Unmarshal(b, &l.commands)
+}
+
+func (l *list) all() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.commands...)
+}
+
+// cluster runs members over an in-memory network and real files.
+type cluster struct {
+	t       testing.TB
+	network *fake.Network
+	root    string
+	entries uint64 // between snapshots
+	members map[fleet.Host]*member
+}
+
+type member struct {
+	group   *replica.Group
+	machine *list
+	cancel  context.CancelFunc
+	done    chan error
+}
+
+func newCluster(t testing.TB, delay time.Duration) *cluster {
+	c := &cluster{t: t, network: &fake.Network{}, root: t.TempDir(), members: make(map[fleet.Host]*member)}
+	if delay > 0 {
+		c.network.Delay = func(_, _ fleet.Host) time.Duration { return delay }
+	}
+	return c
+}
+
+func (c *cluster) dir(h fleet.Host) string { return c.root + "/" + string(h) }
+
+// start starts host h; first names the voters of a new group.
+func (c *cluster) start(h fleet.Host, fs disk.FS, first ...fleet.Host) *member {
+	c.t.Helper()
+	m := &member{machine: &list{}, done: make(chan error, 1)}
+	g, err := replica.New(replica.Options{
+		Self: h, Members: first, Dir: c.dir(h), FS: fs, Machine: m.machine, Transport: c.network.Port(h),
+		SnapshotEntries: c.entries,
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	m.group = g
+	var ctx context.Context
+	ctx, m.cancel = context.WithCancel(context.Background())
+	c.network.Connect(h, g.Deliver)
+	go func() { m.done <- g.Serve(ctx) }()
+	c.members[h] = m
+	return m
+}
+
+func (c *cluster) stop(h fleet.Host) {
+	m := c.members[h]
+	c.network.Connect(h, nil)
+	m.cancel()
+	if err := <-m.done; err != nil {
+		c.t.Errorf("host %s: %v", h, err)
+	}
+	delete(c.members, h)
+}
+
+func (c *cluster) stopAll() {
+	for h := range c.members {
+		c.stop(h)
+	}
+}
+
+// leader waits for a member that may act outwardly.
+func (c *cluster) leader() fleet.Host {
+	c.t.Helper()
+	for range 2000 {
+		for h, m := range c.members {
+			if _, _, held := m.group.Lease(); held {
+				return h
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Fatal("no leader within 20 s")
+	return ""
+}
+
+// propose repeats a command until the outcome is certain.
+func (c *cluster) propose(command string) any {
+	c.t.Helper()
+	for range 100 {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		v, err := c.members[c.leader()].group.Propose(ctx, []byte(command))
+		cancel()
+		if err == nil {
+			return v
+		}
+		if errors.Is(err, replica.ErrUncertain) {
+			c.t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Fatal("not committed in 100 attempts")
+	return nil
+}
+
+// eventually repeats f until it succeeds or ctx ends, and returns its last error.
+func eventually(ctx context.Context, f func() error) error {
+	for {
+		err := f()
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Guards against a group that elects no leader, loses a committed command when
+// its leader stops, or answers a read from a state that lacks one.
+func TestGroupSurvivesLossOfLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, time.Millisecond)
+		defer c.stopAll()
+		hosts := []fleet.Host{"a", "b", "c"}
+		for _, h := range hosts {
+			c.start(h, nil, hosts...)
+		}
+		is.Equal(c.propose("one"), 1)
+		old := c.leader()
+		c.stop(old)
+		is.Equal(c.propose("two"), 2)
+		m := c.start(old, nil, hosts...)
+		is.Equal(c.propose("three"), 3)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		is.NoErr(eventually(ctx, func() error { return m.group.Read(ctx) }))
+		is.Equal(m.machine.all(), []string{"one", "two", "three"})
+	})
+}
+
+// Guards against a new host that cannot become a voter, and against a learner
+// that is sent neither the snapshot nor the entries after it.
+func TestReplaceHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, time.Millisecond)
+		c.entries = 10
+		defer c.stopAll()
+		hosts := []fleet.Host{"a", "b", "c"}
+		for _, h := range hosts {
+			c.start(h, nil, hosts...)
+		}
+		for i := range 35 {
+			c.propose(fmt.Sprint(i))
+		}
+		lead := c.leader()
+		var gone fleet.Host
+		for h := range c.members {
+			if h != lead {
+				gone = h
+			}
+		}
+		c.stop(gone)
+		d := c.start("d", nil)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		g := c.members[lead].group
+		is.NoErr(g.AddLearner(ctx, "d"))
+		is.NoErr(eventually(ctx, func() error { return g.Promote(ctx, "d") }))
+		is.NoErr(g.Remove(ctx, gone))
+		c.propose("last")
+		is.NoErr(d.group.Read(ctx))
+		is.Equal(len(d.machine.all()), 36)
+		c.stop(lead)
+		is.Equal(c.propose("after"), 37)
+	})
+}
