io/settings: add status address, relays and usage window

Cause: a process needs an address for state dumps and metrics, nodes need the relays of their data centre, and control the length of a usage window. Change: three settings, checked with the others.

--- a/io/settings/check.go
+++ b/io/settings/check.go
@@ -24,6 +24,7 @@
 	defaultStreams     = 256
 	defaultShutdown    = 30 * time.Second
 	defaultSlots       = 8
+	defaultUsageWindow = time.Minute
 
 	maxHeaderBytes = 1 << 20
 	maxBodyBytes   = 64 << 20
@@ -31,6 +32,7 @@
 	maxSlots       = 1 << 16
 	minWait        = 10 * time.Millisecond
 	maxWait        = time.Hour
+	maxUsageWindow = 24 * time.Hour
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9.-]{0,62}$`)
@@ -73,6 +75,8 @@
 	s.DataCentre = fleet.DataCentre(name(t, "data-centre", "name the data centre of this host"))
 	s.Addresses = r.readAddresses()
 	s.ControlHosts = r.readControlHosts()
+	s.Relays = readHosts(r.root, "relays", s.ControlHosts)
+	s.Status = r.readStatus()
 	s.Links = r.readLinks()
 	s.LogLevel = tomlfile.Choice(t, "log-level", hclog.Info, map[string]hclog.Level{
 		"trace": hclog.Trace, "debug": hclog.Debug, "info": hclog.Info, "warn": hclog.Warn, "error": hclog.Error,
@@ -110,21 +114,41 @@
 }
 
 func (r *reader) readControlHosts() []ControlHost {
+	all := readHosts(r.root, "control-hosts", nil)
+	if n := len(all); n != 0 && n != 3 && n != 5 {
+		r.root.Fault("control-hosts", fmt.Sprintf("there are %d", n), "list the three or five voters")
+	}
+	return all
+}
+
+// readHosts reads a list of control replicas, none of which may be in others.
+func readHosts(root *tomlfile.Table, key string, others []ControlHost) []ControlHost {
 	var all []ControlHost
-	for i, t := range r.root.Subs("control-hosts") {
+	for i, t := range root.Subs(key) {
 		h := ControlHost{Host: fleet.Host(name(t, "host", "name the host")), Address: address(t, "address")}
 		t.Close()
-		if slices.ContainsFunc(all, func(o ControlHost) bool { return o.Host == h.Host || o.Address == h.Address }) {
-			r.root.Fault(fmt.Sprintf("control-hosts[%d]", i), "repeats a host or address", "list each control host once")
+		same := func(o ControlHost) bool { return o.Host == h.Host || o.Address == h.Address }
+		if slices.ContainsFunc(all, same) || slices.ContainsFunc(others, same) {
+			root.Fault(fmt.Sprintf("%s[%d]", key, i), "repeats a host or address", "list each control host once")
 		}
 		all = append(all, h)
 	}
-	if n := len(all); n != 0 && n != 3 && n != 5 {
-		r.root.Fault("control-hosts", fmt.Sprintf("there are %d", n), "list the three or five voters")
-	}
 	return all
 }
 
+// readStatus reads the address for dumps and metrics, which name customers and
+// targets and are therefore served to the host itself only.
+func (r *reader) readStatus() netip.AddrPort {
+	if !r.root.Has("status") {
+		return netip.AddrPort{}
+	}
+	a := r.listen(r.root, "status")
+	if a.IsValid() && !a.Addr().IsLoopback() {
+		r.root.Fault("status", fmt.Sprintf("%s is not a loopback address", a), "write an address on 127.0.0.1 or ::1")
+	}
+	return a
+}
+
 func (r *reader) readLinks() Links {
 	if !r.root.Need("links", "add a table [links] with certificate, key and authority, or with plain = true") {
 		return Links{}
@@ -278,6 +302,7 @@
 		c.Data = text
 	}
 	c.Platform = readURL(t, "platform", "write the URL of the platform's target orders, such as \"http://10.0.0.1:9100\"")
+	c.UsageWindow = t.Duration("usage-window", time.Second, maxUsageWindow, defaultUsageWindow)
 	c.Usage = readURL(t, "usage", "write the URL of the platform's usage reports, such as \"http://10.0.0.1:9100\"")
 	t.Close()
 	r.s.Control = c
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -25,6 +25,8 @@
 	DataCentre   fleet.DataCentre
 	Addresses    []netip.Addr // at which other hosts reach this process
 	ControlHosts []ControlHost
+	Relays       []ControlHost  // control replicas that do not vote
+	Status       netip.AddrPort // loopback address for state dumps and metrics; zero means none
 	Links        Links
 	LogLevel     hclog.Level
 	Shutdown     time.Duration // after which a graceful shutdown gives up
@@ -33,7 +35,7 @@
 	Control      *Control
 }
 
-// ControlHost is a voter of the replicated log.
+// ControlHost is a control replica.
 type ControlHost struct {
 	Host    fleet.Host
 	Address netip.AddrPort // link address
@@ -93,6 +95,8 @@
 	Platform *url.URL       // orders targets
 	Usage    *url.URL       // takes usage reports
 	Learner  bool           // relays the configuration and does not vote
+	// UsageWindow is the length of the windows in which usage is reported.
+	UsageWindow time.Duration
 }
 
 // Load reads the settings in the file at path. Relative paths in it are
