--- /dev/null
+++ b/io/controller/poll.go
@@ -0,0 +1,103 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"papayarock/core/fleet"
+	"papayarock/core/watch"
+	"papayarock/io/link"
+	"papayarock/io/wire"
+)
+
+// snapshotPartBytes is the size of one part of a snapshot on a link.
+const snapshotPartBytes = 256 << 10
+
+// poll answers a node's poll. It is held until there is something newer than
+// the node's copy, for at most watch.PollHold.
+func (c *Controller) poll(ctx context.Context, s *link.Stream, host fleet.Host, m *wire.ControlPoll) error {
+	revision := m.GetSelf().GetRevision()
+	c.record(host, m)
+	c.waitNewer(ctx, revision)
+	age, ok := c.age(time.Now())
+	if !ok {
+		return s.Send(&wire.ControlPollAnswer{Stale: true, Last: true})
+	}
+	index, _ := c.machine.config()
+	answer := &wire.ControlPollAnswer{Revision: index.Revision, AgeNanos: int64(age), Last: true}
+	if index.Revision <= revision && revision > 0 {
+		return s.Send(answer)
+	}
+	if d, ok := c.machine.delta(revision); ok && revision > 0 {
+		answer.Revision = d.To
+		var err error
+		if answer.Delta, err = wire.EncodeDelta(d); err != nil {
+			return err
+		}
+		if len(answer.Delta) <= snapshotPartBytes {
+			return s.Send(answer)
+		}
+		answer.Delta, answer.Revision = nil, index.Revision
+	}
+	whole, err := wire.EncodeConfig(index.Snapshot())
+	if err != nil {
+		return err
+	}
+	return sendParts(s, answer, whole)
+}
+
+func sendParts(s *link.Stream, answer *wire.ControlPollAnswer, whole []byte) error {
+	for len(whole) > snapshotPartBytes {
+		part := &wire.ControlPollAnswer{Revision: answer.Revision, SnapshotPart: whole[:snapshotPartBytes]}
+		if err := s.Send(part); err != nil {
+			return err
+		}
+		whole = whole[snapshotPartBytes:]
+	}
+	answer.SnapshotPart = whole
+	return s.Send(answer)
+}
+
+// waitNewer returns once the configuration is newer than revision, or when the
+// poll has been held long enough.
+func (c *Controller) waitNewer(ctx context.Context, revision uint64) {
+	hold := time.NewTimer(watch.PollHold)
+	defer hold.Stop()
+	for {
+		index, changed := c.machine.config()
+		if index.Revision > revision {
+			return
+		}
+		select {
+		case <-changed:
+		case <-hold.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// record notes the sign of life in a poll.
+func (c *Controller) record(host fleet.Host, m *wire.ControlPoll) {
+	s := wire.DecodeSubscriber(m.GetSelf(), time.Now())
+	s.Host = host // the name that the peer has proved
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.Record(s)
+	c.demand = append(c.demand, m.GetDemand()...)
+	if len(c.demand) > maxDemand {
+		c.demand = c.demand[len(c.demand)-maxDemand:]
+	}
+}
+
+// age returns how old this replica's copy of the configuration is, or false if
+// it cannot be confirmed. The leader's copy is current while its lease holds.
+func (c *Controller) age(now time.Time) (time.Duration, bool) {
+	if _, _, held := c.group.Lease(); held {
+		return 0, true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.copy.Age(now), c.copy.Fresh(now)
+}
--- /dev/null
+++ b/io/controller/submit.go
@@ -0,0 +1,151 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+	"papayarock/io/identity"
+	"papayarock/io/link"
+	"papayarock/io/replica"
+	"papayarock/io/wire"
+)
+
+// submitTimeout bounds the wait for a command to be committed.
+const submitTimeout = 5 * time.Second
+
+// submit commits a command for another process. A replica that does not lead
+// passes it on once.
+func (c *Controller) submit(ctx context.Context, s *link.Stream, peer link.Peer, m *wire.ControlSubmit) error {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	command, err := wire.DecodeCommand(m.GetCommand())
+	if err != nil {
+		return s.Send(refusal(err))
+	}
+	if m.GetForwarded() && !holds(peer, identity.Control) {
+		return s.Send(refusal(errors.Errorf("host %q may not pass on commands", peer.Host)))
+	}
+	if !m.GetForwarded() {
+		if err := permit(peer, command); err != nil {
+			return s.Send(refusal(err))
+		}
+	}
+	result, err := c.Propose(ctx, command)
+	if errors.Is(err, replica.ErrNotLeader) && !m.GetForwarded() {
+		return c.pass(ctx, s, m)
+	}
+	return s.Send(submitAnswer(result, err))
+}
+
+// pass sends a command to the leader and its answer back.
+func (c *Controller) pass(ctx context.Context, s *link.Stream, m *wire.ControlSubmit) error {
+	_, addr, ok := c.leader()
+	if !ok {
+		return s.Send(submitAnswer(nil, errors.Wrap(ErrNoLeader, "pass on command")))
+	}
+	m.Forwarded = true
+	answer, err := link.Call[wire.ControlSubmitAnswer](ctx, c.links, addr, m)
+	if err != nil {
+		return s.Send(submitAnswer(nil, errors.Wrap(unsent(err), "pass on command")))
+	}
+	return s.Send(answer)
+}
+
+// unsent tells a call that the peer has surely not handled from one that it may
+// have.
+func unsent(err error) error {
+	if errors.Is(err, link.ErrUnreachable) || errors.Is(err, link.ErrRefused) {
+		return errors.Wrap(replica.ErrNotCommitted, err.Error())
+	}
+	return errors.Wrap(replica.ErrUncertain, err.Error())
+}
+
+// holds says whether a peer may act in a role. Over plain TCP, which an
+// operator has to ask for in the settings, every peer may.
+func holds(p link.Peer, role identity.Role) bool { return p.Plain || p.Is(role) }
+
+// Propose commits a command under this replica's leadership.
+func (c *Controller) Propose(ctx context.Context, command state.Command) (state.Result, error) {
+	b, err := wire.EncodeCommand(command)
+	if err != nil {
+		return nil, err
+	}
+	v, err := c.group.Propose(ctx, b)
+	if err != nil {
+		return nil, err
+	}
+	switch v := v.(type) {
+	case state.Result:
+		return v, nil
+	case error:
+		return nil, v
+	}
+	return nil, errors.Errorf("command %T has no result", command)
+}
+
+// permit checks that the peer's role allows the command. What concerns the
+// leader alone never comes from outside.
+func permit(p link.Peer, c state.Command) error {
+	role := identity.Operator
+	switch c := c.(type) {
+	case state.Claim, state.Settle:
+		role = identity.Entry
+	case state.RegisterEntry:
+		role = identity.Entry
+		if !p.Plain && c.Entry != p.Host {
+			return errors.Errorf("host %q asks for the share of %q", p.Host, c.Entry)
+		}
+	case state.ReportUsage:
+		if !p.Plain && p.Is(identity.Agent) {
+			return permitUsage(p.Host, c)
+		}
+		role = identity.Entry
+	case state.Announce:
+		role = identity.Agent
+		if !p.Plain && c.Target.Host != p.Host {
+			return errors.Errorf("host %q announces a target of %q", p.Host, c.Target.Host)
+		}
+	case state.Change:
+	default:
+		return errors.Errorf("command %T is not accepted from other processes", c)
+	}
+	if !holds(p, role) {
+		return errors.Errorf("host %q has no role that allows %T", p.Host, c)
+	}
+	return nil
+}
+
+// permitUsage lets an agent report only what it served itself.
+func permitUsage(host fleet.Host, c state.ReportUsage) error {
+	for _, r := range c.Records {
+		if r.ID.Node != host {
+			return errors.Errorf("host %q reports usage of %q", host, r.ID.Node)
+		}
+	}
+	return nil
+}
+
+func refusal(err error) *wire.ControlSubmitAnswer {
+	return &wire.ControlSubmitAnswer{Error: wire.ControlSubmitAnswer_REFUSED, Detail: err.Error()}
+}
+
+func submitAnswer(result state.Result, err error) *wire.ControlSubmitAnswer {
+	switch {
+	case err == nil:
+	case errors.Is(err, replica.ErrNotLeader), errors.Is(err, replica.ErrNotCommitted), errors.Is(err, ErrNoLeader):
+		return &wire.ControlSubmitAnswer{Error: wire.ControlSubmitAnswer_NOT_COMMITTED, Detail: err.Error()}
+	case errors.Is(err, ErrState):
+		return refusal(err)
+	default:
+		return &wire.ControlSubmitAnswer{Error: wire.ControlSubmitAnswer_UNCERTAIN, Detail: err.Error()}
+	}
+	m, err := wire.EncodeResult(result)
+	if err != nil {
+		return refusal(err)
+	}
+	return &wire.ControlSubmitAnswer{Result: m}
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/url"
 	"sync/atomic"
 
 	"github.com/go-kratos/kratos/v2"
@@ -29,7 +28,10 @@
 	tree := suture.New("papayarock", suture.Spec{EventHook: func(e suture.Event) {
 		log.Warn("supervisor event", "event", e.String())
 	}})
-	servers := []transport.Server{&supervisor{tree: tree}}
+	if s.Control != nil {
+		return errors.Wrap(ErrStart, "control: the role is not available yet")
+	}
+	servers := []transport.Server{newSupervisor(ctx, tree)}
 	if s.Agent != nil {
 		a, err := newAgent(ctx, *s.Agent, log)
 		if err != nil {
@@ -44,23 +46,22 @@
 		}
 		servers = append(servers, server)
 	}
-	app := kratos.New(kratos.Name("papayarock"), kratos.Context(ctx), kratos.Server(servers...))
+	app := kratos.New(kratos.Name("papayarock"), kratos.Context(ctx), kratos.Server(servers...), kratos.StopTimeout(s.Shutdown))
 	return errors.Wrap(app.Run(), "run process")
 }
 
 func newAgent(ctx context.Context, s settings.Agent, log hclog.Logger) (*agent.Agent, error) {
-	target, err := url.Parse(s.Target)
-	if err != nil {
-		return nil, errors.Wrapf(ErrStart, "agent target: %v", err)
-	}
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Listen.String())
 	if err != nil {
 		return nil, errors.Wrapf(ErrStart, "agent: %v", err)
 	}
-	return &agent.Agent{Listener: l, Target: target, Client: http.DefaultClient, Log: log.Named("agent")}, nil
+	return &agent.Agent{Listener: l, Target: s.Target, Client: http.DefaultClient, Log: log.Named("agent")}, nil
 }
 
 func newEntry(s settings.Entry, log hclog.Logger) (*khttp.Server, error) {
+	if s.Static == nil {
+		return nil, errors.Wrap(ErrStart, "entry: a configuration from control is not available yet; use [entry.static]")
+	}
 	snapshot, err := settings.LoadStatic(s.Static)
 	if err != nil {
 		return nil, errors.Wrapf(ErrStart, "entry: %v", err)
@@ -72,25 +73,35 @@
 	return server, nil
 }
 
-// supervisor makes a supervisor tree a server of the kratos app.
+// supervisor makes a supervisor tree a server of the kratos app, which calls
+// Start and Stop from different goroutines.
 type supervisor struct {
 	tree   *suture.Supervisor
+	ctx    context.Context // ends the tree
 	cancel context.CancelFunc
-	done   <-chan error
+	done   chan struct{}
+	err    error // of the tree, set before done is closed
+}
+
+func newSupervisor(ctx context.Context, tree *suture.Supervisor) *supervisor {
+	s := &supervisor{tree: tree, done: make(chan struct{})}
+	s.ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	return s
 }
 
 // Start runs the tree until it is stopped.
-func (s *supervisor) Start(ctx context.Context) error {
-	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	s.done = s.tree.ServeBackground(ctx)
+func (s *supervisor) Start(context.Context) error {
+	defer close(s.done)
+	s.err = s.tree.Serve(s.ctx)
 	return nil
 }
 
 // Stop ends the tree and waits for its children.
 func (s *supervisor) Stop(context.Context) error {
 	s.cancel()
-	if err := <-s.done; err != nil && !errors.Is(err, context.Canceled) {
-		return errors.Wrap(err, "stop supervisor")
+	<-s.done
+	if s.err != nil && !errors.Is(s.err, context.Canceled) {
+		return errors.Wrap(s.err, "stop supervisor")
 	}
 	return nil
 }
