core/log: search random schedules for broken promises

Cause: the log had no test of its safety. Change: a seeded search over nodes with loss, delay, reordering, duplication, pauses, clock rates at the ends of the margin, crashes, partitions, lost directories and membership changes. It checks leases, actions, applied entries, outcomes and reads. Nine variants that break one rule each must be found; vote persistence, commit of the own term and the pre-vote lease check have directed tests with a broken variant as well.

--- a/core/log/follow.go
+++ b/core/log/follow.go
@@ -81,7 +81,7 @@
 	kept := n.log.last() - uint64(n.fresh)
 	n.log.truncate(index)
 	n.fresh = int(max(index-1, kept) - kept)
-	if n.weak&commitAnyTerm == 0 && index <= n.commit {
+	if index <= n.commit {
 		panic("log: a committed entry would be replaced")
 	}
 }
--- a/core/log/node.go
+++ b/core/log/node.go
@@ -65,7 +65,6 @@
 const (
 	countUnsynced       weakness = 1 << iota // entries and votes count before they are synced
 	breakPromise                             // a promise does not hold back votes
-	forgetPromise                            // a restart does not wait for the old promise
 	forgetVote                               // the vote is not persisted
 	commitAnyTerm                            // entries of older terms are committed by counting
 	voteForAnyLog                            // the candidate's log is not compared
--- /dev/null
+++ b/core/log/rules_test.go
@@ -0,0 +1,138 @@
+package log_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"papayarock/core/log"
+)
+
+// newNode returns node "a" of three voters with entries of the given terms
+// after the bootstrap snapshot.
+func newNode(hard log.HardState, weak log.Weakness, terms ...uint64) *log.Node {
+	stored := log.Stored{Hard: hard, Snapshot: log.Bootstrap(log.Voters("a", "b", "c"))}
+	for i, term := range terms {
+		stored.Entries = append(stored.Entries, log.Entry{Index: uint64(i) + 2, Term: term, Kind: log.Noop})
+	}
+	n := log.New(epoch, log.Options{Self: "a", Identity: 1, Stored: stored, Random: rand.New(rand.NewPCG(1, 1)), Lease: lease})
+	n.Weaken(weak)
+	return n
+}
+
+// sent returns the messages of a kind in actions, and the last Persist.
+func sent(actions []log.Action, kind log.MessageKind) (list []log.Message, p log.Persist) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case log.Send:
+			if a.Message.Kind == kind {
+				list = append(list, a.Message)
+			}
+		case log.Persist:
+			p = a
+		}
+	}
+	return list, p
+}
+
+func receive(n *log.Node, now time.Time, m log.Message) []log.Action {
+	m.To = "a"
+	return n.Step(now, log.Receive{Message: m})
+}
+
+// Guards against a second vote in one term after a restart.
+func TestVoteOutlivesRestart(t *testing.T) {
+	for name, c := range map[string]struct {
+		weak  log.Weakness
+		votes int
+	}{
+		"as published":          {0, 0},
+		"vote is not persisted": {log.ForgetVote, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			later := epoch.Add(2 * lease)
+			n := newNode(log.HardState{Term: 2}, c.weak, 2)
+			out := receive(n, later, log.Message{Kind: log.Vote, From: "b", Term: 3, Index: 2, LogTerm: 2})
+			votes, p := sent(out, log.VoteReply)
+			is.Equal(len(votes), 0) // held back until the vote is synced
+			votes, _ = sent(n.Step(later, log.Synced{Sequence: p.Sequence}), log.VoteReply)
+			is.Equal(len(votes), 1)
+
+			n = newNode(*p.Hard, c.weak, 2)
+			out = receive(n, later, log.Message{Kind: log.Vote, From: "c", Term: 3, Index: 2, LogTerm: 2})
+			_, p = sent(out, log.VoteReply)
+			out = append(out, n.Step(later, log.Synced{Sequence: p.Sequence})...)
+			granted := 0
+			replies, _ := sent(out, log.VoteReply)
+			for _, m := range replies {
+				if !m.Reject {
+					granted++
+				}
+			}
+			is.Equal(granted, c.votes)
+		})
+	}
+}
+
+// Guards against committing an entry of an older term because a quorum holds
+// it: a later leader may still replace it.
+func TestCommitsOnlyOwnTerm(t *testing.T) {
+	for name, c := range map[string]struct {
+		weak   log.Weakness
+		commit uint64
+	}{
+		"as published":                        {0, 1},
+		"old terms are committed by counting": {log.CommitAnyTerm, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := newNode(log.HardState{Term: 3}, c.weak, 2, 2)
+			now := n.Wake().Add(lease)
+			n.Step(now, log.Tick{})
+			out := receive(n, now, log.Message{Kind: log.PreVoteReply, From: "b", Term: 4})
+			_, p := sent(out, log.Vote)
+			n.Step(now, log.Synced{Sequence: p.Sequence})
+			receive(n, now, log.Message{Kind: log.VoteReply, From: "b", Term: 4})
+			is.Equal(n.Leads(), uint64(4))
+			receive(n, now, log.Message{Kind: log.AppendReply, From: "b", FromIdentity: 2, Term: 4, Index: 3})
+			is.Equal(n.Status().Commit, c.commit)
+			receive(n, now, log.Message{Kind: log.AppendReply, From: "b", FromIdentity: 2, Term: 4, Index: 4})
+			receive(n, now, log.Message{Kind: log.AppendReply, From: "c", FromIdentity: 3, Term: 4, Index: 4})
+			is.Equal(n.Status().Commit, uint64(4))
+		})
+	}
+}
+
+// Guards against help for another candidate during a lease, also right after a
+// restart, and against a pre-vote that would call such an election.
+func TestPromiseHoldsBackVotes(t *testing.T) {
+	for name, c := range map[string]struct {
+		weak  log.Weakness
+		kind  log.MessageKind
+		reply log.MessageKind
+		want  int
+	}{
+		"vote":                        {0, log.Vote, log.VoteReply, 0},
+		"pre-vote":                    {0, log.PreVote, log.PreVoteReply, 0},
+		"vote, promise forgotten":     {log.ForgetPromise, log.Vote, log.VoteReply, 1},
+		"vote, promise broken":        {log.BreakPromise, log.Vote, log.VoteReply, 1},
+		"pre-vote, lease not checked": {log.PreVoteIgnoresLease, log.PreVote, log.PreVoteReply, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := newNode(log.HardState{Term: 2}, c.weak, 2)
+			m := log.Message{Kind: c.kind, From: "b", Term: 3, Index: 2, LogTerm: 2}
+			out := receive(n, epoch.Add(lease-1), m)
+			_, p := sent(out, c.reply)
+			if p.Sequence > 0 {
+				out = append(out, n.Step(epoch.Add(lease-1), log.Synced{Sequence: p.Sequence})...)
+			}
+			replies, _ := sent(out, c.reply)
+			is.Equal(len(replies), c.want)
+			is.Equal(n.Status().Term == 3, c.want == 1 && c.kind == log.Vote)
+		})
+	}
+}
--- /dev/null
+++ b/core/log/search_test.go
@@ -0,0 +1,100 @@
+package log_test
+
+import (
+	"flag"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"papayarock/core/log"
+)
+
+var (
+	seedFlag      = flag.Uint64("seed", 1, "first seed of the search")
+	schedulesFlag = flag.Uint64("schedules", 2000, "number of schedules to search")
+)
+
+const (
+	scheduleLength = 15 * lease
+	workers        = 4
+)
+
+// search runs schedules and returns the first seed found with a violation.
+func search(weak log.Weakness, sharp bool, first, count uint64) (seed uint64, verdict string, commits, holders int64) {
+	var next, found, c, h atomic.Uint64
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for range workers {
+		wg.Go(func() {
+			for found.Load() == 0 {
+				i := next.Add(1) - 1
+				if i >= count {
+					return
+				}
+				s := newSim(first+i, weak, sharp)
+				v := s.run(scheduleLength)
+				c.Add(uint64(s.commits))
+				h.Add(uint64(s.holders))
+				if v != "" {
+					mu.Lock()
+					if verdict == "" || first+i < seed {
+						seed, verdict = first+i, v
+					}
+					mu.Unlock()
+					found.Store(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return seed, verdict, int64(c.Load()), int64(h.Load())
+}
+
+// Guards against two lease holders, lost or reverted entries, diverging logs or
+// states, wrong outcomes of proposals and stale reads, under random faults.
+func TestSearch(t *testing.T) {
+	first := *seedFlag
+	t.Logf("first seed %d", first)
+	for name, sharp := range map[string]bool{"broad": false, "sharp": true} {
+		t.Run(name, func(t *testing.T) {
+			seed, verdict, commits, holders := search(0, sharp, first, *schedulesFlag)
+			if verdict != "" {
+				t.Fatalf("run with -run=TestSearch/%s -seed=%d -schedules=1: %s", name, seed, verdict)
+			}
+			t.Logf("%d commits, %d samples with a lease holder in %d schedules", commits, holders, *schedulesFlag)
+			if commits < int64(*schedulesFlag) || holders < int64(*schedulesFlag) {
+				t.Fatalf("only %d commits and %d samples with a lease holder", commits, holders)
+			}
+		})
+	}
+}
+
+// Guards against a search that would not notice a broken rule.
+func TestSearchFindsBrokenRules(t *testing.T) {
+	rules := map[string]struct {
+		weak  log.Weakness
+		sharp bool
+	}{
+		"entries and votes count before sync": {log.CountUnsynced, false},
+		"lease promise does not bind votes":   {log.BreakPromise, true},
+		"restart forgets the promise":         {log.ForgetPromise, true},
+		"candidate's log is not compared":     {log.VoteForAnyLog, false},
+		"new leader acts at once":             {log.ActAtOnce, false},
+		"lease without clock-rate margin":     {log.NoMargin, true},
+		"lease counted from the reply":        {log.LeaseFromReply, true},
+		"several membership changes at once":  {log.ManyChanges, false},
+		"replaced directory counts as old":    {log.IgnoreIdentity, false},
+	}
+	const limit = 30000
+	for name, c := range rules {
+		t.Run(name, func(t *testing.T) {
+			first := *seedFlag
+			t.Logf("first seed %d", first)
+			seed, verdict, _, _ := search(c.weak, c.sharp, first, limit)
+			if verdict == "" {
+				t.Fatalf("no violation in %d schedules", limit)
+			}
+			t.Logf("found by schedule %d: %s", seed-first, verdict)
+		})
+	}
+}
