--- a/core/log/follow.go
+++ b/core/log/follow.go
@@ -96,6 +96,11 @@
 	if !n.follow(m, ChunkReply) {
 		return
 	}
+	if m.Index <= n.log.last() && m.Index > n.commit && n.log.term(m.Index) == m.LogTerm {
+		// The log holds what the snapshot covers. The entries after it stay:
+		// the leader may have counted them.
+		n.advanceFollower(m.Index)
+	}
 	if m.Index <= n.commit {
 		n.incoming = incoming{}
 		n.sendSynced(Message{Kind: AppendReply, To: m.From, Index: n.commit})
--- a/core/log/rules_test.go
+++ b/core/log/rules_test.go
@@ -136,3 +136,16 @@
 		})
 	}
 }
+
+// Guards against a snapshot that removes entries after it: they may have been
+// acknowledged and committed.
+func TestSnapshotKeepsLaterEntries(t *testing.T) {
+	is := is.New(t)
+	n := newNode(log.HardState{Term: 2}, 0, 2, 2, 2)
+	out := receive(n, epoch, log.Message{Kind: log.Chunk, From: "b", Term: 2, Index: 3, LogTerm: 2, Members: log.Voters("a", "b", "c")})
+	is.Equal(n.Last(), uint64(4))
+	is.Equal(n.Status().Commit, uint64(3))
+	replies, _ := sent(out, log.AppendReply)
+	is.Equal(len(replies), 1)
+	is.Equal(replies[0].Index, uint64(3))
+}
--- /dev/null
+++ b/io/disk/disk_test.go
@@ -0,0 +1,240 @@
+package disk_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"papayarock/core/log"
+	"papayarock/io/disk"
+)
+
+var seedFlag = flag.Uint64("seed", 1, "seed of random tests")
+
+func open(fs disk.FS) (*disk.Store, log.Identity, log.Stored, error) {
+	return disk.Open(disk.Options{FS: fs, Dir: "d", Host: "a", Identity: 7, Members: log.Voters("a", "b", "c")})
+}
+
+func mustOpen(t testing.TB, fs disk.FS) (*disk.Store, log.Stored) {
+	t.Helper()
+	s, _, stored, err := open(fs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, stored
+}
+
+func entry(index, term uint64) log.Entry {
+	return log.Entry{Index: index, Term: term, Command: fmt.Appendf(nil, "command %d of term %d", index, term)}
+}
+
+func write(index, term uint64) log.Persist {
+	return log.Persist{Hard: &log.HardState{Term: term, Vote: "b"}, Entries: []log.Entry{entry(index, term)}}
+}
+
+func drop([]byte) []byte { return nil }
+
+// Guards against writes that are lost or changed by a restart.
+func TestWritesSurviveRestart(t *testing.T) {
+	is := is.New(t)
+	fs := newMemory()
+	s, _ := mustOpen(t, fs)
+	before := fs.syncs
+	is.NoErr(s.Write([]log.Persist{write(2, 2), write(3, 2), write(4, 2)}))
+	is.Equal(fs.syncs-before, 1)                  // the group shares one sync
+	is.NoErr(s.Write([]log.Persist{write(3, 3)})) // replaces 3 and 4
+
+	s, stored := mustOpen(t, fs.crash(drop))
+	is.Equal(stored.Hard, log.HardState{Term: 3, Vote: "b"})
+	is.Equal(stored.Entries, []log.Entry{entry(2, 2), entry(3, 3)})
+	is.Equal(stored.Snapshot, log.Bootstrap(log.Voters("a", "b", "c")))
+	is.NoErr(s.Close())
+}
+
+// Guards against a snapshot that replaces the log before it is durable, and
+// against old files that stay behind.
+func TestSnapshotReplacesLog(t *testing.T) {
+	is := is.New(t)
+	fs := newMemory()
+	s, _ := mustOpen(t, fs)
+	is.NoErr(s.Write([]log.Persist{write(2, 2), write(3, 2), write(4, 2)}))
+	snap := log.Snapshot{Index: 3, Term: 2, Members: log.Voters("a", "b"), Data: bytes.Repeat([]byte("state"), 500_000)}
+	is.NoErr(s.Write([]log.Persist{{Snapshot: &snap, Entries: []log.Entry{entry(4, 2)}}, write(5, 2)}))
+	after := fs.crash(drop)
+	_, stored := mustOpen(t, after)
+	is.Equal(stored.Snapshot, snap)
+	is.Equal(stored.Entries, []log.Entry{entry(4, 2), entry(5, 2)})
+	names, err := after.Names("d")
+	is.NoErr(err)
+	is.Equal(len(names), 3) // identity, log, snapshot
+}
+
+// Guards against a crash at any written byte that loses a synced write, keeps
+// a torn one in part, or leaves a directory that does not open.
+func TestCrashAtEveryByte(t *testing.T) {
+	t.Logf("seed %d", *seedFlag)
+	r := rand.New(rand.NewPCG(*seedFlag, 1))
+	tears := map[string]func([]byte) []byte{
+		"dropped": drop,
+		"cut":     func(b []byte) []byte { return b[:r.IntN(len(b)+1)] },
+		"zeroed":  func(b []byte) []byte { clear(b[r.IntN(len(b)):]); return b },
+		"hole": func(b []byte) []byte { // pages reach the disk in any order
+			i := r.IntN(len(b))
+			clear(b[i:min(len(b), i+64)])
+			return b
+		},
+	}
+	for name, tear := range tears {
+		t.Run(name, func(t *testing.T) {
+			for room := 0; ; room++ {
+				if crashAfter(t, room, tear) {
+					return
+				}
+			}
+		})
+	}
+}
+
+// crashAfter fills the disk after room bytes, crashes, and compares. It
+// reports whether all writes fitted.
+func crashAfter(t *testing.T, room int, tear func([]byte) []byte) bool {
+	is := is.New(t)
+	fs := newMemory()
+	s, _ := mustOpen(t, fs)
+	fs.room = room
+	last := uint64(1)
+	var err error
+	for i := uint64(2); i < 8 && err == nil; i++ {
+		p := []log.Persist{write(i, i)}
+		if i == 5 {
+			snap := log.Snapshot{Index: 4, Term: 4, Data: []byte("state after 4")}
+			p = append(p, log.Persist{Snapshot: &snap, Entries: []log.Entry{entry(4, 4), entry(5, 5)}})
+		}
+		if err = s.Write(p); err == nil {
+			last = i
+		}
+	}
+	if err != nil {
+		is.True(errors.Is(err, disk.ErrWrite))
+		is.True(errors.Is(s.Write([]log.Persist{write(9, 9)}), disk.ErrWrite)) // no write after a failed one
+	}
+	_, stored := mustOpen(t, fs.crash(tear))
+	top := stored.Snapshot.Index
+	for _, e := range stored.Entries {
+		is.Equal(e, entry(e.Index, e.Index))
+		top = max(top, e.Index)
+	}
+	is.True(top == last || top == last+1) // the failed write may be whole
+	is.True(stored.Hard.Term >= last)
+	return err == nil
+}
+
+// Guards against counting writes after a failed sync, or trusting what only the
+// page cache holds after it.
+func TestFailedSync(t *testing.T) {
+	is := is.New(t)
+	fs := newMemory()
+	s, _ := mustOpen(t, fs)
+	is.NoErr(s.Write([]log.Persist{write(2, 2)}))
+	fs.failSync = true
+	is.True(errors.Is(s.Write([]log.Persist{write(3, 3)}), disk.ErrWrite))
+	fs.failSync = false
+	is.True(errors.Is(s.Write([]log.Persist{write(4, 4)}), disk.ErrWrite))
+	is.NoErr(s.Close())
+	// The process opens the directory again and sees the unsynced write; what
+	// it reports is durable from then on.
+	_, stored := mustOpen(t, fs)
+	_, again := mustOpen(t, fs.crash(drop))
+	is.Equal(again, stored)
+	is.Equal(stored.Entries[0], entry(2, 2))
+}
+
+// Guards against a snapshot that counts although its directory entry may not
+// be durable.
+func TestFailedDirectorySync(t *testing.T) {
+	is := is.New(t)
+	fs := newMemory()
+	s, _ := mustOpen(t, fs)
+	is.NoErr(s.Write([]log.Persist{write(2, 2)}))
+	fs.failDir = true
+	is.True(errors.Is(s.Write([]log.Persist{{Snapshot: &log.Snapshot{Index: 2, Term: 2}}}), disk.ErrWrite))
+	_, stored := mustOpen(t, fs.crash(drop))
+	is.Equal(stored.Entries, []log.Entry{entry(2, 2)})
+}
+
+// Guards against damage to synced data that passes for a torn tail.
+func TestFlippedByteIsDamage(t *testing.T) {
+	fs := newMemory()
+	s, _ := mustOpen(t, fs)
+	is := is.New(t)
+	is.NoErr(s.Write([]log.Persist{write(2, 2)}))
+	is.NoErr(s.Write([]log.Persist{write(3, 2)}))
+	for _, prefix := range []string{"log-", "snapshot-", "identity"} {
+		size := len(fs.find(prefix).data)
+		if prefix == "log-" {
+			size = len(fs.find(prefix).synced) // the mark after it is not synced
+		}
+		for i := range size {
+			broken := fs.crash(func(b []byte) []byte { return b })
+			broken.find(prefix).data[i] ^= 0x10
+			_, _, _, err := open(broken)
+			if !errors.Is(err, disk.ErrDamaged) {
+				t.Fatalf("byte %d of %s: %v", i, prefix, err)
+			}
+		}
+	}
+}
+
+// Guards against a directory that serves another host, two processes, or an
+// old identity after it was emptied.
+func TestDirectoryIdentity(t *testing.T) {
+	is := is.New(t)
+	fs := newMemory()
+	s, id, _, err := open(fs)
+	is.NoErr(err)
+	is.Equal(id, log.Identity(7))
+	_, _, _, err = open(fs)
+	is.True(errors.Is(err, disk.ErrLocked))
+	is.NoErr(s.Close())
+
+	_, _, _, err = disk.Open(disk.Options{FS: fs, Dir: "d", Host: "b", Identity: 9})
+	is.True(errors.Is(err, disk.ErrForeign))
+
+	s, id, _, err = disk.Open(disk.Options{FS: fs, Dir: "d", Host: "a", Identity: 9})
+	is.NoErr(err)
+	is.Equal(id, log.Identity(7)) // kept
+	is.NoErr(s.Close())
+
+	_, id, stored, err := disk.Open(disk.Options{FS: newMemory(), Dir: "d", Host: "a", Identity: 9})
+	is.NoErr(err)
+	is.Equal(id, log.Identity(9)) // new
+	is.Equal(stored, log.Stored{})
+
+	is.NoErr(fs.Remove("d/identity"))
+	_, _, _, err = open(fs)
+	is.True(errors.Is(err, disk.ErrForeign))
+}
+
+// Guards against an interrupted creation that blocks the host or keeps a half
+// made identity.
+func TestInterruptedCreation(t *testing.T) {
+	for room := range 2000 {
+		fs := newMemory()
+		fs.room = room
+		_, _, _, err := open(fs)
+		after := fs.crash(drop)
+		_, _, stored, again := disk.Open(disk.Options{FS: after, Dir: "d", Host: "a", Identity: 8, Members: log.Voters("a")})
+		if again != nil || stored.Snapshot.Index != 1 {
+			t.Fatalf("after %d bytes: %v", room, again)
+		}
+		if err == nil {
+			return
+		}
+	}
+	t.Fatal("creation does not fit into 2000 bytes")
+}
