io/replica: test that a failed member can be served again

Cause: a supervisor calls Serve again after a storage failure; the test started a new Group instead. Change: the test serves the same Group again and compares its machine. Conclusion: a command is not applied twice after a restart in the process.

--- a/io/replica/fault_test.go
+++ b/io/replica/fault_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+	"github.com/thejerf/suture/v4"
 
 	"papayarock/core/fleet"
 	"papayarock/internal/fake"
@@ -21,6 +22,8 @@
 	"papayarock/io/replica"
 )
 
+var _ suture.Service = (*replica.Group)(nil)
+
 // failing is the file system of the machine with syncs that fail on demand.
 type failing struct {
 	disk.OS
@@ -76,9 +79,13 @@
 		is.True(n == 2 || n == 3)
 
 		disks[lead].fail.Store(false)
-		m := c.start(lead, disks[lead], hosts...)
-		is.NoErr(eventually(ctx, func() error { return m.group.Read(ctx) }))
-		is.Equal(len(m.machine.all()), n)
+		// A supervisor serves the same group again; its machine starts over.
+		serving, stop := context.WithCancel(context.Background())
+		old.cancel = stop
+		go func() { old.done <- old.group.Serve(serving) }()
+		c.members[lead] = old
+		is.NoErr(eventually(ctx, func() error { return old.group.Read(ctx) }))
+		is.Equal(len(old.machine.all()), n)
 	})
 }
 
