--- a/core/log/follow.go
+++ b/core/log/follow.go
@@ -81,7 +81,7 @@
 	kept := n.log.last() - uint64(n.fresh)
 	n.log.truncate(index)
 	n.fresh = int(max(index-1, kept) - kept)
-	if n.weak&commitAnyTerm == 0 && index <= n.commit {
+	if index <= n.commit {
 		panic("log: a committed entry would be replaced")
 	}
 }
@@ -96,6 +96,11 @@
 	if !n.follow(m, ChunkReply) {
 		return
 	}
+	if m.Index <= n.log.last() && m.Index > n.commit && n.log.term(m.Index) == m.LogTerm {
+		// The log holds what the snapshot covers. The entries after it stay:
+		// the leader may have counted them.
+		n.advanceFollower(m.Index)
+	}
 	if m.Index <= n.commit {
 		n.incoming = incoming{}
 		n.sendSynced(Message{Kind: AppendReply, To: m.From, Index: n.commit})
