--- /dev/null
+++ b/io/wire/path.go
@@ -0,0 +1,152 @@
+package wire
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
+
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+)
+
+// ErrMessage reports a message that does not map to the domain types.
+var ErrMessage = errors.New("message is not valid")
+
+// Request is one request to a target, as Run carries it.
+type Request struct {
+	ID          fleet.RequestID
+	Customer    fleet.Customer
+	Class       fleet.Class
+	Deadline    time.Time
+	Method      string
+	Path        string // with query
+	Header      http.Header
+	Idempotent  bool
+	Claim       uint64 // log index of the claim, 0 for none
+	Incarnation fleet.Incarnation
+	Route       string
+	Language    bool
+}
+
+// EncodeRun maps r to its message.
+func EncodeRun(r Request) *Run {
+	return &Run{
+		RequestId:         r.ID[:],
+		Customer:          string(r.Customer),
+		Class:             uint32(r.Class),
+		DeadlineUnixNanos: r.Deadline.UnixNano(),
+		Method:            r.Method,
+		Path:              r.Path,
+		Headers:           EncodeHeader(r.Header),
+		Idempotent:        r.Idempotent,
+		Claim:             r.Claim,
+		Incarnation:       uint64(r.Incarnation),
+		Route:             r.Route,
+		Language:          r.Language,
+	}
+}
+
+// DecodeRun maps m to a request that can be sent over HTTP as it is.
+func DecodeRun(m *Run) (Request, error) {
+	id, err := DecodeRequestID(m.GetRequestId())
+	if err != nil {
+		return Request{}, err
+	}
+	if !httpguts.ValidHeaderFieldName(m.GetMethod()) { // both are tokens
+		return Request{}, errors.Wrapf(ErrMessage, "method %q", m.GetMethod())
+	}
+	if !strings.HasPrefix(m.GetPath(), "/") || strings.ContainsFunc(m.GetPath(), control) {
+		return Request{}, errors.Wrapf(ErrMessage, "path %q", m.GetPath())
+	}
+	if m.GetClass() > uint32(fleet.Urgent) {
+		return Request{}, errors.Wrapf(ErrMessage, "class %d", m.GetClass())
+	}
+	header, err := DecodeHeader(m.GetHeaders())
+	if err != nil {
+		return Request{}, err
+	}
+	return Request{
+		ID:          id,
+		Customer:    fleet.Customer(m.GetCustomer()),
+		Class:       fleet.Class(m.GetClass()),
+		Deadline:    time.Unix(0, m.GetDeadlineUnixNanos()),
+		Method:      m.GetMethod(),
+		Path:        m.GetPath(),
+		Header:      header,
+		Idempotent:  m.GetIdempotent(),
+		Claim:       m.GetClaim(),
+		Incarnation: fleet.Incarnation(m.GetIncarnation()),
+		Route:       m.GetRoute(),
+		Language:    m.GetLanguage(),
+	}, nil
+}
+
+func control(r rune) bool { return r <= ' ' || r == 0x7f }
+
+// DecodeRequestID checks the length of an id.
+func DecodeRequestID(b []byte) (fleet.RequestID, error) {
+	var id fleet.RequestID
+	if len(b) != len(id) {
+		return id, errors.Wrapf(ErrMessage, "request id of %d bytes", len(b))
+	}
+	copy(id[:], b)
+	return id, nil
+}
+
+// EncodeHeader maps h to messages.
+func EncodeHeader(h http.Header) []*Header {
+	out := make([]*Header, 0, len(h))
+	for name, values := range h {
+		for _, v := range values {
+			out = append(out, &Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+// DecodeHeader maps messages to a header whose names and values are valid.
+func DecodeHeader(in []*Header) (http.Header, error) {
+	h := make(http.Header, len(in))
+	for _, f := range in {
+		if !httpguts.ValidHeaderFieldName(f.GetName()) || !httpguts.ValidHeaderFieldValue(f.GetValue()) {
+			return nil, errors.Wrapf(ErrMessage, "header %q", f.GetName())
+		}
+		h.Add(f.GetName(), f.GetValue())
+	}
+	return h, nil
+}
+
+// EncodeUsage maps a record to its message.
+func EncodeUsage(u state.UsageRecord) *Usage {
+	return &Usage{
+		PromptTokens:   u.PromptTokens,
+		OutputTokens:   u.OutputTokens,
+		Node:           string(u.ID.Node),
+		Incarnation:    uint64(u.ID.Incarnation),
+		Sequence:       u.ID.Sequence,
+		EndedUnixNanos: u.Ended.UnixNano(),
+	}
+}
+
+// DecodeUsage maps m to a record of the given customer and route. It returns
+// false if m bills nothing.
+func DecodeUsage(m *Usage, customer fleet.Customer, route string) (state.UsageRecord, bool) {
+	if m.GetSequence() == 0 {
+		return state.UsageRecord{}, false
+	}
+	return state.UsageRecord{
+		ID: state.UsageID{
+			Node:        fleet.Host(m.GetNode()),
+			Incarnation: fleet.Incarnation(m.GetIncarnation()),
+			Sequence:    m.GetSequence(),
+		},
+		Customer:     customer,
+		Route:        route,
+		PromptTokens: m.GetPromptTokens(),
+		OutputTokens: m.GetOutputTokens(),
+		Ended:        time.Unix(0, m.GetEndedUnixNanos()),
+	}, true
+}
