--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -123,3 +123,6 @@
 
 // Bytes returns the memory the answer takes.
 func (r *Retained) Bytes() int { return cap(r.held) }
+
+// Held returns the number of bytes that From can return.
+func (r *Retained) Held() int { return len(r.held) }
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -1,138 +1,258 @@
 package agent
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 
+	"papayarock/core/expiry"
+	"papayarock/core/fleet"
+	"papayarock/core/state"
 	"papayarock/io/identity"
 	"papayarock/io/link"
 	"papayarock/io/wire"
 )
 
-// partBytes is the largest piece of an answer sent in one frame.
-const partBytes = 16 << 10
-
-// maxBodyBytes bounds the request body an agent accepts.
-const maxBodyBytes = 8 << 20
+const (
+	maxBodyBytes = 8 << 20
+	// maxBodies bounds the request bodies held at one time.
+	maxBodies  = 512 << 20
+	maxRunning = 4096
+	// maxRetained and maxRetainedBytes bound the ended answers kept for
+	// resumption, retention how long each is kept.
+	maxRetained      = 4096
+	maxRetainedBytes = 64 << 20
+	retention        = time.Minute
+	// maxKnown bounds the ids of ended or barred requests, in each of two
+	// maps. An id is kept for memory beyond the deadline of its request.
+	maxKnown    = 1 << 16
+	memory      = 10 * time.Minute
+	maxDeadline = time.Hour
+	// orphanAfter is how long a running request waits for a reader.
+	orphanAfter      = 15 * time.Second
+	announceInterval = 5 * time.Second
+	reportInterval   = time.Second
+	// DefaultStopTimeout bounds how long a stop waits for running requests.
+	DefaultStopTimeout = 5 * time.Minute
+	stopPoll           = 20 * time.Millisecond
+)
 
-// ErrBody reports a request body that is too large or incomplete.
-var ErrBody = errors.New("request body")
+// Control is what an agent needs of control.
+type Control interface {
+	Announce(ctx context.Context, t fleet.Target) error
+	ReportUsage(ctx context.Context, records []state.UsageRecord) error
+}
 
 // Agent serves the target at Target.
 type Agent struct {
-	Listener net.Listener
-	Target   *url.URL
-	Client   *http.Client
-	Log      hclog.Logger
+	Listener     net.Listener
+	Identity     *identity.Credentials // nil for plain TCP
+	Target       *url.URL              // base URL on a loopback address
+	Announcement fleet.Target          // announced to control, with Host and Incarnation
+	Control      Control               // nil without control
+	Transport    http.RoundTripper     // to the target; set by tests
+	StopTimeout  time.Duration         // DefaultStopTimeout if zero
+	Log          hclog.Logger
+	// Extend registers further calls on the link server, such as orders.
+	Extend func(*link.Server)
+
+	once   sync.Once
+	usage  ledger
+	pooled http.RoundTripper // keeps connections
+	single http.RoundTripper // one connection for each request
+
+	mu       sync.Mutex
+	stopping bool
+	bodies   int64
+	running  map[fleet.RequestID]*job
+	ended    expiry.Map[fleet.RequestID, *job]
+	// known holds the non-idempotent requests that were started (true) or
+	// barred (false); recent holds the idempotent ones that were started.
+	known  expiry.Map[fleet.RequestID, bool]
+	recent expiry.Map[fleet.RequestID, struct{}]
 }
 
-// Serve runs until ctx ends.
+func (a *Agent) init() {
+	if a.Announcement.Incarnation == 0 {
+		a.Announcement.Incarnation = fleet.Incarnation(time.Now().UnixNano())
+	}
+	if a.Log == nil {
+		a.Log = hclog.NewNullLogger()
+	}
+	a.pooled, a.single = a.Transport, a.Transport
+	if a.Transport == nil {
+		a.pooled, a.single = transports()
+	}
+	a.usage.node, a.usage.incarnation = a.Announcement.Host, a.Announcement.Incarnation
+	a.usage.keep = a.Control != nil
+	a.running = make(map[fleet.RequestID]*job)
+	a.ended.MaxEntries, a.ended.MaxBytes = maxRetained, maxRetainedBytes
+	a.known.MaxEntries, a.recent.MaxEntries = maxKnown, maxKnown
+}
+
+// Serve runs until ctx ends. It then refuses new requests as not run and lets
+// running ones end.
 func (a *Agent) Serve(ctx context.Context) error {
-	server := &link.Server{Listener: a.Listener, Log: a.Log}
+	a.once.Do(a.init)
+	server := &link.Server{
+		Listener:    a.Listener,
+		Identity:    a.Identity,
+		Incarnation: uint64(a.Announcement.Incarnation),
+		Linger:      a.linger,
+		Log:         a.Log,
+	}
 	link.Handle(server, a.handle, identity.Entry)
-	return server.Serve(ctx)
+	if a.Extend != nil {
+		a.Extend(server)
+	}
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	if a.Control != nil {
+		wg.Go(func() { a.announce(work) })
+		wg.Go(func() { a.report(work) })
+	}
+	err := server.Serve(ctx)
+	cancel()
+	wg.Wait()
+	return err
 }
 
 func (a *Agent) handle(ctx context.Context, s *link.Stream, open *wire.Open) {
-	run := open.GetRun()
-	if run == nil {
-		a.Log.Warn("call refused", "error", "unknown call")
-		return
+	var err error
+	switch call := open.GetCall().(type) {
+	case *wire.Open_Run:
+		err = a.run(ctx, s, call.Run)
+	case *wire.Open_Resume:
+		err = a.resume(ctx, s, call.Resume)
+	case *wire.Open_Cancel:
+		a.cancel(call.Cancel)
+	case *wire.Open_Query:
+		err = a.query(s, call.Query)
+	case *wire.Open_LoadPoll:
+		err = s.Send(&wire.Frame{Frame: &wire.Frame_Load{Load: a.load()}})
+	default:
+		a.Log.Warn("call refused", "peer", s.Peer.Address, "error", "unknown call")
 	}
-	if err := a.run(ctx, s, run); err != nil {
-		a.Log.Warn("request failed", "request", hclog.Fmt("%x", run.GetRequestId()), "error", err)
+	if err != nil {
+		a.Log.Debug("stream ended early", "peer", s.Peer.Address, "error", err)
 	}
 }
 
-func (a *Agent) run(ctx context.Context, s *link.Stream, run *wire.Run) error {
-	body, err := receiveBody(s)
-	if err != nil {
-		return fail(s, run, wire.Ran_RAN_NO, err)
-	}
-	ctx, cancel := context.WithDeadline(ctx, time.Unix(0, run.GetDeadlineUnixNanos()))
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, run.GetMethod(), a.Target.String()+run.GetPath(), bytes.NewReader(body))
-	if err != nil {
-		return fail(s, run, wire.Ran_RAN_NO, err)
+// linger holds the links open while requests run.
+func (a *Agent) linger() {
+	a.mu.Lock()
+	a.stopping = true
+	a.mu.Unlock()
+	timeout := a.StopTimeout
+	if timeout == 0 {
+		timeout = DefaultStopTimeout
 	}
-	for _, h := range run.GetHeaders() {
-		req.Header.Add(h.GetName(), h.GetValue())
+	for until := time.Now().Add(timeout); time.Now().Before(until); time.Sleep(stopPoll) {
+		a.mu.Lock()
+		n := len(a.running)
+		a.mu.Unlock()
+		if n == 0 {
+			break
+		}
 	}
-	resp, err := a.Client.Do(req)
-	if err != nil {
-		return fail(s, run, wire.Ran_RAN_UNKNOWN, err)
+	if a.Control != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		defer cancel()
+		for a.usage.waiting() > 0 && a.usage.report(ctx, a.Control) == nil {
+		}
 	}
-	defer func() { _ = resp.Body.Close() }()
-	if err := s.Send(head(run, resp)); err != nil {
-		return err
+}
+
+func (a *Agent) load() *wire.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return &wire.Load{
+		Running:           uint32(len(a.running)),
+		MeasuredUnixNanos: time.Now().UnixNano(),
+		Role:              uint32(a.Announcement.Role),
 	}
-	return a.copyBody(s, run, resp.Body)
 }
 
-func (a *Agent) copyBody(s *link.Stream, run *wire.Run, body io.Reader) error {
-	sum := xxhash.New()
-	buf := make([]byte, partBytes)
-	var offset uint64
+func (a *Agent) announce(ctx context.Context) {
 	for {
-		n, err := body.Read(buf)
-		if n > 0 {
-			_, _ = sum.Write(buf[:n])
-			part := &wire.Part{RequestId: run.GetRequestId(), Offset: offset, Data: buf[:n]}
-			if err := s.Send(&wire.Frame{Frame: &wire.Frame_Part{Part: part}}); err != nil {
-				return err
-			}
-			offset += uint64(n)
+		t := a.Announcement
+		a.mu.Lock()
+		if a.stopping {
+			t.Phase = fleet.Leaving
 		}
-		if err == io.EOF {
-			end := &wire.End{RequestId: run.GetRequestId(), Length: offset, Checksum: sum.Sum64()}
-			return s.Send(&wire.Frame{Frame: &wire.Frame_End{End: end}})
+		a.mu.Unlock()
+		if err := a.Control.Announce(ctx, t); err != nil && ctx.Err() == nil {
+			a.Log.Warn("announcement failed", "target", t.Name, "error", err)
 		}
-		if err != nil {
-			return fail(s, run, wire.Ran_RAN_UNKNOWN, err)
+		if !pause(ctx, announceInterval) {
+			return
 		}
 	}
 }
 
-func head(run *wire.Run, resp *http.Response) *wire.Frame {
-	h := &wire.Head{RequestId: run.GetRequestId(), Status: uint32(resp.StatusCode)}
-	for name, values := range resp.Header {
-		for _, v := range values {
-			h.Headers = append(h.Headers, &wire.Header{Name: name, Value: v})
+func (a *Agent) report(ctx context.Context) {
+	for pause(ctx, reportInterval) {
+		for a.usage.waiting() > 0 {
+			if err := a.usage.report(ctx, a.Control); err != nil {
+				a.Log.Warn("usage report failed", "waiting", a.usage.waiting(), "error", err)
+				break
+			}
 		}
 	}
-	return &wire.Frame{Frame: &wire.Frame_Head{Head: h}}
 }
 
-func receiveBody(s *link.Stream) ([]byte, error) {
-	var body []byte
-	for {
-		var part wire.BodyPart
-		if err := s.Receive(&part); err != nil {
-			return nil, errors.Wrap(ErrBody, err.Error())
-		}
-		if len(body)+len(part.GetData()) > maxBodyBytes {
-			return nil, errors.Wrapf(ErrBody, "larger than %d bytes", maxBodyBytes)
-		}
-		body = append(body, part.GetData()...)
-		if part.GetLast() {
-			return body, nil
-		}
+// pause returns false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
-func fail(s *link.Stream, run *wire.Run, ran wire.Ran, cause error) error {
-	f := &wire.Failed{RequestId: run.GetRequestId(), Ran: ran, Reason: cause.Error()}
-	if err := s.Send(&wire.Frame{Frame: &wire.Frame_Failed{Failed: f}}); err != nil {
-		return err
+// Dump is the state of an agent.
+type Dump struct {
+	Target          fleet.TargetName
+	Incarnation     fleet.Incarnation
+	Stopping        bool
+	Running         int
+	Retained        int
+	RetainedBytes   int64
+	Known           int
+	UsageWaiting    int
+	UsageSequence   uint64
+	RunningRequests []string // at most maxDumped
+}
+
+const maxDumped = 100
+
+// Dump returns the state of a, without request content.
+func (a *Agent) Dump() any {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	d := Dump{
+		Target:        a.Announcement.Name,
+		Incarnation:   a.Announcement.Incarnation,
+		Stopping:      a.stopping,
+		Running:       len(a.running),
+		Retained:      a.ended.Len(),
+		RetainedBytes: a.ended.Bytes(),
+		Known:         a.known.Len(),
+	}
+	d.UsageWaiting, d.UsageSequence = a.usage.waiting(), a.usage.last()
+	for id := range a.running {
+		if len(d.RunningRequests) == maxDumped {
+			break
+		}
+		d.RunningRequests = append(d.RunningRequests, id.String())
 	}
-	return cause
+	return d
 }
--- /dev/null
+++ b/io/agent/calls.go
@@ -0,0 +1,293 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+	"papayarock/io/link"
+	"papayarock/io/wire"
+)
+
+// Errors of requests that an agent does not start.
+var (
+	ErrBody     = errors.New("request body is too large or incomplete")
+	ErrStopping = errors.New("agent is stopping")
+	ErrBarred   = errors.New("request is barred or has ended")
+	ErrFull     = errors.New("agent has no room")
+	ErrPeriod   = errors.New("deadline has passed or is too far ahead")
+	ErrOther    = errors.New("request means another incarnation of the agent")
+)
+
+func (a *Agent) run(ctx context.Context, s *link.Stream, m *wire.Run) error {
+	r, err := wire.DecodeRun(m)
+	if err != nil {
+		return a.refuse(s, m.GetRequestId(), err)
+	}
+	body, err := a.receiveBody(s)
+	defer a.release(len(body))
+	if err != nil {
+		return a.refuse(s, m.GetRequestId(), err)
+	}
+	j, wake, err := a.start(ctx, r, body)
+	if err != nil {
+		return a.refuse(s, m.GetRequestId(), err)
+	}
+	return a.serve(ctx, &reader{job: j, stream: s, wake: wake})
+}
+
+func (a *Agent) refuse(s *link.Stream, id []byte, cause error) error {
+	ran := wire.Ran_RAN_NO
+	if errors.Is(cause, ErrBarred) {
+		ran = wire.Ran_RAN_UNKNOWN // by this message or an earlier one
+	}
+	a.Log.Info("request refused", "request", idText(id), "error", cause)
+	f := &wire.Failed{RequestId: id, Ran: ran, Reason: cause.Error()}
+	return s.Send(&wire.Frame{Frame: &wire.Frame_Failed{Failed: f}})
+}
+
+func idText(b []byte) string {
+	id, err := wire.DecodeRequestID(b)
+	if err != nil {
+		return "invalid"
+	}
+	return id.String()
+}
+
+func (a *Agent) receiveBody(s *link.Stream) ([]byte, error) {
+	var body []byte
+	for {
+		var part wire.BodyPart
+		if err := s.Receive(&part); err != nil {
+			return body, errors.Wrap(ErrBody, err.Error())
+		}
+		data := part.GetData()
+		if len(body)+len(data) > maxBodyBytes {
+			return body, errors.Wrapf(ErrBody, "more than %d bytes", maxBodyBytes)
+		}
+		if !a.reserve(len(data)) {
+			return body, errors.Wrapf(ErrFull, "more than %d bytes of request bodies", maxBodies)
+		}
+		if body == nil && part.GetLast() {
+			return data, nil
+		}
+		body = append(body, data...)
+		if part.GetLast() {
+			return body, nil
+		}
+	}
+}
+
+func (a *Agent) reserve(n int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.bodies+int64(n) > maxBodies {
+		return false
+	}
+	a.bodies += int64(n)
+	return true
+}
+
+func (a *Agent) release(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bodies -= int64(n)
+}
+
+// start runs r unless its id was seen before, in which case it attaches to the
+// earlier run.
+func (a *Agent) start(ctx context.Context, r wire.Request, body []byte) (*job, chan struct{}, error) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.Incarnation != 0 && r.Incarnation != a.Announcement.Incarnation {
+		return nil, nil, errors.Wrapf(ErrOther, "%d, this is %d", r.Incarnation, a.Announcement.Incarnation)
+	}
+	if j := a.find(now, r.ID); j != nil {
+		return j, j.attach(), nil
+	}
+	if err := a.admit(now, r); err != nil {
+		return nil, nil, err
+	}
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	j := newJob(r, body, cancel)
+	a.running[r.ID] = j
+	wake := j.attach()
+	go a.execute(runCtx, j)
+	return j, wake, nil
+}
+
+func (a *Agent) find(now time.Time, id fleet.RequestID) *job {
+	if j := a.running[id]; j != nil {
+		return j
+	}
+	j, _ := a.ended.Get(now, id)
+	return j
+}
+
+// admit records r as started.
+func (a *Agent) admit(now time.Time, r wire.Request) error {
+	_, known := a.known.Get(now, r.ID)
+	_, recent := a.recent.Get(now, r.ID)
+	switch {
+	case known || recent:
+		return errors.Wrapf(ErrBarred, "request %s", r.ID)
+	case a.stopping:
+		return errors.Wrapf(ErrStopping, "target %q", a.Announcement.Name)
+	case !now.Before(r.Deadline) || r.Deadline.Sub(now) > maxDeadline:
+		return errors.Wrapf(ErrPeriod, "%s from now", r.Deadline.Sub(now))
+	case len(a.running) >= maxRunning:
+		return errors.Wrapf(ErrFull, "%d requests run", len(a.running))
+	case a.usage.waiting() >= maxUsageWaiting:
+		return errors.Wrapf(ErrFull, "%d usage records wait for control", maxUsageWaiting)
+	}
+	if r.Idempotent {
+		a.recent.Put(now, r.ID, struct{}{}, 0, r.Deadline.Add(retention))
+	} else if !a.known.Add(now, r.ID, true, 0, r.Deadline.Add(memory)) {
+		return errors.Wrapf(ErrFull, "%d request ids are kept", maxKnown)
+	}
+	return nil
+}
+
+// finish ends j and retains its answer.
+func (a *Agent) finish(j *job, ran wire.Ran, err error) {
+	now := time.Now()
+	var end *wire.End
+	var failed *wire.Failed
+	if err == nil {
+		end = a.endOf(j, now)
+	} else {
+		a.Log.Warn("request failed", "request", j.request.ID, "ran", ran, "error", err)
+		failed = &wire.Failed{RequestId: j.request.ID[:], Ran: ran, Reason: err.Error()}
+	}
+	a.mu.Lock()
+	delete(a.running, j.request.ID)
+	if ran == wire.Ran_RAN_NO && !j.request.Idempotent {
+		a.known.Put(now, j.request.ID, false, 0, j.request.Deadline.Add(memory))
+	}
+	a.ended.Put(now, j.request.ID, j, int64(j.answer.Bytes()), now.Add(retention))
+	a.mu.Unlock()
+	j.conclude(end, failed)
+}
+
+func (a *Agent) endOf(j *job, now time.Time) *wire.End {
+	end := &wire.End{RequestId: j.request.ID[:], Length: j.answer.Length, Checksum: j.answer.Checksum(), Load: a.load()}
+	if j.head.GetStatus() >= 400 { // the target did not serve the request
+		return end
+	}
+	in, out := countTokens(j.stream, len(j.body), j.tail(), j.answer.Length)
+	end.Usage = wire.EncodeUsage(a.usage.add(state.UsageRecord{
+		Customer:     j.request.Customer,
+		Route:        j.request.Route,
+		PromptTokens: in,
+		OutputTokens: out,
+		Ended:        now,
+	}))
+	return end
+}
+
+// serve sends the answer of a job while it listens for the entry to cancel or
+// leave.
+func (a *Agent) serve(ctx context.Context, r *reader) error {
+	defer r.job.detach(r.wake)
+	ctx, cancel := context.WithCancel(ctx)
+	r.stream.Bind(ctx)
+	r.stream.Patience = -1
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		for {
+			var m wire.Open
+			if r.stream.Receive(&m) != nil {
+				return
+			}
+			if c := m.GetCancel(); c != nil {
+				a.cancel(c)
+			}
+		}
+	}()
+	err := r.send(ctx, gone)
+	cancel()
+	<-gone // the stream must not be closed beside Receive
+	return err
+}
+
+func (a *Agent) resume(ctx context.Context, s *link.Stream, m *wire.Resume) error {
+	id, err := wire.DecodeRequestID(m.GetRequestId())
+	if err != nil {
+		return a.refuse(s, m.GetRequestId(), err)
+	}
+	a.mu.Lock()
+	j := a.find(time.Now(), id)
+	if m.GetIncarnation() != 0 && fleet.Incarnation(m.GetIncarnation()) != a.Announcement.Incarnation {
+		j = nil
+	}
+	var wake chan struct{}
+	if j != nil {
+		wake = j.attach()
+	}
+	a.mu.Unlock()
+	if j == nil {
+		f := &wire.Failed{RequestId: id[:], Ran: wire.Ran_RAN_UNKNOWN, Reason: "answer is not retained"}
+		return s.Send(&wire.Frame{Frame: &wire.Frame_Failed{Failed: f}})
+	}
+	return a.serve(ctx, &reader{job: j, stream: s, wake: wake, offset: m.GetOffset(), headed: m.GetOffset() > 0})
+}
+
+// cancel stops an idempotent request. Others run on, since their effect would
+// be unknown.
+func (a *Agent) cancel(m *wire.Cancel) {
+	id, err := wire.DecodeRequestID(m.GetRequestId())
+	if err != nil {
+		return
+	}
+	a.mu.Lock()
+	j := a.running[id]
+	a.mu.Unlock()
+	if j != nil && j.request.Idempotent {
+		j.cancel()
+	}
+}
+
+func (a *Agent) query(s *link.Stream, m *wire.Query) error {
+	id, err := wire.DecodeRequestID(m.GetRequestId())
+	if err != nil {
+		return a.refuse(s, m.GetRequestId(), err)
+	}
+	o := &wire.Outcome{RequestId: id[:], State: a.outcome(id, m)}
+	return s.Send(&wire.Frame{Frame: &wire.Frame_Outcome{Outcome: o}})
+}
+
+// outcome says what became of a request. An id that is not known counts as not
+// run only while it would still be known if it had run.
+func (a *Agent) outcome(id fleet.RequestID, m *wire.Query) wire.Outcome_State {
+	now := time.Now()
+	deadline := time.Unix(0, m.GetDeadlineUnixNanos())
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if fleet.Incarnation(m.GetIncarnation()) != a.Announcement.Incarnation {
+		return wire.Outcome_UNKNOWN
+	}
+	if a.running[id] != nil {
+		return wire.Outcome_RUNNING
+	}
+	if ran, ok := a.known.Get(now, id); ok {
+		if ran {
+			return wire.Outcome_RAN
+		}
+		return wire.Outcome_NOT_RUN_AND_BARRED
+	}
+	if _, ok := a.recent.Get(now, id); ok {
+		return wire.Outcome_RAN
+	}
+	if !m.GetBar() || now.After(deadline.Add(memory-time.Minute)) {
+		return wire.Outcome_UNKNOWN
+	}
+	if !a.known.Add(now, id, false, 0, deadline.Add(memory)) {
+		return wire.Outcome_UNKNOWN
+	}
+	return wire.Outcome_NOT_RUN_AND_BARRED
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"net/url"
 	"sync/atomic"
 
@@ -57,7 +56,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrStart, "agent: %v", err)
 	}
-	return &agent.Agent{Listener: l, Target: target, Client: http.DefaultClient, Log: log.Named("agent")}, nil
+	return &agent.Agent{Listener: l, Target: target, Log: log.Named("agent")}, nil
 }
 
 func newEntry(s settings.Entry, log hclog.Logger) (*khttp.Server, error) {
@@ -68,6 +67,7 @@
 	var index atomic.Pointer[config.Index]
 	index.Store(config.NewIndex(snapshot))
 	server := khttp.NewServer(khttp.Address(s.Listen.String()), khttp.Timeout(0))
+	entry.Limit(server.Server)
 	server.Handler = &entry.Entry{Config: &index, Links: &link.Pool{}, Log: log.Named("entry")}
 	return server, nil
 }
--- /dev/null
+++ b/io/entry/claim_test.go
@@ -0,0 +1,231 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"papayarock/core/config"
+	"papayarock/io/entry"
+)
+
+// counter counts how often each body ran.
+type counter struct {
+	mu    sync.Mutex
+	runs  map[string]int
+	delay time.Duration
+	size  int
+}
+
+func (c *counter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	if c.runs == nil {
+		c.runs = make(map[string]int)
+	}
+	c.runs[string(b)]++
+	n, delay, size := c.runs[string(b)], c.delay, c.size
+	c.mu.Unlock()
+	time.Sleep(delay)
+	_, _ = fmt.Fprintf(w, "%s ran %d%s", b, n, strings.Repeat(".", size))
+}
+
+func (c *counter) set(delay time.Duration, size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.delay, c.size = delay, size
+}
+
+func (c *counter) count(body string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs[body]
+}
+
+// Guards against a non-idempotent request that runs twice, and against a
+// refusal that says not run although it ran, with the link silent or closed
+// from each frame on, for good or until the next link.
+func TestRunsAtMostOnce(t *testing.T) {
+	for _, kind := range []struct{ closed, lost, keyed bool }{
+		{}, {closed: true}, {lost: true}, {closed: true, lost: true},
+		{keyed: true}, {closed: true, keyed: true}, {lost: true, keyed: true}, {closed: true, lost: true, keyed: true},
+	} {
+		for cut, hit := int64(0), true; hit; cut++ {
+			t.Run(fmt.Sprintf("%+v after %d frames", kind, cut), func(t *testing.T) {
+				bubble(t, func(t *testing.T) {
+					service := &counter{delay: time.Second, size: 1000}
+					r := newRig(t, service, 2)
+					defer r.stop()
+					r.entry.Control = &register{}
+					faults := []*fault{{close: kind.closed}, {close: kind.closed}}
+					for _, f := range faults {
+						f.left.Store(cut)
+					}
+					r.damage = func(n int) *fault {
+						if n == 0 || kind.lost {
+							return faults[min(n, 1)]
+						}
+						return nil
+					}
+					var header []string
+					if kind.keyed {
+						header = []string{"Idempotency-Key", "a"}
+					}
+					got := r.do(http.MethodPost, "/orders", "stone", header...)
+					hit = faults[0].hit.Load()
+					time.Sleep(time.Minute) // late messages
+					runs := service.count("stone")
+					r.is.True(runs <= 1) // ran twice
+					if got.err == nil && got.status == http.StatusOK {
+						r.is.Equal(runs, 1)
+					}
+					if strings.Contains(got.body, `"not-run":"true"`) {
+						r.is.Equal(runs, 0) // refusal is false
+					}
+					if strings.Contains(got.body, `"not-run":"false"`) {
+						r.is.Equal(runs, 1) // refusal is false
+					}
+					if kind.keyed {
+						again := r.do(http.MethodPost, "/orders", "stone", header...)
+						time.Sleep(time.Minute)
+						r.is.True(service.count("stone") <= 1) // ran again under its key
+						if again.status == http.StatusOK {
+							r.is.Equal(service.count("stone"), 1)
+						}
+					}
+				})
+			})
+			if cut > 500 {
+				t.Fatal("fault was never passed")
+			}
+		}
+	}
+}
+
+// Guards against a caller's key that does not attach, replay or refuse.
+func TestIdempotencyKey(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		service := &counter{delay: 5 * time.Second}
+		r := newRig(t, service, 1)
+		defer r.stop()
+		control := &register{}
+		r.entry.Control = control
+		first := make(chan reply)
+		go func() { first <- r.do(http.MethodPost, "/orders", "stone", "Idempotency-Key", "a") }()
+		time.Sleep(time.Second)
+		attached := r.do(http.MethodPost, "/orders", "stone", "Idempotency-Key", "a")
+		r.is.Equal(attached.body, "stone ran 1")
+		r.is.Equal((<-first).body, "stone ran 1")
+		replayed := r.do(http.MethodPost, "/orders", "stone", "Idempotency-Key", "a")
+		r.is.Equal(replayed.body, "stone ran 1")
+		r.is.Equal(replayed.header.Get("Idempotency-Replayed"), "true")
+		other := r.do(http.MethodPost, "/orders", "brick", "Idempotency-Key", "a")
+		r.is.Equal(other.status, http.StatusUnprocessableEntity)
+		r.is.Equal(service.count("brick"), 0)
+		service.set(0, 20<<10) // too large to keep
+		r.is.Equal(r.do(http.MethodPost, "/orders", "wall", "Idempotency-Key", "b").status, http.StatusOK)
+		ran := r.do(http.MethodPost, "/orders", "wall", "Idempotency-Key", "b")
+		r.is.Equal(ran.status, http.StatusConflict)
+		r.is.True(strings.Contains(ran.body, `"not-run":"false"`))
+		control.fail = true
+		none := r.do(http.MethodPost, "/orders", "gate", "Idempotency-Key", "c")
+		r.is.Equal(none.status, http.StatusServiceUnavailable)
+		r.is.True(strings.Contains(none.body, `"not-run":"true"`))
+		r.is.Equal(service.count("gate"), 0)
+	})
+}
+
+// gate holds requests until it is opened.
+type gate struct{ open chan struct{} }
+
+func (g *gate) Admit(ctx context.Context, _ entry.Request) (func(entry.Outcome), error) {
+	select {
+	case <-g.open:
+		return func(entry.Outcome) {}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Guards against a withdrawn key that still starts queued requests, against a
+// key that is served after the freshness deadline, and against a cut that
+// leaves requests running.
+func TestWithdrawnKey(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		service := &counter{delay: 10 * time.Second}
+		r := newRig(t, service, 1)
+		defer r.stop()
+		g := &gate{open: make(chan struct{})}
+		r.entry.Admitter = g
+		queued := make(chan reply)
+		go func() { queued <- r.do(http.MethodPost, "/reads", "queued") }()
+		synctest.Wait()
+		r.index.Store(config.NewIndex(r.snapshot(2)))
+		close(g.open)
+		got := <-queued
+		r.is.Equal(got.status, http.StatusUnauthorized)
+		r.is.True(strings.Contains(got.body, `"not-run":"true"`))
+		r.is.Equal(service.count("queued"), 0)
+
+		r.index.Store(config.NewIndex(r.snapshot(3, key())))
+		running := make(chan reply)
+		go func() { running <- r.do(http.MethodPost, "/reads", "running") }()
+		time.Sleep(time.Second)
+		r.index.Store(config.NewIndex(r.snapshot(4)))
+		r.is.Equal((<-running).status, http.StatusOK) // ends normally
+
+		r.index.Store(config.NewIndex(r.snapshot(5, key())))
+		go func() { running <- r.do(http.MethodPost, "/reads", "cut") }()
+		time.Sleep(time.Second)
+		r.entry.Cut("k1")
+		r.is.Equal((<-running).status, http.StatusUnauthorized)
+
+		var fresh atomic.Int64
+		fresh.Store(time.Now().Add(time.Minute).UnixNano())
+		r.entry.FreshUntil = &fresh
+		service.set(0, 0)
+		r.is.Equal(r.do(http.MethodPost, "/reads", "x").status, http.StatusOK)
+		time.Sleep(time.Minute)
+		stale := r.do(http.MethodPost, "/reads", "y")
+		r.is.Equal(stale.status, http.StatusServiceUnavailable)
+		r.is.True(strings.Contains(stale.body, `"not-run":"true"`))
+		r.is.Equal(r.do(http.MethodPost, "/open", "z").status, http.StatusOK)
+	})
+}
+
+// Guards against an idempotent request that fails although another target is
+// there, and against a second attempt after the caller has seen a part.
+func TestRetriesOnAnotherTarget(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		var calls atomic.Int32
+		r := newRig(t, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			if calls.Add(1) == 1 {
+				if q.URL.Path == "/reads/part" {
+					_, _ = w.Write(make([]byte, 100_000))
+				}
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = fmt.Fprint(w, "second")
+		}), 2)
+		defer r.stop()
+		r.is.Equal(r.do(http.MethodGet, "/reads", "").body, "second")
+		calls.Store(0)
+		r.is.True(r.do(http.MethodGet, "/reads/part", "").err != nil)
+		r.is.Equal(calls.Load(), int32(1))
+		calls.Store(0)
+		got := r.do(http.MethodPost, "/orders", "x")
+		r.is.Equal(got.status, http.StatusBadGateway)
+		r.is.True(strings.Contains(got.body, `"not-run":"unknown"`))
+		r.is.Equal(calls.Load(), int32(1))
+	})
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -1,178 +1,297 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
 	"papayarock/core/config"
 	"papayarock/core/fleet"
 	"papayarock/io/link"
-	"papayarock/io/wire"
 )
 
 const (
 	maxBodyBytes  = 8 << 20
 	bodyPartBytes = 64 << 10
+	bodyTimeout   = 30 * time.Second
+	maxInFlight   = 10_000
+	maxBodies     = 1 << 30 // bytes of all request bodies
+	// defaultPromise bounds requests on routes without a promise.
+	defaultPromise = 10 * time.Minute
+
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = time.Minute
+	maxStreams        = 250 // of one HTTP/2 connection
 )
 
+// ReadyPath answers 200 while new callers are welcome, and 503 otherwise.
+const ReadyPath = "/-/ready"
+
 // ErrAnswer reports an answer that did not arrive whole.
 var ErrAnswer = errors.New("answer is incomplete")
 
 // Entry is the HTTP handler that faces callers.
 type Entry struct {
 	Config *atomic.Pointer[config.Index]
-	Links  *link.Pool
-	Log    hclog.Logger
+	// FreshUntil is the time in Unix nanoseconds until which Config is
+	// certainly current; nil with a fixed configuration.
+	FreshUntil *atomic.Int64
+	Links      *link.Pool
+	Control    Control  // nil without control
+	Picker     Picker   // RoundRobin if nil
+	Admitter   Admitter // AdmitAll if nil
+	Retrier    Retrier  // MaxAttempts(3) if nil
+	Log        hclog.Logger
+
+	once   sync.Once
+	usage  reporter
+	counts counts
+
+	mu       sync.Mutex
+	stopping bool // not ready; requests are still served
+	closed   bool // requests are refused
+	running  map[*flight]struct{}
+	bodies   int64
+}
+
+type counts struct {
+	served, refused, aborted, resumed, retried, stray atomic.Uint64
+}
+
+// flight is one request in progress.
+type flight struct {
+	keyID string
+	cut   context.CancelCauseFunc
+}
 
-	next atomic.Uint64
+func (e *Entry) init() {
+	if e.Picker == nil {
+		e.Picker = &RoundRobin{}
+	}
+	if e.Admitter == nil {
+		e.Admitter = AdmitAll{}
+	}
+	if e.Retrier == nil {
+		e.Retrier = MaxAttempts(3)
+	}
+	if e.Log == nil {
+		e.Log = hclog.NewNullLogger()
+	}
+	e.running = make(map[*flight]struct{})
+}
+
+// Limit sets the limits on connections of callers.
+func Limit(s *http.Server) {
+	s.ReadHeaderTimeout = readHeaderTimeout
+	s.IdleTimeout = idleTimeout
+	// Beyond this net/http refuses by itself; below it the entry explains.
+	s.MaxHeaderBytes = 2 * (maxHeaderBytes + maxURLBytes)
+	s.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
+	s.Protocols = new(http.Protocols)
+	s.Protocols.SetHTTP1(true)
+	s.Protocols.SetHTTP2(true)
+	s.Protocols.SetUnencryptedHTTP2(true)
 }
 
 // ServeHTTP serves one request of a caller.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.once.Do(e.init)
+	if r.URL.Path == ReadyPath {
+		e.ready(w)
+		return
+	}
+	var id fleet.RequestID
+	_, _ = rand.Read(id[:]) // crypto/rand.Read never fails
+	w.Header().Set("Request-Id", id.String())
+	if refusal := e.serve(w, r, id); refusal != nil {
+		e.counts.refused.Add(1)
+		e.Log.Info("request refused", "request", id, "type", refusal.Type, "not-run", refusal.notRun())
+		refusal.write(w)
+	}
+}
+
+func (e *Entry) ready(w http.ResponseWriter) {
+	e.mu.Lock()
+	ready := !e.stopping
+	e.mu.Unlock()
+	if !ready || e.Config.Load() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// admitted is a request that passed the checks on its head.
+type admitted struct {
+	route    config.Route
+	key      string // secret
+	keyID    string
+	customer fleet.Customer
+}
+
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request, id fleet.RequestID) *Refusal {
+	if refusal := checkHead(r); refusal != nil {
+		return refusal
+	}
+	a, refusal := e.authenticate(r)
+	if refusal != nil {
+		return refusal
+	}
+	ctx, cut := context.WithCancelCause(r.Context())
+	defer cut(nil)
+	f := &flight{keyID: a.keyID, cut: cut}
+	if refusal := e.enter(f); refusal != nil {
+		return refusal
+	}
+	defer e.leave(f)
+	body, refusal := e.readBody(w, r)
+	defer e.release(len(body))
+	if refusal != nil {
+		return refusal
+	}
+	idem, refusal := idempotencyKey(r.Header)
+	if refusal != nil {
+		return refusal
+	}
+	c := e.newCall(ctx, w, r, id, a, body)
+	c.idempotencyKey = idem
+	refusal = c.admitAndRun()
+	if refusal != nil && c.sink.started {
+		// The caller has a part of the answer and must see that it is cut.
+		e.counts.aborted.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	return refusal
+}
+
+// authenticate checks the key of a request against the configuration in force.
+func (e *Entry) authenticate(r *http.Request) (admitted, *Refusal) {
 	index := e.Config.Load()
+	if index == nil {
+		return admitted{}, refuseStale
+	}
 	route, ok := index.Route(r.URL.Path)
 	if !ok {
-		refuse(w, http.StatusNotFound, "no-route", "no route serves this path")
-		return
+		return admitted{}, refuseRoute
 	}
-	var customer fleet.Customer
-	if !route.Open {
-		key, ok := index.Key(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer "))
-		if !ok {
-			refuse(w, http.StatusUnauthorized, "key", "the key is missing or not valid")
-			return
-		}
-		customer = key.Customer
+	if route.Open {
+		return admitted{route: route}, nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		refuse(w, http.StatusRequestEntityTooLarge, "body", "the body is too large or incomplete")
-		return
+	if !e.fresh() {
+		return admitted{}, refuseStale
 	}
-	target, ok := e.pick(index.Pool(route.Pool))
+	secret, ok := bearer(r.Header)
 	if !ok {
-		refuse(w, http.StatusServiceUnavailable, "no-target", "no target is ready")
-		return
+		return admitted{}, refuseKey
+	}
+	key, ok := index.Key(secret)
+	if !ok {
+		return admitted{}, refuseKey
 	}
-	e.forward(w, r, route, customer, target, body)
+	if strings.Contains(r.URL.Path, secret) || strings.Contains(r.RequestURI, secret) || strings.Contains(unescape(r.URL.RawQuery), secret) {
+		return admitted{}, refuseKeyURL
+	}
+	return admitted{route: route, key: secret, keyID: key.ID, customer: key.Customer}, nil
 }
 
-func (e *Entry) pick(targets []fleet.Target) (fleet.Target, bool) {
-	start := e.next.Add(1)
-	for i := range targets {
-		t := targets[(start+uint64(i))%uint64(len(targets))]
-		if t.Phase == fleet.Ready {
-			return t, true
-		}
-	}
-	return fleet.Target{}, false
+func (e *Entry) fresh() bool {
+	return e.FreshUntil == nil || time.Now().UnixNano() < e.FreshUntil.Load()
 }
 
-func (e *Entry) forward(w http.ResponseWriter, r *http.Request, route config.Route, customer fleet.Customer, target fleet.Target, body []byte) {
-	var id fleet.RequestID
-	_, _ = rand.Read(id[:]) // crypto/rand.Read never fails
-	w.Header().Set("Request-Id", id.String())
-	ctx, cancel := context.WithTimeout(r.Context(), route.Promise)
-	defer cancel()
-	deadline, _ := ctx.Deadline()
-	s, err := e.Links.Open(ctx, link.Address{Host: target.Host, AddrPort: target.Agent}, runMessage(r, route, customer, id, deadline))
-	if err != nil {
-		e.Log.Warn("target unreachable", "request", id, "target", target.Name, "error", err)
-		refuse(w, http.StatusBadGateway, "target-unreachable", "the target cannot be reached")
-		return
+// recheck refuses a request whose key was withdrawn while it waited.
+func (e *Entry) recheck(a admitted) *Refusal {
+	if a.route.Open {
+		return nil
 	}
-	defer func() { _ = s.Close() }()
-	if err := send(s, body); err != nil {
-		panic(http.ErrAbortHandler)
+	if !e.fresh() {
+		return refuseStale
 	}
-	if err := receive(w, s, id); err != nil {
-		e.Log.Warn("answer aborted", "request", id, "target", target.Name, "error", err)
-		panic(http.ErrAbortHandler)
+	if key, ok := e.Config.Load().Key(a.key); !ok || key.Customer != a.customer {
+		return refuseKey
 	}
+	return nil
 }
 
-func runMessage(r *http.Request, route config.Route, customer fleet.Customer, id fleet.RequestID, deadline time.Time) *wire.Open {
-	run := &wire.Run{
-		RequestId:         id[:],
-		Customer:          string(customer),
-		Class:             uint32(route.Class),
-		DeadlineUnixNanos: deadline.UnixNano(),
-		Method:            r.Method,
-		Path:              r.URL.RequestURI(),
-		Idempotent:        route.Idempotent,
+func (e *Entry) enter(f *flight) *Refusal {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed {
+		return refuseStopping
 	}
-	run.Headers = append(run.Headers,
-		&wire.Header{Name: "Content-Type", Value: r.Header.Get("Content-Type")},
-		&wire.Header{Name: "Papayarock-Customer", Value: string(customer)},
-		&wire.Header{Name: "Request-Id", Value: id.String()})
-	return &wire.Open{Call: &wire.Open_Run{Run: run}}
+	if len(e.running) >= maxInFlight {
+		return refuseBusy
+	}
+	e.running[f] = struct{}{}
+	return nil
 }
 
-func send(s *link.Stream, body []byte) error {
-	for len(body) > bodyPartBytes {
-		if err := s.Send(&wire.BodyPart{Data: body[:bodyPartBytes]}); err != nil {
-			return err
-		}
-		body = body[bodyPartBytes:]
+func (e *Entry) leave(f *flight) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.running, f)
+}
+
+func (e *Entry) release(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.bodies -= int64(n)
+}
+
+func (e *Entry) reserve(n int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.bodies+int64(n) > maxBodies {
+		return false
 	}
-	return s.Send(&wire.BodyPart{Data: body, Last: true})
+	e.bodies += int64(n)
+	return true
 }
 
-func receive(w http.ResponseWriter, s *link.Stream, id fleet.RequestID) error {
-	sum := xxhash.New()
-	var length uint64
+// readBody returns what it has reserved, also with a refusal.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Refusal) {
+	if r.ContentLength > maxBodyBytes {
+		return nil, refuseLarge
+	}
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	var body []byte
+	buf := make([]byte, min(max(r.ContentLength+1, 512), bodyPartBytes))
+	in := http.MaxBytesReader(w, r.Body, maxBodyBytes)
 	for {
-		var f wire.Frame
-		if err := s.Receive(&f); err != nil {
-			return errors.Wrap(ErrAnswer, err.Error())
-		}
-		switch f := f.GetFrame().(type) {
-		case *wire.Frame_Head:
-			for _, h := range f.Head.GetHeaders() {
-				w.Header().Add(h.GetName(), h.GetValue())
+		n, err := in.Read(buf)
+		if n > 0 {
+			if !e.reserve(n) {
+				return body, refuseBusy
 			}
-			w.WriteHeader(int(f.Head.GetStatus()))
-		case *wire.Frame_Part:
-			if !bytes.Equal(f.Part.GetRequestId(), id[:]) || f.Part.GetOffset() != length {
-				return errors.Wrapf(ErrAnswer, "frame at offset %d, want %d", f.Part.GetOffset(), length)
-			}
-			_, _ = sum.Write(f.Part.GetData())
-			length += uint64(len(f.Part.GetData()))
-			if _, err := w.Write(f.Part.GetData()); err != nil {
-				return err
-			}
-			_ = http.NewResponseController(w).Flush()
-		case *wire.Frame_End:
-			if f.End.GetLength() != length || f.End.GetChecksum() != sum.Sum64() {
-				return errors.Wrapf(ErrAnswer, "%d of %d bytes", length, f.End.GetLength())
-			}
-			return nil
-		case *wire.Frame_Failed:
-			return errors.Wrap(ErrAnswer, f.Failed.GetReason())
+			body = append(body, buf[:n]...)
+		}
+		if err == io.EOF {
+			_ = rc.SetReadDeadline(time.Time{})
+			return body, nil
+		}
+		if err != nil {
+			return body, bodyRefusal(err)
 		}
 	}
 }
 
-type problem struct {
-	Type   string `json:"type"`
-	Title  string `json:"title"`
-	Status int    `json:"status"`
-	NotRun string `json:"not-run"`
-}
-
-func refuse(w http.ResponseWriter, status int, kind, title string) {
-	w.Header().Set("Content-Type", "application/problem+json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(problem{Type: kind, Title: title, Status: status, NotRun: "true"})
+func bodyRefusal(err error) *Refusal {
+	var large *http.MaxBytesError
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.As(err, &large):
+		return refuseLarge
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return refuseSlow
+	}
+	return refuseBody
 }
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -39,7 +39,7 @@
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	a := &agent.Agent{Listener: l, Target: target, Client: backend.Client(), Log: hclog.NewNullLogger()}
+	a := &agent.Agent{Listener: l, Target: target, Log: hclog.NewNullLogger()}
 	go func() { _ = a.Serve(ctx) }()
 
 	const secret = "secret-of-inspector"
--- /dev/null
+++ b/io/entry/recover.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayarock/io/link"
+	"papayarock/io/wire"
+)
+
+const (
+	// resumeTimeout bounds how long an answer waits for a new link.
+	resumeTimeout = 15 * time.Second
+	resumePause   = 100 * time.Millisecond
+	askTimeout    = 2 * time.Second
+)
+
+// recover continues after a lost stream: it asks the agent what became of the
+// request, then resumes the answer where it ended.
+func (c *call) recover(cause error) (Ending, wire.Ran, error) {
+	timeout := resumeTimeout
+	if c.request.Idempotent && !c.sink.started {
+		timeout = askTimeout // another target can take over
+	}
+	ran := wire.Ran_RAN_UNKNOWN
+	if c.sink.head != nil {
+		ran = wire.Ran_RAN_YES
+	}
+	for until := time.Now().Add(timeout); time.Now().Before(until) && c.ctx.Err() == nil; c.pause() {
+		if ran == wire.Ran_RAN_UNKNOWN && !c.request.Idempotent {
+			reached, state := c.ask(c.ctx)
+			switch {
+			case !reached:
+				continue
+			case state == wire.Ran_RAN_NO:
+				return NotRun, state, cause
+			case state == wire.Ran_RAN_UNKNOWN:
+				return Lost, state, cause
+			}
+			ran = state
+		}
+		end, found, err := c.resume()
+		if end != Lost {
+			return end, found, err
+		}
+		cause = err
+	}
+	return Lost, ran, cause
+}
+
+func (c *call) pause() {
+	t := time.NewTimer(resumePause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c.ctx.Done():
+	}
+}
+
+// resume asks for the rest of the answer on a new stream.
+func (c *call) resume() (Ending, wire.Ran, error) {
+	m := &wire.Resume{RequestId: c.assembly.ID[:], Offset: c.assembly.Length, Incarnation: c.incarnation}
+	s, err := c.e.Links.Open(c.ctx, c.address(), &wire.Open{Call: &wire.Open_Resume{Resume: m}})
+	if err != nil {
+		return Lost, wire.Ran_RAN_UNKNOWN, err
+	}
+	c.e.counts.resumed.Add(1)
+	end, ran, err := c.follow(s)
+	c.part(s, end)
+	if end == NotRun && errors.Is(err, link.ErrRefused) {
+		end, ran = Lost, wire.Ran_RAN_UNKNOWN // the link refused Resume, not the request
+	}
+	return end, ran, err
+}
+
+// ask returns whether the request ran, and bars it if it did not. It returns
+// false if the agent could not be reached.
+func (c *call) ask(ctx context.Context) (reached bool, ran wire.Ran) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	m := &wire.Query{
+		RequestId:         c.request.ID[:],
+		Bar:               true,
+		Incarnation:       c.incarnation,
+		DeadlineUnixNanos: c.run.Deadline.UnixNano(),
+	}
+	f, err := link.Call[wire.Frame](ctx, c.e.Links, c.address(), &wire.Open{Call: &wire.Open_Query{Query: m}})
+	if err != nil {
+		return false, wire.Ran_RAN_UNKNOWN
+	}
+	o := f.GetOutcome()
+	if o == nil || string(o.GetRequestId()) != string(c.request.ID[:]) {
+		return false, wire.Ran_RAN_UNKNOWN
+	}
+	switch o.GetState() {
+	case wire.Outcome_NOT_RUN_AND_BARRED:
+		return true, wire.Ran_RAN_NO
+	case wire.Outcome_RUNNING, wire.Outcome_RAN:
+		return true, wire.Ran_RAN_YES
+	}
+	return true, wire.Ran_RAN_UNKNOWN
+}
--- /dev/null
+++ b/io/entry/stop.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"papayarock/core/state"
+)
+
+const (
+	// readyDelay is how long requests are still served after readiness is
+	// off, so that the load balancer notices before any is refused.
+	readyDelay     = 2 * time.Second
+	stopPoll       = 20 * time.Millisecond
+	reportInterval = time.Second
+	reportTimeout  = 5 * time.Second
+	usageBatch     = 500
+	// maxUsage bounds the records that wait. The agent reports them too, so
+	// the oldest can be dropped.
+	maxUsage = 50_000
+)
+
+// Serve reports usage until ctx ends.
+func (e *Entry) Serve(ctx context.Context) error {
+	e.once.Do(e.init)
+	if e.Control == nil {
+		<-ctx.Done()
+		return nil
+	}
+	tick := time.NewTicker(reportInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			e.reportUsage(ctx)
+		case <-ctx.Done():
+			e.reportUsage(context.WithoutCancel(ctx))
+			return nil
+		}
+	}
+}
+
+// Stop turns readiness off, serves until the load balancer has noticed, then
+// refuses new requests as not run and waits for running ones until ctx ends.
+func (e *Entry) Stop(ctx context.Context) {
+	e.once.Do(e.init)
+	e.mu.Lock()
+	e.stopping = true
+	e.mu.Unlock()
+	select {
+	case <-time.After(readyDelay):
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	e.closed = true
+	e.mu.Unlock()
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		n := len(e.running)
+		e.mu.Unlock()
+		if n == 0 {
+			return
+		}
+		time.Sleep(stopPoll)
+	}
+}
+
+// Cut ends the running requests of a key that was withdrawn with interruption.
+func (e *Entry) Cut(keyID string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for f := range e.running {
+		if f.keyID == keyID && keyID != "" {
+			f.cut(errCutKey)
+		}
+	}
+}
+
+// reporter holds usage records until control acknowledges them.
+type reporter struct {
+	mu      sync.Mutex
+	waiting []state.UsageRecord
+	dropped uint64
+}
+
+func (r *reporter) add(records []state.UsageRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiting = append(r.waiting, records...)
+	if over := len(r.waiting) - maxUsage; over > 0 {
+		r.waiting = append(r.waiting[:0], r.waiting[over:]...)
+		r.dropped += uint64(over)
+	}
+}
+
+func (r *reporter) take() []state.UsageRecord {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := min(len(r.waiting), usageBatch)
+	batch := append([]state.UsageRecord(nil), r.waiting[:n]...)
+	r.waiting = append(r.waiting[:0], r.waiting[n:]...)
+	return batch
+}
+
+func (e *Entry) reportUsage(ctx context.Context) {
+	for {
+		batch := e.usage.take()
+		if len(batch) == 0 {
+			return
+		}
+		report, cancel := context.WithTimeout(ctx, reportTimeout)
+		err := e.Control.ReportUsage(report, batch)
+		cancel()
+		if err != nil {
+			e.usage.add(batch)
+			e.Log.Warn("usage report failed", "records", len(batch), "error", err)
+			return
+		}
+	}
+}
+
+// Dump is the state of an entry.
+type Dump struct {
+	Ready         bool
+	Running       int
+	BodyBytes     int64
+	UsageWaiting  int
+	UsageDropped  uint64
+	Served        uint64
+	Refused       uint64
+	Aborted       uint64
+	Resumed       uint64
+	Retried       uint64
+	StrayFrames   uint64
+	Revision      uint64
+	FreshUntil    time.Time
+	RunningByKeys map[string]int // by key id, at most maxDumped
+}
+
+const maxDumped = 100
+
+// Dump returns the state of e, without keys or request content.
+func (e *Entry) Dump() any {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	d := Dump{
+		Ready: !e.stopping, Running: len(e.running), BodyBytes: e.bodies,
+		Served: e.counts.served.Load(), Refused: e.counts.refused.Load(), Aborted: e.counts.aborted.Load(),
+		Resumed: e.counts.resumed.Load(), Retried: e.counts.retried.Load(), StrayFrames: e.counts.stray.Load(),
+		RunningByKeys: make(map[string]int),
+	}
+	for f := range e.running {
+		if _, ok := d.RunningByKeys[f.keyID]; ok || len(d.RunningByKeys) < maxDumped {
+			d.RunningByKeys[f.keyID]++
+		}
+	}
+	if index := e.Config.Load(); index != nil {
+		d.Revision = index.Snapshot.Revision
+	}
+	if e.FreshUntil != nil {
+		d.FreshUntil = time.Unix(0, e.FreshUntil.Load())
+	}
+	e.usage.mu.Lock()
+	defer e.usage.mu.Unlock()
+	d.UsageWaiting, d.UsageDropped = len(e.usage.waiting), e.usage.dropped
+	return d
+}
--- a/io/link/pool.go
+++ b/io/link/pool.go
@@ -52,6 +52,20 @@
 // Open starts a call with its first message, whose type selects the handler.
 // The stream is bound to ctx.
 func (p *Pool) Open(ctx context.Context, a Address, first proto.Message) (*Stream, error) {
+	s, err := p.OpenQueued(ctx, a, first)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.Flush(); err != nil {
+		_ = s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// OpenQueued is Open without the write: the first message goes out with the
+// next Send or Flush.
+func (p *Pool) OpenQueued(ctx context.Context, a Address, first proto.Message) (*Stream, error) {
 	envelope, err := anypb.New(first)
 	if err != nil {
 		return nil, errors.Wrap(ErrMessage, err.Error())
@@ -61,7 +75,7 @@
 		return nil, err
 	}
 	s.Bind(ctx)
-	if err := s.Send(envelope); err != nil {
+	if err := s.Queue(envelope); err != nil {
 		_ = s.Close()
 		return nil, err
 	}
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -228,9 +228,8 @@
 
 // refuse answers the call with a status other than accepted.
 func (s *Stream) refuse(status byte) {
-	if s.deadline(s.conn.SetWriteDeadline) == nil {
-		_, _ = s.conn.Write([]byte{status})
-	}
+	s.out, s.accepted = append(s.out, status), true
+	_ = s.Flush()
 }
 
 func (s *Server) take(name string) bool {
--- a/io/link/stream.go
+++ b/io/link/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/binary"
 	"io"
@@ -34,6 +35,9 @@
 	// Progress is the time within which each Send and Receive must end.
 	// DefaultProgress if zero.
 	Progress time.Duration
+	// Patience replaces Progress for Receive: no deadline if negative. The
+	// heartbeats of the session still end a silent stream.
+	Patience time.Duration
 	Peer     Peer
 
 	conn     net.Conn
@@ -41,7 +45,8 @@
 	in       []byte
 	out      []byte
 	serving  bool
-	answered bool // the status byte has passed
+	accepted bool // serving side: the status byte is queued
+	answered bool // calling side: the status byte has arrived
 
 	mu    sync.Mutex
 	ctx   context.Context
@@ -92,15 +97,25 @@
 	return s.conn.Close()
 }
 
-// Send writes one message.
+// Send writes the queued messages and m.
 func (s *Stream) Send(m proto.Message) error {
+	if err := s.Queue(m); err != nil {
+		return err
+	}
+	return s.Flush()
+}
+
+// Queue encodes a message that the next Flush or Send writes. It keeps no
+// reference to m.
+func (s *Stream) Queue(m proto.Message) error {
 	size := proto.Size(m)
 	if size > maxMessageBytes {
 		return errors.Wrapf(ErrMessage, "%d bytes to send, limit is %d", size, maxMessageBytes)
 	}
-	b := s.out[:0]
-	if s.serving && !s.answered {
+	b := s.out
+	if s.serving && !s.accepted {
 		b = append(b, statusAccepted)
+		s.accepted = true
 	}
 	b = protowire.AppendVarint(b, uint64(size))
 	b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(b, m)
@@ -108,22 +123,34 @@
 		return errors.Wrap(ErrMessage, err.Error())
 	}
 	s.out = b
-	if err := s.deadline(s.conn.SetWriteDeadline); err != nil {
+	return nil
+}
+
+// Flush writes the queued messages.
+func (s *Stream) Flush() error {
+	if len(s.out) == 0 {
+		return nil
+	}
+	until := time.Now().Add(cmp.Or(s.Progress, DefaultProgress))
+	if err := s.deadline(s.conn.SetWriteDeadline, until); err != nil {
 		return err
 	}
-	if _, err = s.conn.Write(b); err != nil {
+	_, err := s.conn.Write(s.out)
+	s.out = s.out[:0]
+	if err != nil {
 		return s.failed("send", err)
 	}
-	if s.serving {
-		s.answered = true
-	}
 	return nil
 }
 
 // Receive reads one message. It returns io.EOF when the peer ended its side
 // between messages.
 func (s *Stream) Receive(m proto.Message) error {
-	if err := s.deadline(s.conn.SetReadDeadline); err != nil {
+	var until time.Time
+	if s.Patience >= 0 {
+		until = time.Now().Add(cmp.Or(s.Patience, s.Progress, DefaultProgress))
+	}
+	if err := s.deadline(s.conn.SetReadDeadline, until); err != nil {
 		return err
 	}
 	if err := s.status(); err != nil {
@@ -165,17 +192,13 @@
 	return nil
 }
 
-func (s *Stream) deadline(set func(time.Time) error) error {
-	progress := s.Progress
-	if progress == 0 {
-		progress = DefaultProgress
-	}
+func (s *Stream) deadline(set func(time.Time) error, until time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ctx != nil && s.ctx.Err() != nil {
 		return s.ctx.Err()
 	}
-	return set(time.Now().Add(progress))
+	return set(until)
 }
 
 // failed converts an error of yamux. A session that died ends its streams like
