io/agent: test the calls of an agent; fewer contexts for each request

Cause: bar, incarnation, roles and usage reports had no test at the agent. The allocation profile showed two contexts with timers for each request that another one already covers. Change: tests over mutual TLS; one deadline context at entry and agent each.

--- /dev/null
+++ b/io/agent/agent_test.go
@@ -0,0 +1,231 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+	"papayarock/io/agent"
+	"papayarock/io/identity"
+	"papayarock/io/link"
+	"papayarock/io/wire"
+)
+
+// rig is an agent on a loopback socket with its target and one entry.
+type rig struct {
+	is      *is.I
+	agent   *agent.Agent
+	links   *link.Pool
+	address link.Address
+	runs    atomic.Int32
+	release chan struct{} // the target answers /held once it is closed
+	stop    func()
+	creds   func(fleet.Host, identity.Role) *identity.Credentials
+}
+
+const incarnation = 42
+
+func newRig(t *testing.T, control agent.Control) *rig {
+	r := &rig{is: is.New(t), release: make(chan struct{})}
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.runs.Add(1)
+		body, _ := io.ReadAll(q.Body)
+		if q.URL.Path == "/held" {
+			<-r.release
+		}
+		_, _ = fmt.Fprintf(w, "%s %s %s", body, q.Header.Get("Papayarock-Class"), q.Header.Get("User-Agent"))
+	}))
+	u, err := url.Parse(target.URL)
+	r.is.NoErr(err)
+	now := time.Now()
+	authority, err := identity.NewAuthority(now, now.Add(time.Hour))
+	r.is.NoErr(err)
+	r.creds = func(h fleet.Host, role identity.Role) *identity.Credentials {
+		c, err := authority.Issue(h, []identity.Role{role}, now, now.Add(time.Hour))
+		r.is.NoErr(err)
+		return c
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	r.is.NoErr(err)
+	r.agent = &agent.Agent{
+		Listener: l, Identity: r.creds("a1", identity.Agent), Target: u, Control: control,
+		Announcement: fleet.Target{Name: "t1", Host: "a1", Incarnation: incarnation, Phase: fleet.Ready},
+	}
+	r.address = link.Address{Host: "a1", AddrPort: netip.MustParseAddrPort(l.Addr().String())}
+	r.links = &link.Pool{Identity: r.creds("e1", identity.Entry), Roles: []identity.Role{identity.Agent}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- r.agent.Serve(ctx) }()
+	var once sync.Once
+	r.stop = func() {
+		once.Do(func() {
+			r.links.Close()
+			cancel()
+			r.is.NoErr(<-done)
+			target.Close()
+		})
+	}
+	t.Cleanup(r.stop)
+	return r
+}
+
+func request(id byte, path string) wire.Request {
+	return wire.Request{
+		ID: fleet.RequestID{id}, Customer: "klang", Class: fleet.Urgent, Deadline: time.Now().Add(time.Minute),
+		Method: http.MethodPost, Path: path, Route: "orders",
+	}
+}
+
+// open hands a request over and returns its stream.
+func (r *rig) open(q wire.Request) *link.Stream {
+	s, err := r.links.Open(context.Background(), r.address, &wire.Open{Call: &wire.Open_Run{Run: wire.EncodeRun(q)}})
+	r.is.NoErr(err)
+	r.is.NoErr(s.Send(&wire.BodyPart{Data: []byte("stone "), Last: false}))
+	r.is.NoErr(s.Send(&wire.BodyPart{Data: []byte("7"), Last: true}))
+	return s
+}
+
+// read returns the body of an answer and its last frame.
+func (r *rig) read(s *link.Stream) (string, *wire.Frame) {
+	body := ""
+	for {
+		f := &wire.Frame{}
+		r.is.NoErr(s.Receive(f))
+		body += string(f.GetPart().GetData())
+		if f.GetEnd() != nil || f.GetFailed() != nil {
+			_ = s.Close()
+			return body, f
+		}
+	}
+}
+
+func (r *rig) query(id byte, bar bool, inc uint64) wire.Outcome_State {
+	f, err := link.Call[wire.Frame](context.Background(), r.links, r.address, &wire.Open{Call: &wire.Open_Query{Query: &wire.Query{
+		RequestId: append([]byte{id}, make([]byte, 15)...), Bar: bar, Incarnation: inc,
+		DeadlineUnixNanos: time.Now().Add(time.Minute).UnixNano(),
+	}}})
+	r.is.NoErr(err)
+	return f.GetOutcome().GetState()
+}
+
+// Guards against a request id that runs twice at one agent, and against an
+// answer to the second message that differs from the first.
+func TestRunsEachIDOnce(t *testing.T) {
+	r := newRig(t, nil)
+	for range 3 {
+		body, last := r.read(r.open(request(1, "/x")))
+		r.is.Equal(body, "stone 7 urgent ")
+		r.is.Equal(last.GetEnd().GetUsage().GetSequence(), uint64(1))
+		r.is.Equal(last.GetEnd().GetUsage().GetPromptTokens(), uint64(2)) // 7 bytes
+	}
+	r.is.Equal(r.runs.Load(), int32(1))
+}
+
+// Guards against a barred request that starts after all, and against an agent
+// that calls a request not run of which it cannot know.
+func TestBar(t *testing.T) {
+	r := newRig(t, nil)
+	r.is.Equal(r.query(1, false, incarnation), wire.Outcome_UNKNOWN)
+	r.is.Equal(r.query(1, true, incarnation), wire.Outcome_NOT_RUN_AND_BARRED)
+	_, last := r.read(r.open(request(1, "/x")))
+	r.is.True(last.GetFailed() != nil)
+	r.is.Equal(r.runs.Load(), int32(0))
+	r.is.Equal(r.query(2, true, incarnation-1), wire.Outcome_UNKNOWN) // another run of the agent
+
+	s := r.open(request(3, "/held"))
+	for r.query(3, false, incarnation) != wire.Outcome_RUNNING {
+		time.Sleep(time.Millisecond)
+	}
+	r.is.Equal(r.query(3, true, incarnation), wire.Outcome_RUNNING)
+	close(r.release)
+	_, last = r.read(s)
+	r.is.True(last.GetEnd() != nil)
+	r.is.Equal(r.query(3, true, incarnation), wire.Outcome_RAN)
+}
+
+// Guards against requests that an agent starts although it must not.
+func TestRefusesRequests(t *testing.T) {
+	r := newRig(t, nil)
+	for name, change := range map[string]func(*wire.Request){
+		"deadline passed":   func(q *wire.Request) { q.Deadline = time.Now().Add(-time.Second) },
+		"deadline too far":  func(q *wire.Request) { q.Deadline = time.Now().Add(48 * time.Hour) },
+		"other incarnation": func(q *wire.Request) { q.Incarnation = incarnation + 1 },
+		"path":              func(q *wire.Request) { q.Path = "x" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := request(9, "/x")
+			change(&q)
+			_, last := r.read(r.open(q))
+			is.New(t).Equal(last.GetFailed().GetRan(), wire.Ran_RAN_NO)
+		})
+	}
+	r.is.Equal(r.runs.Load(), int32(0))
+}
+
+// Guards against an agent that serves a peer which is not an entry.
+func TestServesEntriesOnly(t *testing.T) {
+	r := newRig(t, nil)
+	for name, p := range map[string]*link.Pool{
+		"no certificate": {},
+		"control":        {Identity: r.creds("c1", identity.Control), Roles: []identity.Role{identity.Agent}},
+		"other agent":    {Identity: r.creds("a2", identity.Agent), Roles: []identity.Role{identity.Agent}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			defer p.Close()
+			_, err := link.Call[wire.Frame](t.Context(), p, r.address, &wire.Open{Call: &wire.Open_LoadPoll{LoadPoll: &wire.LoadPoll{}}})
+			is.New(t).True(err != nil) // served
+		})
+	}
+	f, err := link.Call[wire.Frame](t.Context(), r.links, r.address, &wire.Open{Call: &wire.Open_LoadPoll{LoadPoll: &wire.LoadPoll{}}})
+	r.is.NoErr(err)
+	r.is.True(f.GetLoad() != nil)
+}
+
+// control fails its first reports.
+type control struct {
+	mu       sync.Mutex
+	fail     int
+	records  map[state.UsageID]int
+	reported chan struct{}
+}
+
+func (c *control) Announce(context.Context, fleet.Target) error { return nil }
+
+func (c *control) ReportUsage(_ context.Context, records []state.UsageRecord) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, u := range records {
+		c.records[u.ID]++
+	}
+	if c.fail > 0 {
+		c.fail--
+		return errors.New("answer lost")
+	}
+	close(c.reported)
+	return nil
+}
+
+// Guards against usage that is dropped before control has acknowledged it.
+func TestReportsUsageUntilAcknowledged(t *testing.T) {
+	c := &control{fail: 1, records: map[state.UsageID]int{}, reported: make(chan struct{})}
+	r := newRig(t, c)
+	r.read(r.open(request(1, "/x")))
+	<-c.reported
+	r.stop()
+	r.is.Equal(c.records, map[state.UsageID]int{{Node: "a1", Incarnation: incarnation, Sequence: 1}: 2})
+	r.is.Equal(r.agent.Dump().(agent.Dump).UsageWaiting, 0)
+}
--- a/io/agent/calls.go
+++ b/io/agent/calls.go
@@ -112,7 +112,13 @@
 	if err := a.admit(now, r); err != nil {
 		return nil, nil, err
 	}
-	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	// A non-idempotent request that has started is not stopped at its
+	// deadline, since its effect would be unknown.
+	limit := r.Deadline
+	if !r.Idempotent {
+		limit = limit.Add(overrunBeyond)
+	}
+	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), limit)
 	j := newJob(r, body, cancel)
 	a.running[r.ID] = j
 	wake := j.attach()
--- a/io/agent/target.go
+++ b/io/agent/target.go
@@ -41,14 +41,6 @@
 // execute runs j against the target and records its end.
 func (a *Agent) execute(ctx context.Context, j *job) {
 	defer j.cancel()
-	// A non-idempotent request that has started is not stopped at its
-	// deadline, since its effect would be unknown.
-	limit := j.request.Deadline
-	if !j.request.Idempotent {
-		limit = limit.Add(overrunBeyond)
-	}
-	ctx, cancel := context.WithDeadline(ctx, limit)
-	defer cancel()
 	ran, err := a.exchange(ctx, j)
 	a.finish(j, ran, err)
 }
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -79,9 +79,11 @@
 }
 
 func (c *call) admitAndRun() *Refusal {
-	ctx, cancel := context.WithDeadline(c.ctx, c.request.Deadline)
+	parent := c.ctx
+	ctx, cancel := context.WithDeadline(parent, c.request.Deadline)
+	defer cancel()
+	c.ctx = ctx
 	release, err := c.e.Admitter.Admit(ctx, c.request)
-	cancel()
 	if err != nil {
 		var r *Refusal
 		if errors.As(err, &r) {
@@ -95,28 +97,33 @@
 		return refusal
 	}
 	if !c.request.Idempotent {
-		// The end of the request is recorded even if the caller leaves.
-		var cut context.CancelCauseFunc
-		parent := c.ctx
-		c.ctx, cut = context.WithCancelCause(context.WithoutCancel(parent))
-		defer cut(nil)
-		stop := context.AfterFunc(parent, func() {
-			if errors.Is(context.Cause(parent), errCutKey) {
-				cut(errCutKey)
-			}
-		})
-		defer stop()
-		c.sink.stay = true
+		defer c.detach(parent)()
 	}
-	ctx, cancel = context.WithDeadline(c.ctx, c.request.Deadline)
-	defer cancel()
-	c.ctx = ctx
 	if c.idempotencyKey != "" && !c.request.Idempotent {
 		return c.runClaimed(&out)
 	}
 	return c.attempts(&out)
 }
 
+// detach lets the request go on when the caller leaves, so that its end can be
+// recorded. Its deadline and a cut of the key still end it.
+func (c *call) detach(parent context.Context) (release func()) {
+	c.sink.stay = true
+	detached, cut := context.WithCancelCause(context.WithoutCancel(parent))
+	stop := context.AfterFunc(parent, func() {
+		if errors.Is(context.Cause(parent), errCutKey) {
+			cut(errCutKey)
+		}
+	})
+	ctx, cancel := context.WithDeadline(detached, c.request.Deadline)
+	c.ctx = ctx
+	return func() {
+		cancel()
+		stop()
+		cut(nil)
+	}
+}
+
 // attempts hands the request to targets until one answers. A second target is
 // asked only if the first has certainly not run the request, or if it may run
 // twice and the caller has seen nothing of the first answer.
