io/entry: test hostile callers, crossed frames and request headers

Cause: limits on callers and the request id in each frame had no test. Change: sixteen kinds of hostile request beside a good one; an agent that mixes frames of another request into its answers; a fuzz target for request headers.

--- /dev/null
+++ b/io/entry/hostile_test.go
@@ -0,0 +1,208 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+	"papayarock/io/entry"
+	"papayarock/io/link"
+	"papayarock/io/wire"
+)
+
+// raw sends text on a connection of its own and returns what comes back until
+// the entry closes the connection or limit passes.
+func (r *rig) raw(text string, limit time.Duration) string {
+	c, err := r.client.Transport.(*http.Transport).DialContext(context.Background(), "", "")
+	r.is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(limit))
+	go func() { _, _ = io.WriteString(c, text) }()
+	b, _ := io.ReadAll(c)
+	return string(b)
+}
+
+// Guards against a hostile caller whose requests are run, hold the entry for
+// ever or hinder other callers.
+func TestHostileCaller(t *testing.T) {
+	auth := "Host: entry\r\nAuthorization: Bearer " + secret + "\r\n"
+	tests := map[string]struct {
+		text string
+		want string // part of the answer; empty if none is needed
+	}{
+		"slow header":         {"POST /reads HTTP/1.1\r\n" + auth, ""},
+		"slow body":           {"POST /reads HTTP/1.1\r\n" + auth + "Content-Length: 10\r\n\r\nabc", `"type":"body-timeout"`},
+		"two lengths":         {"POST /reads HTTP/1.1\r\n" + auth + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400 Bad Request"},
+		"negative length":     {"POST /reads HTTP/1.0\r\n" + auth + "Content-Length: -1\r\n\r\nabc", "400 Bad Request"},
+		"announced too large": {"POST /reads HTTP/1.1\r\n" + auth + "Content-Length: 9000000000\r\n\r\n", `"type":"body-too-large"`},
+		"endless body":        {"POST /reads HTTP/1.1\r\n" + auth + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("10000\r\n"+strings.Repeat("x", 0x10000)+"\r\n", 150), `"type":"body-too-large"`},
+		"giant header":        {"GET /reads HTTP/1.1\r\n" + auth + "X-A: " + strings.Repeat("a", 20_000) + "\r\n\r\n", `"type":"header-too-large"`},
+		"many headers":        {"GET /reads HTTP/1.1\r\n" + auth + strings.Repeat("A: b\r\n", 200) + "\r\n", `"type":"header-too-large"`},
+		"endless header":      {"GET /reads HTTP/1.1\r\n" + auth + "X-A: " + strings.Repeat("a", 1<<20) + "\r\n\r\n", "431 "},
+		"giant key":           {"GET /reads HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer " + strings.Repeat("a", 10_000) + "\r\n\r\n", `"type":"key"`},
+		"two keys":            {"GET /reads HTTP/1.1\r\n" + auth + "Authorization: Bearer x\r\n\r\n", `"type":"key"`},
+		"giant idem key":      {"POST /orders HTTP/1.1\r\n" + auth + "Content-Length: 0\r\nIdempotency-Key: " + strings.Repeat("k", 300) + "\r\n\r\n", `"type":"idempotency-key"`},
+		"giant URL":           {"GET /reads?" + strings.Repeat("a", 9000) + " HTTP/1.1\r\n" + auth + "\r\n", `"type":"url-too-long"`},
+		"upgrade":             {"GET /reads HTTP/1.1\r\n" + auth + "Connection: Upgrade\r\nUpgrade: x\r\n\r\n", `"type":"upgrade"`},
+		"no route":            {"GET /nowhere HTTP/1.1\r\n" + auth + "\r\n", `"type":"no-route"`},
+		"not HTTP":            {"\x16\x03\x01\x02\x00\x01\x00", ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				service := &counter{}
+				r := newRig(t, service, 1)
+				defer r.stop()
+				answers := make(chan string, 20)
+				for range cap(answers) {
+					go func() { answers <- r.raw(tt.text, 5*time.Minute) }()
+				}
+				r.is.Equal(r.do(http.MethodPost, "/reads", "good").status, http.StatusOK) // another caller
+				for range cap(answers) {
+					got := <-answers
+					r.is.True(strings.Contains(got, tt.want))
+					if strings.Contains(got, "problem+json") {
+						r.is.True(strings.Contains(got, `"not-run":"true"`))
+					}
+				}
+				d := r.entry.Dump().(entry.Dump)
+				r.is.Equal(d.Running, 0)
+				r.is.Equal(d.BodyBytes, int64(0))
+				service.mu.Lock()
+				r.is.Equal(len(service.runs), 1) // a hostile request ran
+				service.mu.Unlock()
+			})
+		})
+	}
+}
+
+// crossed is an agent that mixes frames of another request, late and repeated
+// frames into each answer.
+func crossed(_ context.Context, s *link.Stream, open *wire.Open) {
+	id := open.GetRun().GetRequestId()
+	other := make([]byte, 16)
+	for {
+		var p wire.BodyPart
+		if s.Receive(&p) != nil {
+			return
+		}
+		if p.GetLast() {
+			break
+		}
+	}
+	head := func(id []byte, status uint32) *wire.Frame {
+		return &wire.Frame{Frame: &wire.Frame_Head{Head: &wire.Head{RequestId: id, Status: status}}}
+	}
+	part := func(id []byte, offset uint64, data string) *wire.Frame {
+		return &wire.Frame{Frame: &wire.Frame_Part{Part: &wire.Part{RequestId: id, Offset: offset, Data: []byte(data)}}}
+	}
+	end := func(id []byte, whole string) *wire.Frame {
+		return &wire.Frame{Frame: &wire.Frame_End{End: &wire.End{RequestId: id, Length: uint64(len(whole)), Checksum: xxhash.Sum64String(whole)}}}
+	}
+	for _, f := range []*wire.Frame{
+		head(other, 500), head(id, 200), part(other, 0, "theirs"), part(id, 0, "mine "), end(other, "theirs"),
+		part(id, 0, "mine "), part(id, 3, "e alone"), part(other, 12, "x"), end(id, "mine alone"), end(other, ""),
+	} {
+		_ = s.Queue(f)
+	}
+	_ = s.Flush()
+}
+
+// Guards against late and crossed frames that reach the wrong caller.
+func TestCrossedFrames(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		r := newRig(t, &counter{}, 0)
+		defer r.stop()
+		l := newPipes()
+		s := &link.Server{Listener: l}
+		link.Handle(s, crossed)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- s.Serve(ctx) }()
+		r.links = []*pipes{l}
+		snapshot := r.snapshot(2, key())
+		snapshot.Targets = []fleet.Target{{Name: "t1", Pool: "app", Phase: fleet.Ready, Agent: netip.MustParseAddrPort("127.0.0.1:1")}}
+		r.index.Store(config.NewIndex(snapshot))
+		got := r.do(http.MethodGet, "/reads", "")
+		r.is.Equal(got.status, http.StatusOK)
+		r.is.Equal(got.body, "mine alone")
+		r.is.Equal(r.entry.Dump().(entry.Dump).StrayFrames, uint64(4))
+		cancel()
+		r.is.NoErr(<-done)
+	})
+}
+
+// Guards against headers of callers that panic the entry, that are run without
+// a valid key, or that carry the key to the target.
+func FuzzRequestHeaders(f *testing.F) {
+	proxy := &recorder{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	s := &link.Server{Listener: l}
+	link.Handle(s, proxy.serve)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = s.Serve(ctx) }()
+	var index atomic.Pointer[config.Index]
+	index.Store(config.NewIndex(config.Snapshot{
+		Revision: 1, Document: config.Document{Routes: routes()}, Keys: []config.Key{key()},
+		Targets: []fleet.Target{{Name: "t1", Pool: "app", Phase: fleet.Ready, Agent: netip.MustParseAddrPort(l.Addr().String())}},
+	}))
+	e := &entry.Entry{Config: &index, Links: &link.Pool{}}
+	f.Add("GET /reads HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + secret + "\r\n\r\n")
+	f.Add("GET /reads?a=" + secret + " HTTP/1.1\r\nHost: a\r\nAuthorization: bearer " + secret + "\r\nConnection: X-A, close\r\nX-A: " + secret + "\r\n\r\n")
+	f.Add("POST /open/x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nIdempotency-Key: a\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+		if err != nil {
+			return
+		}
+		before := proxy.keyed.Load()
+		w := httptest.NewRecorder()
+		e.ServeHTTP(w, r)
+		if proxy.leaked.Load() {
+			t.Fatalf("key reached the target: %q", text)
+		}
+		if proxy.keyed.Load() > before && !strings.Contains(text, secret) {
+			t.Fatalf("run without a key: %q", text)
+		}
+	})
+}
+
+// recorder is an agent without a target that inspects what it is sent.
+type recorder struct {
+	leaked atomic.Bool
+	keyed  atomic.Int64
+}
+
+func (p *recorder) serve(_ context.Context, s *link.Stream, open *wire.Open) {
+	run := open.GetRun()
+	if strings.Contains(run.String(), secret) {
+		p.leaked.Store(true)
+	}
+	if run.GetCustomer() != "" {
+		p.keyed.Add(1)
+	}
+	for {
+		var b wire.BodyPart
+		if s.Receive(&b) != nil || b.GetLast() {
+			break
+		}
+	}
+	_ = s.Queue(&wire.Frame{Frame: &wire.Frame_Head{Head: &wire.Head{RequestId: run.GetRequestId(), Status: 200}}})
+	_ = s.Send(&wire.Frame{Frame: &wire.Frame_End{End: &wire.End{RequestId: run.GetRequestId(), Checksum: xxhash.Sum64(nil)}}})
+}
