io/entry: record the end of a claim beside the answer

Cause: the end of an answer waited until control had recorded it, up to 30 s. Change: the record is made in the background; a stop waits for it. Conclusion: an answer no longer depends on the state of control once it runs.

--- a/io/entry/claim.go
+++ b/io/entry/claim.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		c.e.Log.Warn("claim failed", "request", c.request.ID, "error", err)
 		// The claim may have been recorded. Nobody hands it over any more.
-		go c.settle(c.request.ID, state.SettledBarred, nil)
+		c.settle(c.request.ID, state.SettledBarred, nil)
 		return refuseClaim
 	}
 	switch result.Outcome {
@@ -108,29 +108,34 @@
 	}
 }
 
-// settle repeats until control has recorded the end or time is up. An
-// unsettled claim expires by itself and allows no second run before that.
+// settle records the end of a claim in the background, since the caller need
+// not wait for it. It repeats until control has recorded the end or time is up.
+// An unsettled claim expires by itself and allows no second run before that.
 func (c *call) settle(id fleet.RequestID, how state.Settlement, kept *state.KeptAnswer) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), settleTimeout)
-	defer cancel()
 	m := state.Settle{
 		Key:        state.ClaimKey{Customer: c.run.Customer, IdempotencyKey: c.idempotencyKey},
 		Request:    id,
 		Settlement: how,
 		Answer:     kept,
 	}
-	for {
-		err := c.e.Control.Settle(ctx, m)
-		if err == nil {
-			return
-		}
-		select {
-		case <-time.After(settlePause):
-		case <-ctx.Done():
-			c.e.Log.Warn("claim not settled", "request", id, "error", err)
-			return
+	c.e.settling.Add(1)
+	go func() {
+		defer c.e.settling.Add(-1)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), settleTimeout)
+		defer cancel()
+		for {
+			err := c.e.Control.Settle(ctx, m)
+			if err == nil {
+				return
+			}
+			select {
+			case <-time.After(settlePause):
+			case <-ctx.Done():
+				c.e.Log.Warn("claim not settled", "request", id, "error", err)
+				return
+			}
 		}
-	}
+	}()
 }
 
 // attach follows the answer to the request that holds the claim.
--- a/io/entry/claim_test.go
+++ b/io/entry/claim_test.go
@@ -126,6 +126,7 @@
 		attached := r.do(http.MethodPost, "/orders", "stone", "Idempotency-Key", "a")
 		r.is.Equal(attached.body, "stone ran 1")
 		r.is.Equal((<-first).body, "stone ran 1")
+		synctest.Wait() // the end is recorded
 		replayed := r.do(http.MethodPost, "/orders", "stone", "Idempotency-Key", "a")
 		r.is.Equal(replayed.body, "stone ran 1")
 		r.is.Equal(replayed.header.Get("Idempotency-Replayed"), "true")
@@ -134,6 +135,7 @@
 		r.is.Equal(service.count("brick"), 0)
 		service.set(0, 20<<10) // too large to keep
 		r.is.Equal(r.do(http.MethodPost, "/orders", "wall", "Idempotency-Key", "b").status, http.StatusOK)
+		synctest.Wait()
 		ran := r.do(http.MethodPost, "/orders", "wall", "Idempotency-Key", "b")
 		r.is.Equal(ran.status, http.StatusConflict)
 		r.is.True(strings.Contains(ran.body, `"not-run":"false"`))
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -51,9 +51,10 @@
 	Retrier    Retrier  // MaxAttempts(3) if nil
 	Log        hclog.Logger
 
-	once   sync.Once
-	usage  reporter
-	counts counts
+	once     sync.Once
+	usage    reporter
+	counts   counts
+	settling atomic.Int64 // claims whose end is being recorded
 
 	mu       sync.Mutex
 	stopping bool // not ready; requests are still served
--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -42,7 +42,8 @@
 }
 
 // Stop turns readiness off, serves until the load balancer has noticed, then
-// refuses new requests as not run and waits for running ones until ctx ends.
+// refuses new requests as not run and waits for running ones, and for the
+// record of their ends, until ctx ends.
 func (e *Entry) Stop(ctx context.Context) {
 	e.once.Do(e.init)
 	e.mu.Lock()
@@ -59,7 +60,7 @@
 		e.mu.Lock()
 		n := len(e.running)
 		e.mu.Unlock()
-		if n == 0 {
+		if n == 0 && e.settling.Load() == 0 {
 			return
 		}
 		time.Sleep(stopPoll)
