io/entry: cut scripted answers after each frame; refuse by the last attempt

A refusal also named no-target after an attempt had failed. Change: tests with a scripted agent, an entry that died and a failed first attempt; the refusal of the last attempt is kept when no target is left. Test processes outside synctest end before others begin, since yamux shares timers.

--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -128,11 +128,12 @@
 // asked only if the first has certainly not run the request, or if it may run
 // twice and the caller has seen nothing of the first answer.
 func (c *call) attempts(out *Outcome) *Refusal {
+	last := refuseNoTarget
 	for {
 		index := c.e.Config.Load()
 		t, ok := c.e.Picker.Pick(c.request, index.Pool(c.admitted.route.Pool))
 		if !ok {
-			return c.truthful(refuseNoTarget)
+			return c.truthful(last)
 		}
 		c.target, c.load = t, nil
 		c.request.Tried = append(c.request.Tried, t.Name)
@@ -144,6 +145,7 @@
 		if !c.mayRetry(*out) {
 			return c.truthful(refusal)
 		}
+		last = refusal
 		c.e.counts.retried.Add(1)
 		c.sink.head = nil
 	}
--- a/io/entry/claim_test.go
+++ b/io/entry/claim_test.go
@@ -231,3 +231,19 @@
 		r.is.Equal(calls.Load(), int32(1))
 	})
 }
+
+// Guards against a refusal that says not run because the last target tried has
+// not run the request, although an earlier one may have.
+func TestRefusalCountsEarlierAttempts(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		var r *rig
+		r = newRig(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			r.refuse.Store(true)
+			panic(http.ErrAbortHandler)
+		}), 2)
+		defer r.stop()
+		got := r.do(http.MethodGet, "/reads", "")
+		r.is.Equal(got.status, http.StatusBadGateway)
+		r.is.True(strings.Contains(got.body, `"not-run":"unknown"`))
+	})
+}
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -38,9 +38,13 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	done := make(chan error, 1)
+	defer func() {
+		cancel()
+		is.NoErr(<-done)
+	}()
 	a := &agent.Agent{Listener: l, Target: target, Log: hclog.NewNullLogger()}
-	go func() { _ = a.Serve(ctx) }()
+	go func() { done <- a.Serve(ctx) }()
 
 	const secret = "secret-of-inspector"
 	var index atomic.Pointer[config.Index]
--- /dev/null
+++ b/io/entry/frames_test.go
@@ -0,0 +1,133 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+	"papayarock/io/entry"
+	"papayarock/io/link"
+	"papayarock/io/wire"
+)
+
+func headFrame(id []byte, status uint32, header ...string) *wire.Frame {
+	h := &wire.Head{RequestId: id, Status: status}
+	for i := 0; i < len(header); i += 2 {
+		h.Headers = append(h.Headers, &wire.Header{Name: header[i], Value: header[i+1]})
+	}
+	return &wire.Frame{Frame: &wire.Frame_Head{Head: h}}
+}
+
+func partFrame(id []byte, offset uint64, data string) *wire.Frame {
+	return &wire.Frame{Frame: &wire.Frame_Part{Part: &wire.Part{RequestId: id, Offset: offset, Data: []byte(data)}}}
+}
+
+func endFrame(id []byte, whole string) *wire.Frame {
+	return &wire.Frame{Frame: &wire.Frame_End{End: &wire.End{RequestId: id, Length: uint64(len(whole)), Checksum: xxhash.Sum64String(whole)}}}
+}
+
+// scripted is an agent that answers each Run with the frames of a script and
+// retains nothing.
+func (r *rig) scripted(script func(id []byte) []*wire.Frame) (stop func()) {
+	l := newPipes()
+	s := &link.Server{Listener: l}
+	link.Handle(s, func(_ context.Context, s *link.Stream, open *wire.Open) {
+		if m := open.GetResume(); m != nil {
+			_ = s.Send(&wire.Frame{Frame: &wire.Frame_Failed{Failed: &wire.Failed{RequestId: m.GetRequestId()}}})
+			return
+		}
+		for {
+			var p wire.BodyPart
+			if s.Receive(&p) != nil {
+				return
+			}
+			if p.GetLast() {
+				break
+			}
+		}
+		for _, f := range script(open.GetRun().GetRequestId()) {
+			_ = s.Queue(f)
+		}
+		_ = s.Flush()
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx) }()
+	r.links = []*pipes{l}
+	snapshot := r.snapshot(2, key())
+	snapshot.Targets = []fleet.Target{{Name: "t1", Pool: "app", Phase: fleet.Ready, Agent: netip.MustParseAddrPort("127.0.0.1:1")}}
+	r.index.Store(config.NewIndex(snapshot))
+	return func() {
+		cancel()
+		r.is.NoErr(<-done)
+	}
+}
+
+// Guards against late and crossed frames that reach the wrong caller.
+func TestCrossedFrames(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		r := newRig(t, &counter{}, 0)
+		defer r.stop()
+		defer r.scripted(func(id []byte) []*wire.Frame {
+			other := make([]byte, 16)
+			return []*wire.Frame{
+				headFrame(other, 500), headFrame(id, 200), partFrame(other, 0, "theirs"), partFrame(id, 0, "mine "), endFrame(other, "theirs"),
+				partFrame(id, 0, "mine "), partFrame(id, 3, "e alone"), partFrame(other, 12, "x"), endFrame(id, "mine alone"), endFrame(other, ""),
+			}
+		})()
+		got := r.do(http.MethodGet, "/reads", "")
+		r.is.Equal(got.status, http.StatusOK)
+		r.is.Equal(got.body, "mine alone")
+		r.is.Equal(r.entry.Dump().(entry.Dump).StrayFrames, uint64(4))
+	})
+}
+
+// Guards against an answer that ends after any of its frames, or whose frames
+// are damaged, and that looks whole to the caller.
+func TestCutAfterEachFrame(t *testing.T) {
+	for name, parts := range map[string][]string{
+		"with length": {"stone ", "seven ", "is loose"},
+		"stream":      {"data: 1\n\n", "data: 2\n\n", "data: [DONE]\n\n"},
+		"chunks":      {"stone ", "seven ", "is loose"},
+	} {
+		whole := strings.Join(parts, "")
+		script := func(id []byte) []*wire.Frame {
+			head := headFrame(id, 200, "Content-Type", "text/event-stream")
+			if name == "with length" {
+				head = headFrame(id, 200, "Content-Length", fmt.Sprint(len(whole)))
+			}
+			frames, offset := []*wire.Frame{head}, 0
+			for _, p := range parts {
+				frames = append(frames, partFrame(id, uint64(offset), p))
+				offset += len(p)
+			}
+			return append(frames, endFrame(id, whole))
+		}
+		for n := range len(parts) + 3 {
+			t.Run(fmt.Sprintf("%s, %d frames", name, n), func(t *testing.T) {
+				bubble(t, func(t *testing.T) {
+					r := newRig(t, &counter{}, 0)
+					defer r.stop()
+					defer r.scripted(func(id []byte) []*wire.Frame {
+						frames := script(id)
+						if n == len(frames) { // all of them, one byte changed
+							frames[1].GetPart().Data[0]++
+							return frames
+						}
+						return frames[:n]
+					})()
+					got := r.do(http.MethodGet, "/reads", "")
+					r.is.True(got.err != nil || got.status == http.StatusBadGateway) // looks whole to HTTP
+					r.is.True(!strings.Contains(got.body, "[DONE]"))                 // looks whole to a client of streams
+				})
+			})
+		}
+	}
+}
--- a/io/entry/hostile_test.go
+++ b/io/entry/hostile_test.go
@@ -88,62 +88,6 @@
 	}
 }
 
-// crossed is an agent that mixes frames of another request, late and repeated
-// frames into each answer.
-func crossed(_ context.Context, s *link.Stream, open *wire.Open) {
-	id := open.GetRun().GetRequestId()
-	other := make([]byte, 16)
-	for {
-		var p wire.BodyPart
-		if s.Receive(&p) != nil {
-			return
-		}
-		if p.GetLast() {
-			break
-		}
-	}
-	head := func(id []byte, status uint32) *wire.Frame {
-		return &wire.Frame{Frame: &wire.Frame_Head{Head: &wire.Head{RequestId: id, Status: status}}}
-	}
-	part := func(id []byte, offset uint64, data string) *wire.Frame {
-		return &wire.Frame{Frame: &wire.Frame_Part{Part: &wire.Part{RequestId: id, Offset: offset, Data: []byte(data)}}}
-	}
-	end := func(id []byte, whole string) *wire.Frame {
-		return &wire.Frame{Frame: &wire.Frame_End{End: &wire.End{RequestId: id, Length: uint64(len(whole)), Checksum: xxhash.Sum64String(whole)}}}
-	}
-	for _, f := range []*wire.Frame{
-		head(other, 500), head(id, 200), part(other, 0, "theirs"), part(id, 0, "mine "), end(other, "theirs"),
-		part(id, 0, "mine "), part(id, 3, "e alone"), part(other, 12, "x"), end(id, "mine alone"), end(other, ""),
-	} {
-		_ = s.Queue(f)
-	}
-	_ = s.Flush()
-}
-
-// Guards against late and crossed frames that reach the wrong caller.
-func TestCrossedFrames(t *testing.T) {
-	bubble(t, func(t *testing.T) {
-		r := newRig(t, &counter{}, 0)
-		defer r.stop()
-		l := newPipes()
-		s := &link.Server{Listener: l}
-		link.Handle(s, crossed)
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		go func() { done <- s.Serve(ctx) }()
-		r.links = []*pipes{l}
-		snapshot := r.snapshot(2, key())
-		snapshot.Targets = []fleet.Target{{Name: "t1", Pool: "app", Phase: fleet.Ready, Agent: netip.MustParseAddrPort("127.0.0.1:1")}}
-		r.index.Store(config.NewIndex(snapshot))
-		got := r.do(http.MethodGet, "/reads", "")
-		r.is.Equal(got.status, http.StatusOK)
-		r.is.Equal(got.body, "mine alone")
-		r.is.Equal(r.entry.Dump().(entry.Dump).StrayFrames, uint64(4))
-		cancel()
-		r.is.NoErr(<-done)
-	})
-}
-
 // Guards against headers of callers that panic the entry, that are run without
 // a valid key, or that carry the key to the target.
 func FuzzRequestHeaders(f *testing.F) {
@@ -155,14 +99,22 @@
 	s := &link.Server{Listener: l}
 	link.Handle(s, proxy.serve)
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() { _ = s.Serve(ctx) }()
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx) }()
+	links := &link.Pool{}
+	f.Cleanup(func() { // timers of yamux must not pass into a bubble
+		links.Close()
+		cancel()
+		if err := <-done; err != nil {
+			f.Error(err)
+		}
+	})
 	var index atomic.Pointer[config.Index]
 	index.Store(config.NewIndex(config.Snapshot{
 		Revision: 1, Document: config.Document{Routes: routes()}, Keys: []config.Key{key()},
 		Targets: []fleet.Target{{Name: "t1", Pool: "app", Phase: fleet.Ready, Agent: netip.MustParseAddrPort(l.Addr().String())}},
 	}))
-	e := &entry.Entry{Config: &index, Links: &link.Pool{}}
+	e := &entry.Entry{Config: &index, Links: links}
 	f.Add("GET /reads HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + secret + "\r\n\r\n")
 	f.Add("GET /reads?a=" + secret + " HTTP/1.1\r\nHost: a\r\nAuthorization: bearer " + secret + "\r\nConnection: X-A, close\r\nX-A: " + secret + "\r\n\r\n")
 	f.Add("POST /open/x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nIdempotency-Key: a\r\n\r\n")
--- a/io/entry/path_test.go
+++ b/io/entry/path_test.go
@@ -227,7 +227,7 @@
 					select {
 					case <-q.Context().Done():
 						ended <- true
-					case <-time.After(20 * time.Second):
+					case <-time.After(10 * time.Second): // before the agent would take it for an orphan
 						ended <- false
 					}
 				}), 1)
@@ -279,6 +279,28 @@
 	})
 }
 
+// Guards against work that goes on for an entry which died.
+func TestOrphanIsCancelled(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		ended := make(chan bool, 1)
+		r := newRig(t, http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+			_, _ = io.ReadAll(q.Body)
+			select {
+			case <-q.Context().Done():
+				ended <- true
+			case <-time.After(50 * time.Second): // before the deadline of the request
+				ended <- false
+			}
+		}), 1)
+		defer r.stop()
+		go func() { _ = r.do(http.MethodPost, "/reads/1", "x") }()
+		time.Sleep(time.Second)
+		r.refuse.Store(true)
+		r.entry.Links.Close()
+		r.is.True(<-ended)
+	})
+}
+
 // Guards against usage that is lost, counted twice or not numbered by the
 // agent.
 func TestUsage(t *testing.T) {
