core/state: give a resent change with a deadline the same answer

Control reckons the deadline of a drain, role change or replacement from the time at which it receives the change. The digest of a change covered that deadline, so the same change sent again after a lost answer was refused as another change under the same id.

The digest now covers the distance of each deadline from the time of the change.

An operator may resend drain, role and replace under their id.

--- a/core/state/change.go
+++ b/core/state/change.go
@@ -94,19 +94,41 @@
 }
 
 // contentDigest covers what makes two changes the same; the time may differ
-// when a change is sent again.
+// when a change is sent again, and with it the deadlines reckoned from it.
 func contentDigest(c Change) ([32]byte, error) {
 	b, err := json.Marshal(struct {
 		Base           uint64
 		Operator, Kind string
 		Action         Action
-	}{c.Base, c.Operator, fmt.Sprintf("%T", c.Action), c.Action})
+	}{c.Base, c.Operator, fmt.Sprintf("%T", c.Action), undated(c.Action, c.Time)})
 	if err != nil {
 		return [32]byte{}, errors.Wrap(err, "content of the change")
 	}
 	return sha256.Sum256(b), nil
 }
 
+// undated replaces each deadline of an action by its distance from now.
+func undated(a Action, now time.Time) Action {
+	relative := func(t time.Time) time.Time {
+		if t.IsZero() {
+			return t
+		}
+		return time.Unix(0, 0).UTC().Add(t.Sub(now))
+	}
+	switch a := a.(type) {
+	case DrainTarget:
+		a.Until = relative(a.Until)
+		return a
+	case ReplaceTarget:
+		a.Deadline = relative(a.Deadline)
+		return a
+	case SetRole:
+		a.Until = relative(a.Until)
+		return a
+	}
+	return a
+}
+
 // remember keeps a bounded number of answers. A change that was forgotten and
 // comes again has an old base, so it is never applied twice.
 func (h *changes) remember(r ChangeRecord, limit int) {
--- a/core/state/machine_test.go
+++ b/core/state/machine_test.go
@@ -72,6 +72,37 @@
 	is.True(ok)
 }
 
+// Guards against a change with a deadline that is refused as another change
+// when it is sent again after a lost answer: control reckons the deadline from
+// the time it received the change.
+func TestResentDeadline(t *testing.T) {
+	tests := map[string]func(now time.Time) Action{
+		"drain": func(now time.Time) Action { return DrainTarget{Target: "e1", Until: now.Add(time.Minute)} },
+		"role": func(now time.Time) Action {
+			return SetRole{Target: "e1", Role: fleet.Decode, Until: now.Add(time.Minute)}
+		},
+		"replace": func(now time.Time) Action {
+			return ReplaceTarget{Target: "e1", DrainFor: 1, Deadline: now.Add(time.Hour)}
+		},
+	}
+	for name, action := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig()
+			r.ready("e1", 1)
+			base := r.Config().Revision
+			send := func(now time.Time, a Action) ChangeResult {
+				return apply[ChangeResult](r, Change{ID: "c1", Base: base, Operator: "op", Time: now, Action: a})
+			}
+			first := send(start, action(start))
+			is.Equal(first.Outcome, ChangeAccepted)
+			later := start.Add(3 * time.Second)
+			is.Equal(send(later, action(later)), first)
+			is.Equal(send(later, action(later.Add(time.Minute))).Outcome, ChangeIDReused)
+		})
+	}
+}
+
 // Guards against keys that outlive their customer or their withdrawal.
 func TestKeysEnd(t *testing.T) {
 	is := is.New(t)
