--- a/io/operator/types.go
+++ b/io/operator/types.go
@@ -173,7 +173,9 @@
 
 // Problem is a refusal.
 type Problem struct {
-	Type   string `json:"type"`
-	Title  string `json:"title"`
-	Status int    `json:"status"`
+	Type    string `json:"type"`
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Leader  string `json:"leader,omitempty"`  // host, with not-leader
+	Address string `json:"address,omitempty"` // operator address of the leader
 }
