io/controller: serve the configuration and changes of hosts

Operators could neither read the configuration in force nor change the members of the log.

answers.WriteDocument writes a configuration as TOML, which GET /v1/configuration returns. POST /v1/hosts adds a learner, promotes and removes through the leader; another replica answers not-leader with the leader's operator address. A change that is already in effect is answered as done, so that it may be resent. The leader refuses a learner whose link address it does not know, since it could never reach it.

Operators can read back, compare and repeat; the settings have no operator addresses of other hosts yet.

--- a/io/answers/answers_test.go
+++ b/io/answers/answers_test.go
@@ -44,10 +44,26 @@
 			if !reflect.DeepEqual(d, g.Document) {
 				t.Errorf("read back %+v, want %+v", d, g.Document)
 			}
+			d, faults = answers.ReadDocument(answers.WriteDocument(g.Document))
+			if len(faults) > 0 {
+				t.Fatal(faults)
+			}
+			if !reflect.DeepEqual(d, g.Document) {
+				t.Errorf("wrote %+v, want %+v", d, g.Document)
+			}
 		})
 	}
 }
 
+// Guards against a new group, whose configuration is empty, whose operators
+// cannot read it.
+func TestWriteEmptyDocument(t *testing.T) {
+	is := is.New(t)
+	d, faults := answers.ReadDocument(answers.WriteDocument(config.Document{}))
+	is.Equal(len(faults), 0)
+	is.Equal(len(answers.Diff(config.Document{}, d)), 0)
+}
+
 // Guards against examples of another size than the users have.
 func TestExampleSizes(t *testing.T) {
 	tests := map[string]struct {
--- a/io/answers/generate.go
+++ b/io/answers/generate.go
@@ -70,10 +70,11 @@
 	return b
 }
 
-// writer writes keys, each with the answer it came from.
+// writer writes keys, each with the answer it came from unless bare is set.
 type writer struct {
 	bytes.Buffer
 	lines map[string]int
+	bare  bool
 }
 
 // table opens a table.
@@ -86,6 +87,10 @@
 	if err != nil {
 		panic(err) // texts, numbers and times always marshal
 	}
+	if w.bare {
+		_, _ = w.Write(text)
+		return
+	}
 	from := "default"
 	for _, s := range sources {
 		if line, ok := w.lines[s]; ok {
--- /dev/null
+++ b/io/answers/write.go
@@ -0,0 +1,39 @@
+package answers
+
+import (
+	"maps"
+	"slices"
+
+	"papayarock/core/config"
+)
+
+const writtenHeader = `# Configuration in force, without the answers it was generated from.
+
+`
+
+// WriteDocument writes a configuration in the form that ReadDocument reads.
+func WriteDocument(d config.Document) []byte {
+	w := &writer{bare: true}
+	w.WriteString(writtenHeader)
+	w.key("team", d.Team)
+	for _, c := range d.Customers {
+		w.customer(c, "")
+	}
+	for _, r := range d.Routes {
+		w.route(r, "")
+	}
+	for _, m := range d.Models {
+		w.model(m, "")
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.Budget.MaximumPerPool)) {
+		w.pool(Pool{
+			Name: name, Least: d.Budget.MinimumPerPool[name], Most: d.Budget.MaximumPerPool[name],
+			PricePerHour: d.Budget.PricePerHour[name],
+		}, "")
+	}
+	for _, window := range d.Windows {
+		w.window(window, "")
+	}
+	w.budget(d.Budget)
+	return w.Bytes()
+}
--- a/io/controller/cluster_test.go
+++ b/io/controller/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -26,6 +27,7 @@
 type cluster struct {
 	t         *testing.T
 	addresses map[fleet.Host]netip.AddrPort
+	operators map[fleet.Host]netip.AddrPort
 	listeners map[netip.AddrPort]*fake.Memory
 	replicas  map[fleet.Host]*controller.Controller
 	stops     map[fleet.Host]func()
@@ -53,30 +55,30 @@
 	return c.Conn.Write(b)
 }
 
-func newCluster(t *testing.T) *cluster {
+// newCluster starts three voters. Learners get an address and are not started.
+func newCluster(t *testing.T, learners ...fleet.Host) *cluster {
 	c := &cluster{
 		t: t, addresses: make(map[fleet.Host]netip.AddrPort), listeners: make(map[netip.AddrPort]*fake.Memory),
 		replicas: make(map[fleet.Host]*controller.Controller), stops: make(map[fleet.Host]func()),
-		cut: make(map[fleet.Host]bool), conns: make(map[fleet.Host][]*cuttable),
+		operators: make(map[fleet.Host]netip.AddrPort), cut: make(map[fleet.Host]bool), conns: make(map[fleet.Host][]*cuttable),
 	}
-	for i, h := range []fleet.Host{"c1", "c2", "c3"} {
+	voters := []fleet.Host{"c1", "c2", "c3"}
+	for i, h := range slices.Concat(voters, learners) {
 		c.addresses[h] = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(7001+i))
+		c.operators[h] = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(7401+i))
 	}
-	for h := range c.addresses {
-		c.start(h, t.TempDir())
+	for _, h := range voters {
+		c.start(h, t.TempDir(), voters...)
 	}
 	return c
 }
 
-func (c *cluster) start(h fleet.Host, dir string) {
+// start runs a replica. Without voters it joins the group as a learner.
+func (c *cluster) start(h fleet.Host, dir string, voters ...fleet.Host) {
 	is := is.New(c.t)
 	pool := c.pool(h)
-	var voters []fleet.Host
-	for v := range c.addresses {
-		voters = append(voters, v)
-	}
 	r, err := controller.New(controller.Options{
-		Self: h, Voters: voters, Addresses: c.addresses, Data: dir, Links: pool, Log: hclog.NewNullLogger(),
+		Self: h, Voters: voters, Addresses: c.addresses, Operators: c.operators, Data: dir, Links: pool, Log: hclog.NewNullLogger(),
 	})
 	is.NoErr(err)
 	l := fake.NewMemory()
@@ -195,6 +197,9 @@
 		"a change reaches nodes":                              changeReachesNodes,
 		"an isolated leader cannot keep an old configuration": isolatedLeaderCannotKeepOldConfiguration,
 		"an isolated leader commits nothing":                  isolatedLeaderCommitsNothing,
+		"operators race under an equal base":                  operatorsRace,
+		"the configuration is read back":                      configurationIsReadBack,
+		"hosts join and leave":                                hostsJoinAndLeave,
 	}
 	synctest.Test(t, func(t *testing.T) {
 		for name, run := range cases {
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -41,6 +41,7 @@
 	Self        fleet.Host
 	Voters      []fleet.Host                  // first voters of a new group; empty on a host that joins
 	Addresses   map[fleet.Host]netip.AddrPort // link addresses of all control replicas
+	Operators   map[fleet.Host]netip.AddrPort // operator addresses, as far as known
 	Data        string                        // data directory
 	Links       *link.Pool
 	Log         hclog.Logger
--- a/io/controller/lists.go
+++ b/io/controller/lists.go
@@ -13,11 +13,13 @@
 	"papayarock/io/operator"
 )
 
+var errStale = errors.New("this replica cannot confirm that its state is current")
+
 // serveList answers with what list reads from the state.
 func serveList[T any](c *Controller, list func(c *Controller, i *state.Image) []T) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		if _, ok := c.age(time.Now()); !ok {
-			refuse(w, http.StatusServiceUnavailable, "stale", errors.New("this replica cannot confirm that its state is current"))
+			refuse(w, http.StatusServiceUnavailable, "stale", errStale)
 			return
 		}
 		var image *state.Image
--- a/io/controller/operator.go
+++ b/io/controller/operator.go
@@ -34,6 +34,8 @@
 		c.serveChange(w, r, who)
 	})
 	mux.HandleFunc("GET /v1/progress", c.serveProgress)
+	mux.HandleFunc("GET /v1/configuration", c.serveConfiguration)
+	mux.HandleFunc("POST /v1/hosts", c.serveHostChange)
 	mux.HandleFunc("GET /v1/targets", serveList(c, listTargets))
 	mux.HandleFunc("GET /v1/keys", serveList(c, listKeys))
 	mux.HandleFunc("GET /v1/usage", serveList(c, listUsage))
@@ -71,9 +73,9 @@
 	case err == nil:
 		respond(w, statusOf(result.Outcome), answerOf(result))
 	case errors.Is(err, ErrNoLeader), errors.Is(err, replica.ErrNotLeader), errors.Is(err, replica.ErrNotCommitted):
-		refuse(w, http.StatusServiceUnavailable, "not-committed", err)
+		refuse(w, http.StatusServiceUnavailable, operator.ProblemNotCommitted, err)
 	default:
-		refuse(w, http.StatusGatewayTimeout, "uncertain", err)
+		refuse(w, http.StatusGatewayTimeout, operator.ProblemUncertain, err)
 	}
 }
 
@@ -231,9 +233,13 @@
 }
 
 func refuse(w http.ResponseWriter, status int, kind string, err error) {
+	report(w, operator.Problem{Type: kind, Title: err.Error(), Status: status})
+}
+
+func report(w http.ResponseWriter, p operator.Problem) {
 	w.Header().Set("Content-Type", "application/problem+json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(operator.Problem{Type: kind, Title: err.Error(), Status: status})
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
 }
 
 // OperatorName names the operator of a request by its client certificate.
--- /dev/null
+++ b/io/controller/operator_test.go
@@ -0,0 +1,149 @@
+package controller_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"papayarock/core/fleet"
+	"papayarock/examples"
+	"papayarock/io/answers"
+	"papayarock/io/operator"
+)
+
+// ask sends an operator's request to a replica.
+func (c *cluster) ask(h fleet.Host, name, method, path string, body, answer any) int {
+	c.t.Helper()
+	text, err := json.Marshal(body)
+	if err != nil {
+		c.t.Error(err)
+	}
+	w := httptest.NewRecorder()
+	handler := c.replicas[h].Operators(func(*http.Request) (string, error) { return name, nil })
+	handler.ServeHTTP(w, httptest.NewRequestWithContext(c.t.Context(), method, path, bytes.NewReader(text)))
+	if err := json.Unmarshal(w.Body.Bytes(), answer); err != nil {
+		c.t.Errorf("%s %s: status %d, answer %q", method, path, w.Code, w.Body)
+	}
+	return w.Code
+}
+
+// Guards against two operators who both believe they won, a loser who is not
+// told the winner, and a resent change that gets another answer.
+func operatorsRace(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	defer c.stop()
+	await(t, "no leader", func() bool { return c.leader() != "" })
+	texts := map[string]string{"ana": string(examples.Terengganu), "bo": string(examples.Association)}
+	hosts := map[string]fleet.Host{"ana": c.leader(), "bo": follower(c)[0]}
+	send := func(who string) (int, operator.ChangeAnswer) {
+		var a operator.ChangeAnswer
+		code := c.ask(hosts[who], who, http.MethodPost, "/v1/changes", operator.Change{
+			ID: "of-" + who, Action: operator.ApplyAnswers, Answers: texts[who],
+		}, &a)
+		return code, a
+	}
+	var mu sync.Mutex
+	codes, got := make(map[string]int), make(map[string]operator.ChangeAnswer)
+	var wg sync.WaitGroup
+	for who := range texts {
+		wg.Go(func() {
+			code, a := send(who)
+			mu.Lock()
+			defer mu.Unlock()
+			codes[who], got[who] = code, a
+		})
+	}
+	wg.Wait()
+	winner, loser := "ana", "bo"
+	if got["bo"].Outcome == operator.Accepted {
+		winner, loser = loser, winner
+	}
+	is.Equal(codes[winner], http.StatusOK)
+	is.Equal(codes[loser], http.StatusConflict)
+	is.Equal(got[loser].Outcome, operator.Conflict)
+	is.Equal(got[loser].Winner.ID, "of-"+winner)
+	is.Equal(got[loser].Winner.Operator, winner)
+	for who := range texts {
+		code, again := send(who)
+		is.Equal(code, codes[who])
+		is.Equal(again, got[who])
+	}
+}
+
+// Guards against a configuration that operators read as another than the one
+// accepted.
+func configurationIsReadBack(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	defer c.stop()
+	await(t, "no leader", func() bool { return c.leader() != "" })
+	leader := c.leader()
+	var change operator.ChangeAnswer
+	is.Equal(c.ask(leader, "ana", http.MethodPost, "/v1/changes", operator.Change{
+		ID: "first", Action: operator.ApplyAnswers, Answers: string(examples.Terengganu),
+	}, &change), http.StatusOK)
+	var v operator.Configuration
+	is.Equal(c.ask(leader, "ana", http.MethodGet, "/v1/configuration", nil, &v), http.StatusOK)
+	is.Equal(v.Revision, change.Revision)
+	d, faults := answers.ReadDocument([]byte(v.TOML))
+	is.Equal(len(faults), 0)
+	a, _ := answers.Check(examples.Terengganu)
+	is.Equal(answers.Diff(d, answers.Generate(a).Document), []answers.Change{})
+}
+
+// Guards against members that are changed by a replica without authority, a
+// resent change that fails, and changes that do not fit the members.
+func hostsJoinAndLeave(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "c4")
+	defer c.stop()
+	await(t, "no leader", func() bool { return c.leader() != "" })
+	leader := c.leader()
+	post := func(h fleet.Host, action, host string, answer any) int {
+		return c.ask(h, "ana", http.MethodPost, "/v1/hosts", operator.HostChange{Action: action, Host: host}, answer)
+	}
+
+	var p operator.Problem
+	is.Equal(post(follower(c)[0], operator.AddLearner, "c4", &p), http.StatusServiceUnavailable)
+	is.Equal(p.Type, operator.ProblemNotLeader)
+	is.Equal(p.Leader, string(leader))
+	is.Equal(p.Address, c.operators[leader].String())
+
+	for name, bad := range map[string][2]string{
+		"unknown action": {"crown", "c4"}, "no host": {operator.AddLearner, ""}, "no address": {operator.AddLearner, "c9"},
+		"a voter cannot become a learner": {operator.AddLearner, "c1"}, "only learners are promoted": {operator.Promote, "c4"},
+	} {
+		if code := post(leader, bad[0], bad[1], &p); code != http.StatusUnprocessableEntity || p.Type != operator.ProblemInvalid {
+			t.Errorf("%s: status %d, %+v", name, code, p)
+		}
+	}
+
+	var a operator.HostAnswer
+	for range 2 { // the second is a resent change
+		is.Equal(post(leader, operator.AddLearner, "c4", &a), http.StatusOK)
+		is.Equal(a, operator.HostAnswer{Voters: []string{"c1", "c2", "c3"}, Learners: []string{"c4"}})
+	}
+	is.Equal(post(leader, operator.Promote, "c4", &p), http.StatusServiceUnavailable) // has not caught up
+	c.start("c4", t.TempDir())
+	await(t, "the learner is not promoted", func() bool {
+		return post(leader, operator.Promote, "c4", &a) == http.StatusOK
+	})
+	for range 2 {
+		is.Equal(post(leader, operator.Promote, "c4", &a), http.StatusOK)
+		is.Equal(strings.Join(a.Voters, " "), "c1 c2 c3 c4")
+	}
+	for range 2 {
+		await(t, "the host is not removed", func() bool { return post(leader, operator.Remove, "c4", &a) == http.StatusOK })
+		is.Equal(a, operator.HostAnswer{Voters: []string{"c1", "c2", "c3"}, Learners: []string{}})
+	}
+	time.Sleep(time.Second) // virtual
+	is.Equal(c.leader(), leader)
+}
