io/controller: say what the operator address is served with

A control process lacked what it needs to serve operators: the handler with its TLS configuration, certificates at the paths that the settings name, and the operator addresses of the other voters, to which operators are referred.

Controller.ServeOperators returns handler and TLS configuration, identity.LoadFiles reads the three PEM files, and a voter in control-hosts may have an operator address. operator.Options has the deadline of a call.

A follower that answered a host change from its own, possibly old, view of the members passed all tests (trial); the cluster test now fails then.

The wiring in io/daemon is left.

--- a/io/controller/operator.go
+++ b/io/controller/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
@@ -242,6 +243,19 @@
 	_ = json.NewEncoder(w).Encode(p)
 }
 
+// plainOperator is who makes changes where there is no TLS.
+const plainOperator = "operator without certificate"
+
+// ServeOperators returns what the operator address is served with: the handler
+// and its TLS configuration. Without credentials, that is with plain links, it
+// is plain HTTP, the TLS configuration is nil, and every caller is an operator.
+func (c *Controller) ServeOperators(credentials *identity.Credentials) (http.Handler, *tls.Config) {
+	if credentials == nil {
+		return c.Operators(func(*http.Request) (string, error) { return plainOperator, nil }), nil
+	}
+	return c.Operators(OperatorName), identity.ServerConfig(credentials, identity.Operator)
+}
+
 // OperatorName names the operator of a request by its client certificate.
 func OperatorName(r *http.Request) (string, error) {
 	if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
--- a/io/controller/operator_test.go
+++ b/io/controller/operator_test.go
@@ -131,6 +131,9 @@
 		is.Equal(post(leader, operator.AddLearner, "c4", &a), http.StatusOK)
 		is.Equal(a, operator.HostAnswer{Voters: []string{"c1", "c2", "c3"}, Learners: []string{"c4"}})
 	}
+	time.Sleep(time.Second) // virtual; the followers know the learner too
+	is.Equal(post(follower(c)[0], operator.AddLearner, "c4", &p), http.StatusServiceUnavailable)
+	is.Equal(p.Type, operator.ProblemNotLeader)                                       // its own view of the members may be old
 	is.Equal(post(leader, operator.Promote, "c4", &p), http.StatusServiceUnavailable) // has not caught up
 	c.start("c4", t.TempDir())
 	await(t, "the learner is not promoted", func() bool {
--- a/io/identity/files.go
+++ b/io/identity/files.go
@@ -66,15 +66,20 @@
 
 // Load reads what Credentials.Save wrote to dir.
 func Load(dir string) (*Credentials, error) {
-	authority, err := readCertificate(filepath.Join(dir, AuthorityFile))
+	return LoadFiles(filepath.Join(dir, CertificateFile), filepath.Join(dir, KeyFile), filepath.Join(dir, AuthorityFile))
+}
+
+// LoadFiles reads a certificate, its key and the authority's certificate.
+func LoadFiles(certificate, key, authority string) (*Credentials, error) {
+	a, err := readCertificate(authority)
 	if err != nil {
 		return nil, err
 	}
-	pair, err := tls.LoadX509KeyPair(filepath.Join(dir, CertificateFile), filepath.Join(dir, KeyFile))
+	pair, err := tls.LoadX509KeyPair(certificate, key)
 	if err != nil {
-		return nil, errors.Wrapf(ErrIdentity, "host certificate in %s: %v", dir, err)
+		return nil, errors.Wrapf(ErrIdentity, "certificate %s: %v", certificate, err)
 	}
-	return &Credentials{Certificate: pair, Authority: authority}, nil
+	return &Credentials{Certificate: pair, Authority: a}, nil
 }
 
 // Peer returns host and roles that c proves.
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -20,7 +20,7 @@
 	// DefaultAttempt bounds one request to one replica. It is longer than the
 	// 5 s in which a replica answers a change.
 	DefaultAttempt = 7 * time.Second
-	// DefaultDeadline bounds a call whose context has no deadline.
+	// DefaultDeadline bounds a call with all its attempts.
 	DefaultDeadline = 30 * time.Second
 	// DefaultPause is the wait after all replicas have failed once.
 	DefaultPause = 300 * time.Millisecond
@@ -36,6 +36,7 @@
 	Credentials *identity.Credentials // nil means plain HTTP
 	Attempt     time.Duration         // zero means DefaultAttempt
 	Pause       time.Duration         // zero means DefaultPause
+	Deadline    time.Duration         // of a call with all its attempts; zero means DefaultDeadline
 }
 
 // Client calls the control replicas. Its methods may be called concurrently.
@@ -57,6 +58,7 @@
 		}
 	}
 	o.Attempt = cmp.Or(o.Attempt, DefaultAttempt)
+	o.Deadline = cmp.Or(o.Deadline, DefaultDeadline)
 	o.Pause = cmp.Or(o.Pause, DefaultPause)
 	c := &Client{o: o, scheme: "http"}
 	transport := &http.Transport{ForceAttemptHTTP2: true}
@@ -74,7 +76,7 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Change commits a change. It sends the same change again after an answer that
-// leaves open what became of it, until ctx ends or DefaultDeadline. A change
+// leaves open what became of it, until ctx or Options.Deadline ends. A change
 // that is not accepted is a *ConflictError or an *InvalidError. ErrNotCommitted
 // says that it certainly was not committed, ErrUncertain that it may have been.
 func (c *Client) Change(ctx context.Context, change Change) (ChangeAnswer, error) {
--- a/io/operator/send.go
+++ b/io/operator/send.go
@@ -23,11 +23,8 @@
 
 // send tries the replicas in turn, in rounds, until one decides the call.
 func (c *Client) send(ctx context.Context, k call) (reply, error) {
-	if _, ok := ctx.Deadline(); !ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, DefaultDeadline)
-		defer cancel()
-	}
+	ctx, cancel := context.WithTimeout(ctx, c.o.Deadline)
+	defer cancel()
 	s := &sending{call: k}
 	for {
 		hopeless := true
--- a/io/settings/check.go
+++ b/io/settings/check.go
@@ -113,6 +113,9 @@
 	var all []ControlHost
 	for i, t := range r.root.Subs("control-hosts") {
 		h := ControlHost{Host: fleet.Host(name(t, "host", "name the host")), Address: address(t, "address")}
+		if t.Has("operator") {
+			h.Operator = address(t, "operator")
+		}
 		t.Close()
 		if slices.ContainsFunc(all, func(o ControlHost) bool { return o.Host == h.Host || o.Address == h.Address }) {
 			r.root.Fault(fmt.Sprintf("control-hosts[%d]", i), "repeats a host or address", "list each control host once")
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -35,8 +35,9 @@
 
 // ControlHost is a voter of the replicated log.
 type ControlHost struct {
-	Host    fleet.Host
-	Address netip.AddrPort // link address
+	Host     fleet.Host
+	Address  netip.AddrPort // link address
+	Operator netip.AddrPort // for operators; zero if other hosts are not told
 }
 
 // Links says how this process proves its identity on links. The files are in
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -66,6 +66,17 @@
 	is.True(err != nil)
 }
 
+// Guards against an operator address of a voter that is not kept, or that every
+// voter must have.
+func TestOperatorAddresses(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(example(t, "control"), `"10.0.0.21:7100"`, `"10.0.0.21:7100", operator = "10.0.0.21:7400"`, 1)
+	s, faults := settings.Check([]byte(text))
+	is.Equal(len(faults), 0)
+	is.Equal(s.ControlHosts[0].Operator.String(), "10.0.0.21:7400")
+	is.True(!s.ControlHosts[1].Operator.IsValid())
+}
+
 // Guards against a fault that passes the check or is reported at another key.
 func TestCheckFaults(t *testing.T) {
 	tests := map[string]struct{ role, old, next, key, problem string }{
@@ -93,6 +104,7 @@
 		"voter twice":       {"entry", `"control-klang"`, `"control-kota-kinabalu"`, "control-hosts[2]", "repeats"},
 		"no voter":          {"control", `host = "control-klang"`, `host = "control-melaka"`, "host", "not among"},
 		"learner and voter": {"control", `learner = false`, `learner = true`, "host", "set to be a learner"},
+		"operator address":  {"control", `"10.0.0.21:7100"`, `"10.0.0.21:7100", operator = "10.0.0.21"`, "control-hosts[0].operator", "has the value"},
 		"voter port":        {"control", `listen = "10.1.0.21:7100"`, `listen = "10.1.0.21:7101"`, "control-hosts[1]", "port 7101"},
 		"data missing":      {"control", `data = "/var/lib/papayarock"`, ``, "control.data", "missing"},
 		"platform":          {"control", `platform = "http://10.1.0.2:9100"`, `platform = "10.1.0.2"`, "control.platform", "has the value"},
