cmd/papayarock: add the commands of operators

Operators could only check and generate configurations offline.

internal/command holds the logic of identity, answers apply, keys, targets, hosts, usage, orders, status, dump, watch and audit; cmd has one file per group. answers apply keeps its change beside the answers until it is known what became of it. Exit codes 4 and 5 tell a lost race and an open outcome apart. Scripts may run a control replica with the command control.

--- a/cmd/papayarock/answers.go
+++ b/cmd/papayarock/answers.go
@@ -8,6 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	"papayarock/examples"
+	"papayarock/internal/command"
 	"papayarock/io/answers"
 )
 
@@ -50,6 +51,20 @@
 Example:
   papayarock answers diff answers.toml revised.toml`,
 			Action: diffAnswers,
+		}, {
+			Name:      "apply",
+			Usage:     "put a questionnaire in force",
+			ArgsUsage: "FILE",
+			Description: `Shows the differences from the configuration in force, asks where one must be
+confirmed, and waits until the change is in force everywhere. If the answer of
+control is lost, run the same command again: FILE.change keeps the change until
+it is known what became of it.
+
+Examples:
+  papayarock answers apply --operator operator.toml answers.toml
+  papayarock answers apply --operator operator.toml --confirm answers.toml`,
+			Flags:  append(changeFlags(), &cli.BoolFlag{Name: "confirm", Usage: "confirm all changes beforehand"}),
+			Action: applyAnswers,
 		}},
 	}
 }
@@ -86,15 +101,15 @@
 	}
 	g := answers.Generate(a)
 	o := newOutput(c, c.Root().Writer)
-	if !o.json {
-		_, err = o.w.Write(g.TOML)
+	if !o.JSON {
+		_, err = o.W.Write(g.TOML)
 		return errors.Wrap(err, "write result")
 	}
 	var tables map[string]any
 	if err := toml.Unmarshal(g.TOML, &tables); err != nil {
 		return errors.Wrap(err, "read generated configuration")
 	}
-	return o.show(tables, nil, nil)
+	return o.Show(tables, nil, nil)
 }
 
 func diffAnswers(_ context.Context, c *cli.Command) error {
@@ -111,19 +126,18 @@
 		return err
 	}
 	changes := answers.Diff(answers.Generate(before).Document, answers.Generate(after).Document)
-	rows, confirm := make([][]string, len(changes)), 0
-	for i, ch := range changes {
-		rows[i] = []string{ch.Subject, ch.Field, ch.Before, ch.After, ch.For, ch.Confirm}
-		if ch.Confirm != "" {
-			confirm++
-		}
-	}
-	o := newOutput(c, c.Root().Writer)
-	if err := o.show(changes, []string{"SUBJECT", "FIELD", "BEFORE", "AFTER", "FOR", "MUST BE CONFIRMED"}, rows); err != nil {
+	if err := command.ShowChanges(newOutput(c, c.Root().Writer).Output, changes); err != nil {
 		return err
 	}
-	if confirm > 0 {
-		return errors.Wrapf(errConfirm, "%d of %d changes", confirm, len(changes))
+	return command.Unconfirmed(changes)
+}
+
+func applyAnswers(ctx context.Context, c *cli.Command) error {
+	args, err := fileArguments(c, "FILE")
+	if err != nil {
+		return err
 	}
-	return nil
+	return withSession(c, func(s *command.Session) error {
+		return s.ApplyAnswers(ctx, changeOf(c), args[0], c.Bool("confirm"))
+	})
 }
--- /dev/null
+++ b/cmd/papayarock/identity.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"papayarock/internal/command"
+)
+
+// Validity of certificates unless set otherwise.
+const (
+	authorityValid = 10 * 365 * 24 * time.Hour
+	hostValid      = 365 * 24 * time.Hour
+)
+
+func identityCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "identity",
+		Usage: "make the certificate authority, issue certificates of hosts and operators",
+		Commands: []*cli.Command{{
+			Name:      "authority",
+			Usage:     "make a certificate authority",
+			ArgsUsage: "DIRECTORY",
+			Description: `Writes authority.pem and authority-key.pem and never replaces them. Keep the key
+off the hosts.
+
+Example:
+  papayarock identity authority authority`,
+			Flags:  []cli.Flag{validFlag(authorityValid)},
+			Action: newAuthority,
+		}, {
+			Name:      "issue",
+			Usage:     "issue a certificate of a host or operator",
+			ArgsUsage: "NAME DIRECTORY",
+			Description: `Writes host.pem, host-key.pem and authority.pem to the directory.
+
+Examples:
+  papayarock identity issue --authority authority --role entry entry-klang certificates/entry-klang
+  papayarock identity issue --authority authority --role operator ana certificates/ana`,
+			Flags: []cli.Flag{
+				validFlag(hostValid),
+				&cli.StringFlag{Name: "authority", Required: true, Usage: "`DIRECTORY` of the authority"},
+				&cli.StringSliceFlag{Name: "role", Required: true, Usage: "`ROLE` entry, agent, control or operator; may be repeated"},
+			},
+			Action: issueIdentity,
+		}},
+	}
+}
+
+func validFlag(value time.Duration) cli.Flag {
+	return &cli.DurationFlag{Name: "valid", Value: value, Usage: "`TIME` until the certificate expires"}
+}
+
+func newAuthority(_ context.Context, c *cli.Command) error {
+	args, err := fileArguments(c, "DIRECTORY")
+	if err != nil {
+		return err
+	}
+	return command.NewAuthority(newOutput(c, c.Root().Writer).Output, args[0], time.Now(), c.Duration("valid"))
+}
+
+func issueIdentity(_ context.Context, c *cli.Command) error {
+	args, err := fileArguments(c, "NAME", "DIRECTORY")
+	if err != nil {
+		return err
+	}
+	o := newOutput(c, c.Root().Writer).Output
+	return command.IssueIdentity(o, c.String("authority"), args[1], args[0], c.StringSlice("role"), time.Now(), c.Duration("valid"))
+}
--- a/cmd/papayarock/main.go
+++ b/cmd/papayarock/main.go
@@ -12,34 +12,26 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"papayarock/internal/command"
 	"papayarock/internal/tomlfile"
-	"papayarock/io/answers"
-	"papayarock/io/settings"
 )
 
-// Exit codes.
-const (
-	exitFailure = 1
-	exitFaulty  = 2 // a file has faults
-	exitConfirm = 3 // a revision has changes that need confirmation
-)
-
-// errConfirm reports a revision with changes that need confirmation.
-var errConfirm = errors.New("must be confirmed")
-
 const rootDescription = `Results go to standard output, as tables or with --output json as JSON. Faults
 of a file are listed on standard error, or as JSON on standard output.
 
 Exit codes:
   0  done
   1  failed, or used with wrong arguments
-  2  settings or answers have faults, or cannot be read
+  2  settings, answers or a value have faults, or cannot be read
   3  a revision has changes that an operator must confirm
+  4  not accepted: another change was accepted first; the message names it
+  5  not committed, or uncertain; the message says how to repeat it
 
 Examples:
   papayarock settings example entry > entry.toml
   papayarock settings check entry.toml
   papayarock run --settings entry.toml
+  papayarock status --operator operator.toml
   papayarock completion bash > /etc/bash_completion.d/papayarock`
 
 func main() {
@@ -56,7 +48,7 @@
 		Writer:                stdout,
 		ErrWriter:             stderr,
 		Flags:                 []cli.Flag{outputFlag()},
-		Commands:              []*cli.Command{runCommand(), settingsCommand(), answersCommand()},
+		Commands:              commands(),
 		EnableShellCompletion: true,
 		Suggest:               true,
 		// Errors are printed below, once.
@@ -68,20 +60,17 @@
 	}
 	err := root.Run(ctx, args)
 	if err == nil {
-		return 0
+		return command.ExitDone
 	}
 	report(root, stdout, stderr, err)
-	return exitCode(err)
+	return command.ExitCode(err)
 }
 
-func exitCode(err error) int {
-	switch {
-	case errors.Is(err, errConfirm):
-		return exitConfirm
-	case errors.Is(err, settings.ErrSettings), errors.Is(err, answers.ErrAnswers):
-		return exitFaulty
+func commands() []*cli.Command {
+	return []*cli.Command{
+		runCommand(), settingsCommand(), answersCommand(), identityCommand(), keysCommand(), targetsCommand(),
+		hostsCommand(), usageCommand(), ordersCommand(), statusCommand(), dumpCommand(), watchCommand(), auditCommand(),
 	}
-	return exitFailure
 }
 
 // report prints an error to stderr, and faults as JSON to stdout if JSON was
@@ -95,8 +84,8 @@
 		return
 	}
 	o := newOutput(root, stderr)
-	if o.json {
-		o.w = stdout
+	if o.JSON {
+		o.W = stdout
 	} else {
 		_, _ = fmt.Fprintf(stderr, "papayarock: %s: %v\n", file.Path, file.Kind)
 	}
--- a/cmd/papayarock/output.go
+++ b/cmd/papayarock/output.go
@@ -1,16 +1,15 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"strconv"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"papayarock/internal/command"
 	"papayarock/internal/tomlfile"
 )
 
@@ -33,30 +32,11 @@
 	}
 }
 
-// output writes results as a table for people or as JSON for programs.
-type output struct {
-	w    io.Writer
-	json bool
-}
+// output writes results and faults of files.
+type output struct{ command.Output }
 
 func newOutput(c *cli.Command, w io.Writer) output {
-	return output{w: w, json: c.String("output") == outputJSON}
-}
-
-// show writes v as JSON, or the rows below the header.
-func (o output) show(v any, header []string, rows [][]string) error {
-	if o.json {
-		e := json.NewEncoder(o.w)
-		e.SetIndent("", "  ")
-		e.SetEscapeHTML(false)
-		return errors.Wrap(e.Encode(v), "write result")
-	}
-	t := tabwriter.NewWriter(o.w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, strings.Join(header, "\t")) // Flush returns write errors
-	for _, row := range rows {
-		_, _ = fmt.Fprintln(t, strings.Join(row, "\t"))
-	}
-	return errors.Wrap(t.Flush(), "write result")
+	return output{command.Output{W: w, JSON: c.String("output") == outputJSON}}
 }
 
 type faultList struct {
@@ -69,15 +49,15 @@
 	for i, f := range faults {
 		rows[i] = []string{strconv.Itoa(f.Line), f.Key, f.Problem, f.Mend}
 	}
-	return o.show(faultList{path, faults}, []string{"LINE", "KEY", "PROBLEM", "MEND"}, rows)
+	return o.Show(faultList{path, faults}, []string{"LINE", "KEY", "PROBLEM", "MEND"}, rows)
 }
 
 // valid reports a file without faults.
 func (o output) valid(path string) error {
-	if o.json {
+	if o.JSON {
 		return o.faults(path, tomlfile.Faults{})
 	}
-	_, err := fmt.Fprintf(o.w, "%s: no faults\n", path)
+	_, err := fmt.Fprintf(o.W, "%s: no faults\n", path)
 	return errors.Wrap(err, "write result")
 }
 
--- /dev/null
+++ b/internal/command/session.go
@@ -0,0 +1,116 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayarock/io/operator"
+)
+
+const (
+	// progressPeriod is how often a waiting command asks whether a change is in
+	// force. A change is in force within 4 s.
+	progressPeriod = 200 * time.Millisecond
+	// idBytes is the length of a drawn change id.
+	idBytes = 16
+)
+
+// Session is what an operator's command works with.
+type Session struct {
+	Client *operator.Client
+	Out    Output
+	Err    io.Writer     // progress and questions
+	In     io.Reader     // answers to questions; nil means that none can be asked
+	Wait   time.Duration // for a change to be in force; 0 means not to wait
+}
+
+// Change names a change. Zero values are drawn and read.
+type Change struct {
+	ID   string
+	Base uint64 // revision the operator saw; 0 means the present one
+}
+
+// Result is an accepted change.
+type Result struct {
+	Change   string `json:"change"`
+	Base     uint64 `json:"base"`
+	Revision uint64 `json:"revision"`
+}
+
+// submit names the change and commits it.
+func (s *Session) submit(ctx context.Context, c Change, body operator.Change) (Result, error) {
+	if c.ID == "" {
+		c.ID = newID("change-")
+	}
+	if c.Base == 0 {
+		status, err := s.Client.Configuration(ctx)
+		if err != nil {
+			return Result{}, errors.Wrap(err, "read the present revision")
+		}
+		c.Base = status.Revision
+	}
+	body.ID, body.Base = c.ID, c.Base
+	a, err := s.Client.Change(ctx, body)
+	if errors.Is(err, operator.ErrUncertain) || errors.Is(err, operator.ErrNotCommitted) {
+		err = errors.Wrapf(err, "send it again with --change-id %s --base %d", c.ID, c.Base)
+	}
+	return Result{Change: c.ID, Base: c.Base, Revision: a.Revision}, err
+}
+
+func newID(prefix string) string {
+	b := make([]byte, idBytes)
+	_, _ = rand.Read(b) // never fails
+	return prefix + hex.EncodeToString(b)
+}
+
+// commit commits a change, shows it and waits until it is in force.
+func (s *Session) commit(ctx context.Context, c Change, body operator.Change) error {
+	r, err := s.submit(ctx, c, body)
+	if err != nil {
+		return err
+	}
+	if err := s.showResult(r); err != nil {
+		return err
+	}
+	return s.wait(ctx, r.Revision)
+}
+
+func (s *Session) showResult(r Result) error {
+	return table(s.Out, r, []Result{r},
+		column[Result]{"CHANGE", func(r Result) any { return r.Change }},
+		column[Result]{"REVISION", func(r Result) any { return r.Revision }})
+}
+
+// wait reports progress until a revision is in force everywhere.
+func (s *Session) wait(ctx context.Context, revision uint64) error {
+	if s.Wait <= 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.Wait)
+	defer cancel()
+	var last operator.Progress
+	for said := false; ; said = true {
+		p, err := s.Client.Progress(ctx, revision)
+		switch {
+		case err != nil:
+			return errors.Wrapf(ErrNotInForce, "revision %d: %v", revision, err)
+		case p.InForce:
+			_, err := fmt.Fprintf(s.Err, "revision %d is in force everywhere\n", revision)
+			return errors.Wrap(err, "write progress")
+		case !said || p != last:
+			_, _ = fmt.Fprintf(s.Err, "revision %d: %d nodes have it, %d may not\n", revision, p.Holding, p.Waiting)
+		}
+		last = p
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ErrNotInForce, "revision %d: %d nodes have it, %d may not", revision, p.Holding, p.Waiting)
+		case <-time.After(progressPeriod):
+		}
+	}
+}
--- /dev/null
+++ b/internal/scenario/control.go
@@ -0,0 +1,102 @@
+package scenario
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"papayarock/core/fleet"
+	"papayarock/io/controller"
+	"papayarock/io/identity"
+	"papayarock/io/link"
+)
+
+// leadTimeout bounds the wait for the single voter to lead.
+const leadTimeout = 30 * time.Second
+
+// Control is a control replica that is the only voter and serves operators on
+// a loopback address.
+type Control struct {
+	*controller.Controller
+	Address string       // HOST:PORT
+	Lose    atomic.Int32 // changes whose answer is lost after they took effect
+
+	server *httptest.Server
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// StartControl runs a replica in an empty directory until Stop. Without
+// credentials it serves plain HTTP.
+func StartControl(dir string, credentials *identity.Credentials) (*Control, error) {
+	r, err := controller.New(controller.Options{
+		Self: "c1", Voters: []fleet.Host{"c1"}, Addresses: map[fleet.Host]netip.AddrPort{"c1": {}, "c2": {}},
+		Data: dir, Links: &link.Pool{}, Log: hclog.NewNullLogger(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	c := &Control{Controller: r}
+	handler, config := r.ServeOperators(credentials)
+	c.server = httptest.NewUnstartedServer(c.lossy(handler))
+	c.server.Config.ErrorLog = hclog.NewNullLogger().StandardLogger(nil)
+	if c.server.TLS = config; config != nil {
+		c.server.StartTLS()
+	} else {
+		c.server.Start()
+	}
+	c.Address = c.server.URL[strings.LastIndex(c.server.URL, "/")+1:]
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.done.Go(func() { _ = r.Serve(ctx) })
+	for end := time.Now().Add(leadTimeout); !r.Status().Leading; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			c.Stop()
+			return nil, errors.Errorf("the voter does not lead after %v", leadTimeout)
+		}
+	}
+	return c, nil
+}
+
+// Stop ends the replica.
+func (c *Control) Stop() {
+	c.server.CloseClientConnections()
+	c.server.Close()
+	c.cancel()
+	c.done.Wait()
+}
+
+// lossy closes the connection in place of an answer to a change, while Lose is
+// above 0.
+func (c *Control) lossy(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost || c.Lose.Add(-1) < 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	})
+}
+
+// startControl is the command "control NAME", which sets the variable NAME to
+// the operator address of a new replica.
+func startControl(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 1, "control NAME")
+	dir := ts.MkAbs("control-" + args[0])
+	ts.Check(os.MkdirAll(dir, 0o700))
+	c, err := StartControl(dir, nil)
+	ts.Check(err)
+	ts.Defer(c.Stop)
+	ts.Setenv(args[0], c.Address)
+}
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -27,6 +27,8 @@
 //	                           send a request; the answer goes to stdout; with
 //	                           -retry until it has the status
 //	log NAME                   print the log of a process, all its runs, to stdout
+//	control NAME               run a control replica inside the test; set $NAME to
+//	                           its operator address, which speaks plain HTTP
 //	exits CODE COMMAND...      run a command and assert its exit code
 //
 // Fields F are the fields of the fake, its faults and its counts in kebab
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -26,6 +26,7 @@
 		"fake": startFake, "fault": fault, "crash": crash, "recover": recoverEngine, "count": count, "await": await,
 		"start": start, "spawn": spawn, "stop": stop, "restart": restart, "signal": sendSignal,
 		"request": request, "log": showLog, "proxy": startProxy, "drop": drop, "hold-open": holdOpen,
+		"control": startControl,
 	}
 	for name, c := range more {
 		commands[name] = c
