io/settings: name control hosts that join later

Control hosts must list exactly three or five voters, so a host that replaces a lost one had no place in the settings, and the leader could not learn the address it must reach it at.

control-learners lists such hosts apart from the first voters. The check refuses a host or address that is in both lists.

io/daemon must pass the addresses of both lists to the controller.

--- a/io/controller/cluster_test.go
+++ b/io/controller/cluster_test.go
@@ -200,6 +200,7 @@
 		"operators race under an equal base":                  operatorsRace,
 		"the configuration is read back":                      configurationIsReadBack,
 		"hosts join and leave":                                hostsJoinAndLeave,
+		"a lost voter is replaced":                            lostVoterIsReplaced,
 	}
 	synctest.Test(t, func(t *testing.T) {
 		for name, run := range cases {
--- a/io/controller/operator_test.go
+++ b/io/controller/operator_test.go
@@ -150,3 +150,43 @@
 	time.Sleep(time.Second) // virtual
 	is.Equal(c.leader(), leader)
 }
+
+// Guards against a group that cannot replace a voter whose disk is lost, or
+// that loses changes when a second voter is lost right after.
+func lostVoterIsReplaced(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "c4")
+	defer c.stop()
+	await(t, "no leader", func() bool { return c.leader() != "" })
+	leader, lost := c.leader(), follower(c)[0]
+	lose := func(h fleet.Host) {
+		c.stops[h]()
+		delete(c.stops, h)
+		delete(c.replicas, h)
+	}
+	lose(lost)
+	post := func(action string, host fleet.Host) func() bool {
+		return func() bool {
+			var a operator.HostAnswer
+			h := c.leader()
+			return h != "" && c.ask(h, "ana", http.MethodPost, "/v1/hosts", operator.HostChange{Action: action, Host: string(host)}, &a) == http.StatusOK
+		}
+	}
+	await(t, "the lost voter is not removed", post(operator.Remove, lost))
+	c.start("c4", t.TempDir())
+	await(t, "the new host is not added", post(operator.AddLearner, "c4"))
+	await(t, "the new host is not promoted", post(operator.Promote, "c4"))
+	var a operator.ChangeAnswer
+	is.Equal(c.ask(c.leader(), "ana", http.MethodPost, "/v1/changes", operator.Change{
+		ID: "first", Action: operator.ApplyAnswers, Answers: string(examples.Terengganu),
+	}, &a), http.StatusOK)
+
+	lose(leader)
+	await(t, "no leader after the second loss", func() bool { return c.leader() != "" })
+	is.True(c.leader() != leader)
+	var v operator.Configuration
+	await(t, "the change is lost", func() bool {
+		h := c.leader()
+		return h != "" && c.ask(h, "ana", http.MethodGet, "/v1/configuration", nil, &v) == http.StatusOK && v.Revision >= a.Revision
+	})
+}
--- a/io/settings/check.go
+++ b/io/settings/check.go
@@ -72,7 +72,7 @@
 	s.Region = fleet.Region(name(t, "region", "name the region of this host"))
 	s.DataCentre = fleet.DataCentre(name(t, "data-centre", "name the data centre of this host"))
 	s.Addresses = r.readAddresses()
-	s.ControlHosts = r.readControlHosts()
+	r.readControlHosts()
 	s.Links = r.readLinks()
 	s.LogLevel = tomlfile.Choice(t, "log-level", hclog.Info, map[string]hclog.Level{
 		"trace": hclog.Trace, "debug": hclog.Debug, "info": hclog.Info, "warn": hclog.Warn, "error": hclog.Error,
@@ -109,23 +109,29 @@
 	return all
 }
 
-func (r *reader) readControlHosts() []ControlHost {
+func (r *reader) readControlHosts() {
 	var all []ControlHost
-	for i, t := range r.root.Subs("control-hosts") {
-		h := ControlHost{Host: fleet.Host(name(t, "host", "name the host")), Address: address(t, "address")}
-		if t.Has("operator") {
-			h.Operator = address(t, "operator")
+	for _, key := range []string{"control-hosts", "control-learners"} {
+		for i, t := range r.root.Subs(key) {
+			h := ControlHost{Host: fleet.Host(name(t, "host", "name the host")), Address: address(t, "address")}
+			if t.Has("operator") {
+				h.Operator = address(t, "operator")
+			}
+			t.Close()
+			if slices.ContainsFunc(all, func(o ControlHost) bool { return o.Host == h.Host || o.Address == h.Address }) {
+				r.root.Fault(fmt.Sprintf("%s[%d]", key, i), "repeats a host or address", "list each control host once")
+			}
+			all = append(all, h)
 		}
-		t.Close()
-		if slices.ContainsFunc(all, func(o ControlHost) bool { return o.Host == h.Host || o.Address == h.Address }) {
-			r.root.Fault(fmt.Sprintf("control-hosts[%d]", i), "repeats a host or address", "list each control host once")
+		if key == "control-hosts" {
+			r.s.ControlHosts = slices.Clip(all)
 		}
-		all = append(all, h)
 	}
-	if n := len(all); n != 0 && n != 3 && n != 5 {
-		r.root.Fault("control-hosts", fmt.Sprintf("there are %d", n), "list the three or five voters")
+	voters := len(r.s.ControlHosts)
+	r.s.ControlLearners = all[voters:]
+	if voters != 0 && voters != 3 && voters != 5 {
+		r.root.Fault("control-hosts", fmt.Sprintf("there are %d", voters), "list the three or five voters")
 	}
-	return all
 }
 
 func (r *reader) readLinks() Links {
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -23,17 +23,19 @@
 	Host         fleet.Host
 	Region       fleet.Region
 	DataCentre   fleet.DataCentre
-	Addresses    []netip.Addr // at which other hosts reach this process
-	ControlHosts []ControlHost
-	Links        Links
-	LogLevel     hclog.Level
-	Shutdown     time.Duration // after which a graceful shutdown gives up
-	Entry        *Entry
-	Agent        *Agent
-	Control      *Control
+	Addresses    []netip.Addr  // at which other hosts reach this process
+	ControlHosts []ControlHost // first voters of the replicated log
+	// ControlLearners are control hosts that joined later, or are to join.
+	ControlLearners []ControlHost
+	Links           Links
+	LogLevel        hclog.Level
+	Shutdown        time.Duration // after which a graceful shutdown gives up
+	Entry           *Entry
+	Agent           *Agent
+	Control         *Control
 }
 
-// ControlHost is a voter of the replicated log.
+// ControlHost is a control replica.
 type ControlHost struct {
 	Host     fleet.Host
 	Address  netip.AddrPort // link address
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -77,39 +77,52 @@
 	is.True(!s.ControlHosts[1].Operator.IsValid())
 }
 
+// Guards against a control host that joins later and cannot be named, or counts
+// as one of the first voters.
+func TestControlLearners(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(example(t, "control"), "[links]", "[[control-learners]]\nhost = \"c4\"\naddress = \"10.1.0.22:7100\"\n[links]", 1)
+	s, faults := settings.Check([]byte(text))
+	is.Equal(len(faults), 0)
+	is.Equal(len(s.ControlHosts), 3)
+	is.Equal(len(s.ControlLearners), 1)
+	is.Equal(s.ControlLearners[0].Host, fleet.Host("c4"))
+}
+
 // Guards against a fault that passes the check or is reported at another key.
 func TestCheckFaults(t *testing.T) {
 	tests := map[string]struct{ role, old, next, key, problem string }{
-		"not TOML":          {"entry", `host =`, `host`, "", "expected"},
-		"unknown key":       {"entry", `log-level`, `loglevel`, "loglevel", "not a known key"},
-		"unknown limit":     {"entry", `idle =`, `idles =`, "entry.limits.idles", "not a known key"},
-		"host":              {"agent", `host = "engine-klang-1"`, `host = "a b"`, "host", "has the value"},
-		"region missing":    {"agent", `region = "klang"`, ``, "region", "missing"},
-		"address":           {"agent", `["10.1.0.31"]`, `["klang"]`, "addresses[0]", "has the value"},
-		"any address":       {"agent", `["10.1.0.31"]`, `["0.0.0.0"]`, "addresses[0]", "has the value"},
-		"level":             {"agent", `"info"`, `"loud"`, "log-level", "has the value"},
-		"deadline":          {"agent", `"30s"`, `"0s"`, "shutdown-deadline", "has the value"},
-		"plain and file":    {"agent", `key = "engine-klang-1.key"`, "plain = true\n#", "links.certificate", "not used"},
-		"no certificate":    {"agent", `certificate = "engine-klang-1.pem"`, ``, "links.certificate", "missing"},
-		"port":              {"entry", `0.0.0.0:8080`, `0.0.0.0`, "entry.listen", "has the value"},
-		"port 0":            {"entry", `0.0.0.0:8080`, `0.0.0.0:0`, "entry.listen", "port 0"},
-		"port taken":        {"entry", `0.0.0.0:8080`, `0.0.0.0:7200`, "entry.link", "taken by entry.listen"},
-		"remote target":     {"agent", `127.0.0.1:9000`, `10.1.0.31:9000`, "agent.target", "not on a loopback"},
-		"target scheme":     {"agent", `http://127`, `https://127`, "agent.target", "has the value"},
-		"kind missing":      {"agent", `kind = "engine"`, ``, "agent.kind", "missing"},
-		"role of service":   {"agent", `role = "mixed"`, `role = "decode"`, "agent.role", "a plain service has no role"},
-		"slots":             {"agent", `slots = 8`, `slots = 0`, "agent.slots", "has the value 0"},
-		"fencing missing":   {"agent", `checks-fencing = false`, ``, "agent.checks-fencing", "missing"},
-		"two voters":        {"entry", `{host = "control-klang", address = "10.1.0.21:7100"},`, ``, "control-hosts", "there are 2"},
-		"voter twice":       {"entry", `"control-klang"`, `"control-kota-kinabalu"`, "control-hosts[2]", "repeats"},
-		"no voter":          {"control", `host = "control-klang"`, `host = "control-melaka"`, "host", "not among"},
-		"learner and voter": {"control", `learner = false`, `learner = true`, "host", "set to be a learner"},
-		"operator address":  {"control", `"10.0.0.21:7100"`, `"10.0.0.21:7100", operator = "10.0.0.21"`, "control-hosts[0].operator", "has the value"},
-		"voter port":        {"control", `listen = "10.1.0.21:7100"`, `listen = "10.1.0.21:7101"`, "control-hosts[1]", "port 7101"},
-		"data missing":      {"control", `data = "/var/lib/papayarock"`, ``, "control.data", "missing"},
-		"platform":          {"control", `platform = "http://10.1.0.2:9100"`, `platform = "10.1.0.2"`, "control.platform", "has the value"},
-		"no role":           {"entry", `[entry]`, `[entry]`, "", "no role is set"},
-		"two sources":       {"entry", `[entry.limits]`, static + "[entry.limits]", "control-hosts", "exactly one source"},
+		"not TOML":           {"entry", `host =`, `host`, "", "expected"},
+		"unknown key":        {"entry", `log-level`, `loglevel`, "loglevel", "not a known key"},
+		"unknown limit":      {"entry", `idle =`, `idles =`, "entry.limits.idles", "not a known key"},
+		"host":               {"agent", `host = "engine-klang-1"`, `host = "a b"`, "host", "has the value"},
+		"region missing":     {"agent", `region = "klang"`, ``, "region", "missing"},
+		"address":            {"agent", `["10.1.0.31"]`, `["klang"]`, "addresses[0]", "has the value"},
+		"any address":        {"agent", `["10.1.0.31"]`, `["0.0.0.0"]`, "addresses[0]", "has the value"},
+		"level":              {"agent", `"info"`, `"loud"`, "log-level", "has the value"},
+		"deadline":           {"agent", `"30s"`, `"0s"`, "shutdown-deadline", "has the value"},
+		"plain and file":     {"agent", `key = "engine-klang-1.key"`, "plain = true\n#", "links.certificate", "not used"},
+		"no certificate":     {"agent", `certificate = "engine-klang-1.pem"`, ``, "links.certificate", "missing"},
+		"port":               {"entry", `0.0.0.0:8080`, `0.0.0.0`, "entry.listen", "has the value"},
+		"port 0":             {"entry", `0.0.0.0:8080`, `0.0.0.0:0`, "entry.listen", "port 0"},
+		"port taken":         {"entry", `0.0.0.0:8080`, `0.0.0.0:7200`, "entry.link", "taken by entry.listen"},
+		"remote target":      {"agent", `127.0.0.1:9000`, `10.1.0.31:9000`, "agent.target", "not on a loopback"},
+		"target scheme":      {"agent", `http://127`, `https://127`, "agent.target", "has the value"},
+		"kind missing":       {"agent", `kind = "engine"`, ``, "agent.kind", "missing"},
+		"role of service":    {"agent", `role = "mixed"`, `role = "decode"`, "agent.role", "a plain service has no role"},
+		"slots":              {"agent", `slots = 8`, `slots = 0`, "agent.slots", "has the value 0"},
+		"fencing missing":    {"agent", `checks-fencing = false`, ``, "agent.checks-fencing", "missing"},
+		"two voters":         {"entry", `{host = "control-klang", address = "10.1.0.21:7100"},`, ``, "control-hosts", "there are 2"},
+		"voter twice":        {"entry", `"control-klang"`, `"control-kota-kinabalu"`, "control-hosts[2]", "repeats"},
+		"no voter":           {"control", `host = "control-klang"`, `host = "control-melaka"`, "host", "not among"},
+		"learner and voter":  {"control", `learner = false`, `learner = true`, "host", "set to be a learner"},
+		"operator address":   {"control", `"10.0.0.21:7100"`, `"10.0.0.21:7100", operator = "10.0.0.21"`, "control-hosts[0].operator", "has the value"},
+		"learner is a voter": {"control", `[links]`, "[[control-learners]]\nhost = \"control-klang\"\naddress = \"10.1.0.22:7100\"\n[links]", "control-learners[0]", "repeats"},
+		"voter port":         {"control", `listen = "10.1.0.21:7100"`, `listen = "10.1.0.21:7101"`, "control-hosts[1]", "port 7101"},
+		"data missing":       {"control", `data = "/var/lib/papayarock"`, ``, "control.data", "missing"},
+		"platform":           {"control", `platform = "http://10.1.0.2:9100"`, `platform = "10.1.0.2"`, "control.platform", "has the value"},
+		"no role":            {"entry", `[entry]`, `[entry]`, "", "no role is set"},
+		"two sources":        {"entry", `[entry.limits]`, static + "[entry.limits]", "control-hosts", "exactly one source"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
