--- /dev/null
+++ b/cmd/papayarock/docs_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/urfave/cli/v3"
+)
+
+// leaves returns the commands that do something, by their words.
+func leaves(prefix string, all []*cli.Command) map[string]*cli.Command {
+	found := make(map[string]*cli.Command)
+	for _, c := range all {
+		words := strings.TrimSpace(prefix + " " + c.Name)
+		if len(c.Commands) == 0 {
+			found[words] = c
+		}
+		for name, leaf := range leaves(words, c.Commands) {
+			found[name] = leaf
+		}
+	}
+	return found
+}
+
+// Guards against a command without an example in its help or in
+// docs/operations.md, and against examples of flags that do not exist.
+func TestExamplesOfCommands(t *testing.T) {
+	text, err := os.ReadFile("../../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	flag := regexp.MustCompile(`\s--([a-z-]+)`)
+	for name, c := range leaves("", commands()) {
+		t.Run(name, func(t *testing.T) {
+			if !strings.Contains(c.Description, "papayarock "+name) {
+				t.Errorf("the help has no example")
+			}
+			example := regexp.MustCompile("papayarock (--output json )?" + name + `[^\n|]*`)
+			lines := example.FindAllString(string(text), -1)
+			if len(lines) == 0 {
+				t.Errorf("docs/operations.md has no example")
+			}
+			for _, line := range append(lines, example.FindAllString(c.Description, -1)...) {
+				for _, m := range flag.FindAllStringSubmatch(line, -1) {
+					known := m[1] == "output"
+					for _, f := range c.Flags {
+						known = known || f.Names()[0] == m[1]
+					}
+					if !known {
+						t.Errorf("%q: flag %q does not exist", line, m[1])
+					}
+				}
+			}
+		})
+	}
+}
