io/controller: refuse a change that the log cannot take

A change above the 512 KiB of one log entry was answered as not committed, so the client sent it again until its deadline and told operators to repeat it.

Longer names at the design size do not fit; the log or the encoding of the change has to be revised for that.

--- a/internal/command/exit.go
+++ b/internal/command/exit.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -27,6 +28,9 @@
 	ExitOpen     = 5 // not committed, or uncertain
 )
 
+// faultyStatus are the statuses by which control refuses faulty input.
+var faultyStatus = []int{http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity}
+
 // ExitCode returns the exit code for an error.
 func ExitCode(err error) int {
 	var p *operator.ProblemError
@@ -41,7 +45,7 @@
 		return ExitOpen
 	case faulty(err):
 		return ExitFaulty
-	case errors.As(err, &p) && (p.Problem.Status == http.StatusBadRequest || p.Problem.Status == http.StatusUnprocessableEntity):
+	case errors.As(err, &p) && slices.Contains(faultyStatus, p.Problem.Status):
 		return ExitFaulty
 	}
 	return ExitFailure
--- a/io/controller/cluster_test.go
+++ b/io/controller/cluster_test.go
@@ -198,6 +198,7 @@
 		"an isolated leader cannot keep an old configuration": isolatedLeaderCannotKeepOldConfiguration,
 		"an isolated leader commits nothing":                  isolatedLeaderCommitsNothing,
 		"operators race under an equal base":                  operatorsRace,
+		"a change that is too large":                          changeIsTooLarge,
 		"the configuration is read back":                      configurationIsReadBack,
 		"hosts join and leave":                                hostsJoinAndLeave,
 		"a lost voter is replaced":                            lostVoterIsReplaced,
--- a/io/controller/operator.go
+++ b/io/controller/operator.go
@@ -13,6 +13,7 @@
 
 	"papayarock/core/config"
 	"papayarock/core/fleet"
+	"papayarock/core/log"
 	"papayarock/core/state"
 	"papayarock/io/answers"
 	"papayarock/io/identity"
@@ -67,6 +68,10 @@
 		refuse(w, http.StatusBadRequest, "change", err)
 		return
 	}
+	if err := checkSize(change); err != nil {
+		refuse(w, http.StatusRequestEntityTooLarge, "too-large", err)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
 	defer cancel()
 	result, err := c.commitChange(ctx, change)
@@ -80,6 +85,15 @@
 	}
 }
 
+// checkSize refuses a change that the log would never accept.
+func checkSize(change state.Change) error {
+	b, err := wire.EncodeCommand(change)
+	if err == nil && len(b) > log.MaxCommandBytes {
+		err = errors.Errorf("the change has %d bytes, the limit is %d", len(b), log.MaxCommandBytes)
+	}
+	return err
+}
+
 // commitChange commits an operator's change, through the leader if that is another
 // replica.
 func (c *Controller) commitChange(ctx context.Context, change state.Change) (state.ChangeResult, error) {
--- a/io/controller/operator_test.go
+++ b/io/controller/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -99,6 +100,25 @@
 	is.Equal(answers.Diff(d, answers.Generate(a).Document), []answers.Change{})
 }
 
+// Guards against operators who are told to send again what the log can never
+// accept.
+func changeIsTooLarge(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	defer c.stop()
+	await(t, "no leader", func() bool { return c.leader() != "" })
+	var text strings.Builder
+	text.Write(examples.Terengganu)
+	for i := range 12000 {
+		_, _ = fmt.Fprintf(&text, "\n[[customer]]\nname = \"%s-%d\"\n", strings.Repeat("x", 50), i)
+	}
+	var p operator.Problem
+	is.Equal(c.ask(c.leader(), "ana", http.MethodPost, "/v1/changes", operator.Change{
+		ID: "large", Action: operator.ApplyAnswers, Answers: text.String(),
+	}, &p), http.StatusRequestEntityTooLarge)
+	is.Equal(p.Type, "too-large")
+}
+
 // Guards against members that are changed by a replica without authority, a
 // resent change that fails, and changes that do not fit the members.
 func hostsJoinAndLeave(t *testing.T) {
