--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -23,16 +23,16 @@
 	Host         fleet.Host
 	Region       fleet.Region
 	DataCentre   fleet.DataCentre
-	Addresses    []netip.Addr  // at which other hosts reach this process
-	ControlHosts []ControlHost // first voters of the replicated log
-	// ControlLearners are control hosts that joined later, or are to join.
-	ControlLearners []ControlHost
-	Links           Links
-	LogLevel        hclog.Level
-	Shutdown        time.Duration // after which a graceful shutdown gives up
-	Entry           *Entry
-	Agent           *Agent
-	Control         *Control
+	Addresses    []netip.Addr // at which other hosts reach this process
+	ControlHosts []ControlHost
+	Relays       []ControlHost  // control replicas that do not vote
+	Status       netip.AddrPort // loopback address for state dumps and metrics; zero means none
+	Links        Links
+	LogLevel     hclog.Level
+	Shutdown     time.Duration // after which a graceful shutdown gives up
+	Entry        *Entry
+	Agent        *Agent
+	Control      *Control
 }
 
 // ControlHost is a control replica.
@@ -96,6 +96,8 @@
 	Platform *url.URL       // orders targets
 	Usage    *url.URL       // takes usage reports
 	Learner  bool           // relays the configuration and does not vote
+	// UsageWindow is the length of the windows in which usage is reported.
+	UsageWindow time.Duration
 }
 
 // Load reads the settings in the file at path. Relative paths in it are
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -79,14 +79,14 @@
 
 // Guards against a control host that joins later and cannot be named, or counts
 // as one of the first voters.
-func TestControlLearners(t *testing.T) {
+func TestRelays(t *testing.T) {
 	is := is.New(t)
-	text := strings.Replace(example(t, "control"), "[links]", "[[control-learners]]\nhost = \"c4\"\naddress = \"10.1.0.22:7100\"\n[links]", 1)
+	text := strings.Replace(example(t, "control"), "[links]", "[[relays]]\nhost = \"c4\"\naddress = \"10.1.0.22:7100\"\n[links]", 1)
 	s, faults := settings.Check([]byte(text))
 	is.Equal(len(faults), 0)
 	is.Equal(len(s.ControlHosts), 3)
-	is.Equal(len(s.ControlLearners), 1)
-	is.Equal(s.ControlLearners[0].Host, fleet.Host("c4"))
+	is.Equal(len(s.Relays), 1)
+	is.Equal(s.Relays[0].Host, fleet.Host("c4"))
 }
 
 // Guards against a fault that passes the check or is reported at another key.
@@ -117,7 +117,7 @@
 		"no voter":           {"control", `host = "control-klang"`, `host = "control-melaka"`, "host", "not among"},
 		"learner and voter":  {"control", `learner = false`, `learner = true`, "host", "set to be a learner"},
 		"operator address":   {"control", `"10.0.0.21:7100"`, `"10.0.0.21:7100", operator = "10.0.0.21"`, "control-hosts[0].operator", "has the value"},
-		"learner is a voter": {"control", `[links]`, "[[control-learners]]\nhost = \"control-klang\"\naddress = \"10.1.0.22:7100\"\n[links]", "control-learners[0]", "repeats"},
+		"learner is a voter": {"control", `[links]`, "[[relays]]\nhost = \"control-klang\"\naddress = \"10.1.0.22:7100\"\n[links]", "relays[0]", "repeats"},
 		"voter port":         {"control", `listen = "10.1.0.21:7100"`, `listen = "10.1.0.21:7101"`, "control-hosts[1]", "port 7101"},
 		"data missing":       {"control", `data = "/var/lib/papayarock"`, ``, "control.data", "missing"},
 		"platform":           {"control", `platform = "http://10.1.0.2:9100"`, `platform = "10.1.0.2"`, "control.platform", "has the value"},
