--- a/core/state/search_check_test.go
+++ b/core/state/search_check_test.go
@@ -137,6 +137,10 @@
 // answer.
 func (w *world) checkChange(c Change, r ChangeResult) {
 	k := &w.checks
+	if a, ok := c.Action.(SetRole); ok { // the deadline is reckoned from the time of the change
+		a.Until = start.Add(a.Until.Sub(c.Time))
+		c.Action = a
+	}
 	c.Time = start
 	same := fmt.Sprintf("%+v", c)
 	if first, ok := k.answers[same]; ok {
--- a/io/controller/operator.go
+++ b/io/controller/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"papayarock/core/config"
 	"papayarock/core/fleet"
+	"papayarock/core/log"
 	"papayarock/core/state"
 	"papayarock/io/answers"
 	"papayarock/io/identity"
@@ -34,6 +36,8 @@
 		c.serveChange(w, r, who)
 	})
 	mux.HandleFunc("GET /v1/progress", c.serveProgress)
+	mux.HandleFunc("GET /v1/configuration", c.serveConfiguration)
+	mux.HandleFunc("POST /v1/hosts", c.serveHostChange)
 	mux.HandleFunc("GET /v1/targets", serveList(c, listTargets))
 	mux.HandleFunc("GET /v1/keys", serveList(c, listKeys))
 	mux.HandleFunc("GET /v1/usage", serveList(c, listUsage))
@@ -64,6 +68,10 @@
 		refuse(w, http.StatusBadRequest, "change", err)
 		return
 	}
+	if err := checkSize(change); err != nil {
+		refuse(w, http.StatusRequestEntityTooLarge, "too-large", err)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
 	defer cancel()
 	result, err := c.commitChange(ctx, change)
@@ -71,10 +79,19 @@
 	case err == nil:
 		respond(w, statusOf(result.Outcome), answerOf(result))
 	case errors.Is(err, ErrNoLeader), errors.Is(err, replica.ErrNotLeader), errors.Is(err, replica.ErrNotCommitted):
-		refuse(w, http.StatusServiceUnavailable, "not-committed", err)
+		refuse(w, http.StatusServiceUnavailable, operator.ProblemNotCommitted, err)
 	default:
-		refuse(w, http.StatusGatewayTimeout, "uncertain", err)
+		refuse(w, http.StatusGatewayTimeout, operator.ProblemUncertain, err)
+	}
+}
+
+// checkSize refuses a change that the log would never accept.
+func checkSize(change state.Change) error {
+	b, err := wire.EncodeCommand(change)
+	if err == nil && len(b) > log.MaxCommandBytes {
+		err = errors.Errorf("the change has %d bytes, the limit is %d", len(b), log.MaxCommandBytes)
 	}
+	return err
 }
 
 // commitChange commits an operator's change, through the leader if that is another
@@ -231,9 +248,26 @@
 }
 
 func refuse(w http.ResponseWriter, status int, kind string, err error) {
+	report(w, operator.Problem{Type: kind, Title: err.Error(), Status: status})
+}
+
+func report(w http.ResponseWriter, p operator.Problem) {
 	w.Header().Set("Content-Type", "application/problem+json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(operator.Problem{Type: kind, Title: err.Error(), Status: status})
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+// plainOperator is who makes changes where there is no TLS.
+const plainOperator = "operator without certificate"
+
+// ServeOperators returns what the operator address is served with: the handler
+// and its TLS configuration. Without credentials, that is with plain links, it
+// is plain HTTP, the TLS configuration is nil, and every caller is an operator.
+func (c *Controller) ServeOperators(credentials *identity.Credentials) (http.Handler, *tls.Config) {
+	if credentials == nil {
+		return c.Operators(func(*http.Request) (string, error) { return plainOperator, nil }), nil
+	}
+	return c.Operators(OperatorName), identity.ServerConfig(credentials, identity.Operator)
 }
 
 // OperatorName names the operator of a request by its client certificate.
--- a/io/settings/check.go
+++ b/io/settings/check.go
@@ -126,6 +126,9 @@
 	var all []ControlHost
 	for i, t := range root.Subs(key) {
 		h := ControlHost{Host: fleet.Host(name(t, "host", "name the host")), Address: address(t, "address")}
+		if t.Has("operator") {
+			h.Operator = address(t, "operator")
+		}
 		t.Close()
 		same := func(o ControlHost) bool { return o.Host == h.Host || o.Address == h.Address }
 		if slices.ContainsFunc(all, same) || slices.ContainsFunc(others, same) {
