internal/measure: compare policies on simulated engines

Cause: no figure shows what the decisions are worth. Change: a loop under virtual time with engines that batch, late load reports and cache events, and tables against five simpler policies and a planner with perfect knowledge; papayarock measure prints them. The planner of core/plan and the division of capacity among entries come with it.

--- a/cmd/papayarock/main.go
+++ b/cmd/papayarock/main.go
@@ -28,7 +28,7 @@
 	root := &cli.Command{
 		Name:     "papayarock",
 		Usage:    "serve language models and plain services on a limited fleet",
-		Commands: []*cli.Command{runCommand()},
+		Commands: []*cli.Command{runCommand(), measureCommand()},
 	}
 	return root.Run(ctx, os.Args)
 }
--- /dev/null
+++ b/cmd/papayarock/measure.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"papayarock/internal/measure"
+)
+
+func measureCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "measure",
+		Usage: "compare the routing, admission and planning decisions with simpler policies on simulated engines",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "random `SEED` of load and decisions"},
+			&cli.StringSliceFlag{Name: "size", Usage: "fleet `NAME`, repeatable; default all"},
+			&cli.StringSliceFlag{Name: "scenario", Usage: "scenario `NAME`, repeatable; default all"},
+			&cli.IntFlag{Name: "parallel", Value: 2, Usage: "`RUNS` at once"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			return measure.Run(c.Root().Writer, measure.Options{
+				Seed: c.Uint64("seed"), Sizes: c.StringSlice("size"),
+				Scenarios: c.StringSlice("scenario"), Parallel: c.Int("parallel"),
+			})
+		},
+	}
+}
--- /dev/null
+++ b/core/plan/estimate.go
@@ -0,0 +1,117 @@
+package plan
+
+import (
+	"math"
+	"time"
+
+	"papayarock/core/fleet"
+)
+
+const (
+	fastTime    = 10 * time.Second
+	slowTime    = 3 * time.Minute
+	historyStep = 10 * time.Second
+	historySize = 90 // 15 min
+	speedWeight = 0.1
+)
+
+// load is an offered load in tokens/s.
+type load struct {
+	prefill, decode float64
+	urgent          float64 // share of the work, 0 to 1
+}
+
+func (l load) toward(to load, weight float64) load {
+	return load{
+		prefill: l.prefill + weight*(to.prefill-l.prefill),
+		decode:  l.decode + weight*(to.decode-l.decode),
+		urgent:  l.urgent + weight*(to.urgent-l.urgent),
+	}
+}
+
+// estimate follows the load of one group: fast, slow, and as a sampled history.
+type estimate struct {
+	fast, slow load
+	history    [historySize]load
+	n, next    int
+	sampled    time.Time
+	updated    time.Time
+}
+
+func (e *estimate) add(now time.Time, l load) {
+	if e.updated.IsZero() {
+		e.fast, e.slow = l, l
+	} else {
+		d := float64(now.Sub(e.updated))
+		e.fast = e.fast.toward(l, 1-math.Exp(-d/float64(fastTime)))
+		e.slow = e.slow.toward(l, 1-math.Exp(-d/float64(slowTime)))
+	}
+	e.updated = now
+	if now.Sub(e.sampled) < historyStep {
+		return
+	}
+	e.sampled = now
+	e.history[e.next] = e.fast
+	e.next = (e.next + 1) % historySize
+	e.n = min(e.n+1, historySize)
+}
+
+// speeds are learned per pool.
+type speeds struct {
+	prefill, decode float64 // of engines with that one role
+	mixed           float64 // efficiency of a mixed engine against those
+}
+
+func (s *speeds) learn(v Speed) {
+	move := func(x *float64, to float64) {
+		if to > 0 {
+			*x += speedWeight * (to - *x)
+		}
+	}
+	switch v.Role {
+	case fleet.Prefill:
+		move(&s.prefill, v.Prefill)
+	case fleet.Decode:
+		move(&s.decode, v.Decode)
+	case fleet.Mixed:
+		if v.Prefill > 0 && v.Decode > 0 {
+			move(&s.mixed, math.Min(1, (v.Prefill/s.prefill+v.Decode/s.decode)/2))
+		}
+	}
+}
+
+// split counts engines by role, indexed by fleet.Role.
+type split [3]float64
+
+// served returns the share of a load that engines of a split can serve, at
+// most 1.
+func (s speeds) served(n split, l load) float64 {
+	p, d := l.prefill/s.prefill, l.decode/s.decode // engines that the load needs
+	if p+d == 0 {
+		return 1
+	}
+	mixed := n[fleet.Mixed] * s.mixed
+	np, nd := n[fleet.Prefill], n[fleet.Decode]
+	// The share x is bound by max(0, x*p-np) + max(0, x*d-nd) <= mixed. The
+	// left side is piecewise linear, so the bound is the least of three.
+	x := 1.0
+	if p > 0 {
+		x = math.Min(x, (np+mixed)/p)
+	}
+	if d > 0 {
+		x = math.Min(x, (nd+mixed)/d)
+	}
+	return math.Min(x, (np+nd+mixed)/(p+d))
+}
+
+// value is the work within the promise per second. Urgent work is served
+// first and counts patientValue times as much as patient work.
+func (s speeds) value(n split, l load) float64 {
+	const patientValue = 0.5
+	total := l.prefill/s.prefill + l.decode/s.decode
+	l.prefill *= headroom
+	l.decode *= headroom
+	done := s.served(n, l) * total
+	urgent := math.Min(done, total*l.urgent)
+	return urgent + patientValue*(done-urgent)
+}
--- a/core/route/event.go
+++ b/core/route/event.go
@@ -90,6 +90,7 @@
 	Pool         string
 	Customer     fleet.Customer
 	Stage        Stage
+	Near         fleet.DataCentre // with Decode: of the prefill engine, whose KV cache moves
 	PromptTokens float64   // 0 for plain services
 	OutputTokens float64   // estimate
 	FirstTokenBy time.Time // promise; zero means none
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -31,6 +31,11 @@
 	if p == nil || int(q.Stage) >= stages {
 		return Choice{}, ErrNoTarget
 	}
+	if q.Near != "" {
+		if c, err := r.pickNear(now, q, p); err == nil {
+			return c, nil
+		}
+	}
 	entry, tokens := r.longest(q.Prefix)
 	best, bestGroup := candidate{slot: -1, score: math.Inf(1)}, int32(-1)
 	for _, gi := range p.byStage[q.Stage] {
@@ -53,6 +58,18 @@
 	return r.commit(now, q, best, &r.groups[bestGroup]), nil
 }
 
+// pickNear chooses in the data centre q.Near only.
+func (r *Router) pickNear(now time.Time, q Request, p *pool) (Choice, error) {
+	for _, gi := range p.byStage[q.Stage] {
+		if g := &r.groups[gi]; g.dataCentre == q.Near {
+			if c := r.pickIn(now, q, g, nil, 0); c.slot >= 0 {
+				return r.commit(now, q, c, g), nil
+			}
+		}
+	}
+	return Choice{}, ErrNoTarget
+}
+
 // keeps says whether a candidate is expected to keep the promise.
 func (r *Router) keeps(now time.Time, q Request, c candidate, gi int32) bool {
 	if q.FirstTokenBy.IsZero() {
--- /dev/null
+++ b/internal/measure/table.go
@@ -0,0 +1,109 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Options selects what Run measures. Empty fields mean all.
+type Options struct {
+	Seed      uint64
+	Sizes     []string
+	Scenarios []string
+	Parallel  int // runs at once; 0 means 2
+}
+
+// row is one line of a table.
+type row struct {
+	name   string
+	digits int
+	value  func(scenario, *result) float64
+	only   func(scenario) bool // nil means every scenario
+}
+
+func rows() []row {
+	loss := func(s scenario) bool { return s.loss }
+	return []row{
+		{"goodput %", 1, func(_ scenario, r *result) float64 { return r.goodput() }, nil},
+		{"worst minute %", 1, func(_ scenario, r *result) float64 { return r.worstMinute() }, nil},
+		{"worst customer %", 1, func(s scenario, r *result) float64 { return r.worstCustomer(s) }, nil},
+		{"p99 first token ms", 0, func(_ scenario, r *result) float64 { return float64(r.first.ValueAtQuantile(99)) / 1000 }, nil},
+		{"urgent in window %", 1, func(_ scenario, r *result) float64 { return r.windowGoodput() }, func(s scenario) bool { return s.window }},
+		{"role changes", 0, func(_ scenario, r *result) float64 { return float64(r.changes) }, nil},
+		{"target hours", 2, func(_ scenario, r *result) float64 { return r.paid.Hours() }, nil},
+		{"cross-region MB", 1, func(_ scenario, r *result) float64 { return r.crossed / 1e6 }, nil},
+		{"amplification", 3, func(_ scenario, r *result) float64 { return r.amplification() }, loss},
+		{"refused or failed", 0, func(_ scenario, r *result) float64 { return float64(r.refused) }, nil},
+	}
+}
+
+// Run plays every selected scenario with every policy and prints a table each.
+func Run(out io.Writer, o Options) error {
+	if o.Parallel == 0 {
+		o.Parallel = 2
+	}
+	printed := 0
+	for _, sz := range sizes() {
+		for _, sc := range scenarios() {
+			if !selected(o.Sizes, sz.name) || !selected(o.Scenarios, sc.name) {
+				continue
+			}
+			printed++
+			if err := table(out, o, sc, sz); err != nil {
+				return err
+			}
+		}
+	}
+	if printed == 0 {
+		return errors.Errorf("no size in %q and scenario in %q exist together", o.Sizes, o.Scenarios)
+	}
+	return nil
+}
+
+func selected(l []string, name string) bool {
+	for _, x := range l {
+		if x == name {
+			return true
+		}
+	}
+	return len(l) == 0
+}
+
+func table(out io.Writer, o Options, sc scenario, sz size) error {
+	ps := policies()
+	results := make([]*result, len(ps))
+	var g errgroup.Group
+	g.SetLimit(o.Parallel)
+	for i, p := range ps {
+		g.Go(func() error {
+			results[i] = run(o.Seed, sc, p, sz)
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s, %s, seed %d, load %.2f\n%-20s", sz.name, sc.name, o.Seed, sc.load, "")
+	for _, p := range ps {
+		fmt.Fprintf(&b, "%12s", p.name)
+	}
+	b.WriteByte('\n')
+	for _, r := range rows() {
+		if r.only != nil && !r.only(sc) {
+			continue
+		}
+		fmt.Fprintf(&b, "%-20s", r.name)
+		for i := range ps {
+			fmt.Fprintf(&b, "%12.*f", r.digits, r.value(sc, results[i]))
+		}
+		b.WriteByte('\n')
+	}
+	b.WriteByte('\n')
+	_, err := io.WriteString(out, b.String())
+	return err
+}
