core/route: count own work exactly and estimate only that of others

Cause: with load reports 5 s late, work that had ended stayed counted, and the prompt of a running request counted until its last token. Change: own work is known from choices, first tokens and outcomes; only the others' part of a report is decayed toward the mean of the data centre. Prompt and decode work are separate; decode work counts a fifth before a prompt. A due probe goes first.

--- a/core/route/event.go
+++ b/core/route/event.go
@@ -7,8 +7,8 @@
 	"papayarock/core/fleet"
 )
 
-// Event is something a Router learns: Configure, Load, Summary, Outcome or
-// Cache.
+// Event is something a Router learns: Configure, Load, Summary, FirstToken,
+// Outcome or Cache.
 type Event interface{ event() }
 
 // Configure replaces the known targets. Figures of targets that stay under the
@@ -46,14 +46,21 @@
 	Cancelled        // ended by the caller; says nothing about the target
 )
 
+// FirstToken reports that the prompt of an attempt has been processed, or that
+// a plain service has answered. It is optional, once per Choice.
+type FirstToken struct {
+	Choice Choice
+	Took   time.Duration // since Choice.Sent
+}
+
 // Outcome reports the end of the attempt that a Choice began. Each Choice needs
 // exactly one Outcome.
 type Outcome struct {
-	Choice     Choice
-	Result     Result
-	FirstToken time.Duration // from the Choice to the first token, or to the whole answer of a plain service; 0 if unknown
-	Customer   fleet.Customer
-	Bytes      uint64 // sent and received
+	Choice   Choice
+	Result   Result
+	Began    bool // FirstToken was reported for the Choice
+	Customer fleet.Customer
+	Bytes    uint64 // sent and received
 }
 
 // Cache reports changes of a target's prefix cache.
@@ -65,11 +72,12 @@
 	Evicted  []uint64
 }
 
-func (Configure) event() {}
-func (Load) event()      {}
-func (Summary) event()   {}
-func (Outcome) event()   {}
-func (Cache) event()     {}
+func (Configure) event()  {}
+func (Load) event()       {}
+func (Summary) event()    {}
+func (FirstToken) event() {}
+func (Outcome) event()    {}
+func (Cache) event()      {}
 
 // Resync asks the owner to request the whole cache content of a target, after
 // a gap in its cache events.
@@ -91,10 +99,10 @@
 	Customer     fleet.Customer
 	Stage        Stage
 	Near         fleet.DataCentre // with Decode: of the prefill engine, whose KV cache moves
-	PromptTokens float64   // 0 for plain services
-	OutputTokens float64   // estimate
-	FirstTokenBy time.Time // promise; zero means none
-	Prefix       []uint64  // hashes of the prompt's prefixes in blocks of Options.BlockTokens, shortest first
+	PromptTokens float64          // 0 for plain services
+	OutputTokens float64          // estimate
+	FirstTokenBy time.Time        // promise; zero means none
+	Prefix       []uint64         // hashes of the prompt's prefixes in blocks of Options.BlockTokens, shortest first
 	Tried        []fleet.TargetName
 }
 
@@ -105,7 +113,8 @@
 	Role     fleet.Role // Prefill: Pick again with stage Decode after the prompt
 	Sent     time.Time
 	Expected time.Duration // expected time to the first token
-	Work     float64       // seconds of target time this attempt adds
+	Prefill  float64       // seconds of target time that the attempt adds until its first token
+	Decode   float64       // and after it
 	Probe    bool          // the one attempt that tests an ejected target
 	Crosses  bool          // leaves the region
 
--- a/core/route/health.go
+++ b/core/route/health.go
@@ -82,6 +82,19 @@
 	h.slowness = math.Max(0.5, h.slowness)
 }
 
+func (r *Router) firstToken(now time.Time, e FirstToken) {
+	i, ok := r.byName[e.Choice.Target]
+	if !ok || r.targets[i].Incarnation != e.Choice.incarnation {
+		return
+	}
+	t := &r.targets[i]
+	r.shift(now, t, work{prefill: -e.Choice.Prefill})
+	t.health.learn(e.Choice.Expected, e.Took)
+	if t.Kind == fleet.Service {
+		t.service += rateWeight * (e.Took.Seconds() - t.service)
+	}
+}
+
 func (r *Router) outcome(now time.Time, e Outcome) {
 	if e.Choice.Crosses && e.Bytes > 0 {
 		r.Crossed[e.Customer] += e.Bytes
@@ -91,16 +104,14 @@
 		return
 	}
 	t := &r.targets[i]
-	before := t.work()
-	t.remove(e.Choice.Sent, e.Choice.Work)
-	r.changed(t, before)
+	left := work{-e.Choice.Prefill, -e.Choice.Decode}
+	if e.Began {
+		left.prefill = 0
+	}
+	r.shift(now, t, left)
 	switch e.Result {
 	case Served:
 		t.health.served(now, e.Choice.Probe)
-		t.health.learn(e.Choice.Expected, e.FirstToken)
-		if t.Kind == fleet.Service && e.FirstToken > 0 {
-			t.service += rateWeight * (e.FirstToken.Seconds() - t.service)
-		}
 	case Failed:
 		t.health.failed(now, e.Choice.Probe)
 	case Cancelled:
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -12,6 +12,7 @@
 	candidates  = 4               // targets compared per data centre, besides holders of the prefix
 	maxSamples  = 16              // draws to find them among ejected or tried targets
 	trustReport = 2 * time.Second // age at which a report has lost 63% of its weight against the mean
+	decodeShare = 0.2             // delay of a prompt by a second of decode work in the same batches, and the reverse
 	spillMargin = 0.8             // share of the remaining time that an estimate may use
 )
 
@@ -19,7 +20,7 @@
 	slot  int32
 	score float64 // seconds, with penalties
 	wait  float64 // expected seconds to the first token, without penalties
-	work  float64
+	work  work
 	probe bool
 }
 
@@ -43,7 +44,7 @@
 		if best.slot >= 0 && g.distance > r.groups[bestGroup].distance && r.keeps(now, q, best, bestGroup) {
 			break
 		}
-		if bestGroup >= 0 && g.mean()+g.delay.Seconds()*2 > best.wait+r.groups[bestGroup].delay.Seconds()*2 {
+		if bestGroup >= 0 && g.mean(q.Stage)+g.delay.Seconds()*2 > best.wait+r.groups[bestGroup].delay.Seconds()*2 {
 			continue // by its summary it is no better
 		}
 		c := r.pickIn(now, q, g, entry, tokens)
@@ -79,11 +80,21 @@
 	return c.wait <= left.Seconds()*spillMargin
 }
 
-func (g *group) mean() float64 {
-	if len(g.members) == 0 {
+// mean is the score that an average member of the group has.
+func (g *group) mean(stage Stage) float64 {
+	n := float64(len(g.members))
+	if n == 0 {
 		return math.Inf(1)
 	}
-	return math.Max(g.summary, g.work/float64(len(g.members)))
+	return math.Max(g.summary, ahead(g.others.plus(g.own, 1), stage)/n)
+}
+
+// ahead weighs the work at a target by how much it delays a new request.
+func ahead(w work, stage Stage) float64 {
+	if stage == Decode {
+		return w.decode + decodeShare*w.prefill
+	}
+	return w.prefill + decodeShare*w.decode
 }
 
 // pickIn compares a few random members of a group and the holders of the
@@ -127,46 +138,48 @@
 		c.probe = true
 	}
 	held := math.Min(r.held(now, entry, tokens, m), q.PromptTokens)
-	queue := t.queue(now, g.mean())
-	first, rest := t.cost(q, held)
-	c.work = first + rest
-	c.wait = (queue + first) * t.health.slowness
+	c.work = t.cost(q, held)
+	c.wait = (ahead(t.queue(now, g), q.Stage) + c.work.prefill) * t.health.slowness
 	c.score = c.wait/t.health.ramp(now) + t.health.rate*failPenalty
+	if c.probe {
+		// A due probe goes first; by its score a target that has failed would
+		// never be tried while others are idle.
+		c.score = 0
+	}
 	if c.score < best.score {
 		*best = c
 	}
 	return true
 }
 
-// queue estimates the seconds of work ahead at the target. An old report says
-// little, so that it approaches the mean of the data centre with its age.
-func (t *target) queue(now time.Time, mean float64) float64 {
+// queue estimates the work at the target. An old report says little about the
+// work of other nodes, so that it approaches the mean of the data centre with
+// its age; this node's own work is known exactly.
+func (t *target) queue(now time.Time, g *group) work {
 	trust := 1.0
 	if !t.taken.IsZero() {
 		trust = math.Exp(-float64(now.Sub(t.taken)) / float64(trustReport))
 	}
-	return mean + trust*(t.reported-mean) + t.since
+	return t.own.plus(t.others, trust).plus(g.others, (1-trust)/float64(len(g.members)))
 }
 
-// cost is the target time of a request: until its first token, and after it.
-func (t *target) cost(q Request, held float64) (first, rest float64) {
+// cost is the target time of a request.
+func (t *target) cost(q Request, held float64) (w work) {
 	if t.Kind == fleet.Service {
-		return t.service / float64(max(t.Slots, 1)), 0
+		return work{prefill: t.service / float64(max(t.Slots, 1))}
 	}
 	if q.Stage == Start {
-		first = (q.PromptTokens - held) / t.prefill
+		w.prefill = (q.PromptTokens - held) / t.prefill
 	}
 	if q.Stage == Decode || t.Role == fleet.Mixed {
-		rest = q.OutputTokens / t.decode
+		w.decode = q.OutputTokens / t.decode
 	}
-	return first, rest
+	return w
 }
 
 func (r *Router) commit(now time.Time, q Request, c candidate, g *group) Choice {
 	t := &r.targets[c.slot]
-	before := t.work()
-	t.add(now, c.work)
-	r.changed(t, before)
+	r.shift(now, t, c.work)
 	if c.probe {
 		t.health.probing = true
 	}
@@ -176,7 +189,7 @@
 		}
 	}
 	return Choice{
-		Target: t.Name, Agent: t.Agent, Role: t.Role, Sent: now, Work: c.work, Probe: c.probe, Crosses: g.distance == 2,
+		Target: t.Name, Agent: t.Agent, Role: t.Role, Sent: now, Prefill: c.work.prefill, Decode: c.work.decode, Probe: c.probe, Crosses: g.distance == 2,
 		Expected:    time.Duration((c.wait + 2*g.delay.Seconds()) * float64(time.Second)),
 		incarnation: t.Incarnation,
 	}
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -80,7 +80,8 @@
 		if c.Target != "t0" {
 			open = append(open, c)
 			if len(open) > 8 {
-				r.Step(now, route.Outcome{Choice: open[0], FirstToken: open[0].Expected})
+				r.Step(now, route.FirstToken{Choice: open[0], Took: open[0].Expected})
+				r.Step(now, route.Outcome{Choice: open[0], Began: true})
 				open = open[1:]
 			}
 			continue
@@ -100,25 +101,23 @@
 	is := is.New(t)
 	r := newRouter()
 	r.Step(start, route.Configure{Targets: engines(4, 1)})
-	for range 200 {
-		c, err := r.Pick(start, request(500, time.Hour))
+	for range 3 {
+		q := request(500, time.Hour)
+		q.Tried = []fleet.TargetName{"t1", "t2", "t3"}
+		c, err := r.Pick(start, q)
 		is.NoErr(err)
-		result := route.Served
-		if c.Target == "t0" {
-			result = route.Failed
-		}
-		r.Step(start, route.Outcome{Choice: c, Result: result})
+		r.Step(start, route.Outcome{Choice: c, Result: route.Failed})
 	}
 	now := start.Add(2 * time.Second)
-	for {
-		c, err := r.Pick(now, request(500, time.Hour))
-		is.NoErr(err)
-		r.Step(now, route.Outcome{Choice: c})
-		if c.Target == "t0" {
-			is.True(c.Probe)
-			break
-		}
-	}
+	probe, err := r.Pick(now, request(500, time.Hour))
+	is.NoErr(err)
+	is.Equal(probe.Target, fleet.TargetName("t0")) // due, so that it goes first
+	is.True(probe.Probe)
+	other, err := r.Pick(now, request(500, time.Hour))
+	is.NoErr(err)
+	is.True(other.Target != "t0") // one at a time
+	r.Step(now, route.Outcome{Choice: probe})
+	r.Step(now, route.Outcome{Choice: other})
 	counts := map[fleet.TargetName]int{}
 	for range 100 {
 		c, err := r.Pick(now, request(500, time.Hour))
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -16,7 +16,7 @@
 
 const (
 	stages         = 2
-	sentRing       = 64
+	changeRing     = 128    // own changes remembered per target; 64 overflowed with reports 5 s late
 	defaultPrefill = 8000.0 // prompt tokens/s until a target reports its speed
 	defaultDecode  = 1500.0 // output tokens/s until a target reports its speed
 	defaultService = 0.05   // seconds per request of a plain service until measured
@@ -53,30 +53,41 @@
 	delay       time.Duration // one-way
 	distance    uint8         // 0 own data centre, 1 own region, 2 other region
 	members     []int32
-	work        float64 // sum over members in seconds
+	others      work // sums over members
+	own         work
 	summary     float64 // mean reported from outside
 	summaryTime time.Time
 }
 
-type sent struct {
-	at   time.Time
-	work float64
+// work is target time in seconds.
+type work struct{ prefill, decode float64 }
+
+func (w work) plus(o work, factor float64) work {
+	return work{w.prefill + factor*o.prefill, w.decode + factor*o.decode}
+}
+
+func (w work) positive() work { return work{math.Max(0, w.prefill), math.Max(0, w.decode)} }
+
+// change is a change of this node's own work at a target.
+type change struct {
+	at time.Time
+	by work
 }
 
 type target struct {
 	fleet.Target
-	groups   [stages]int32 // -1 where the role does not serve the stage
-	taken    time.Time     // of the last load report
-	reported float64       // seconds of work in it
-	since    float64       // own work handed over after taken
-	own      int32         // own attempts without an outcome
-	ring     [sentRing]sent
-	head, n  int
-	prefill  float64 // tokens/s
-	decode   float64 // tokens/s
-	service  float64 // seconds per request of a plain service
-	health   health
-	cache    cacheState
+	groups  [stages]int32 // -1 where the role does not serve the stage
+	taken   time.Time     // of the last load report
+	others  work          // in that report, without this node's own
+	own     work          // of this node, handed over and not ended
+	since   work          // change of own after taken
+	ring    [changeRing]change
+	head, n int
+	prefill float64 // tokens/s
+	decode  float64 // tokens/s
+	service float64 // seconds per request of a plain service
+	health  health
+	cache   cacheState
 }
 
 // New returns a Router without targets.
@@ -115,6 +126,8 @@
 		r.load(e)
 	case Summary:
 		r.summarise(e)
+	case FirstToken:
+		r.firstToken(now, e)
 	case Outcome:
 		r.outcome(now, e)
 	case Cache:
@@ -134,7 +147,7 @@
 			n = old[i]
 		}
 		if n.Role != t.Role {
-			n.reported, n.since, n.n = 0, 0, 0
+			n.others, n.own, n.since, n.n = work{}, work{}, work{}, 0
 		}
 		n.Target = t
 		n.groups = [stages]int32{-1, -1}
@@ -163,7 +176,8 @@
 		g := r.groupOf(p, s, &t.Target)
 		t.groups[s] = g
 		r.groups[g].members = append(r.groups[g].members, i)
-		r.groups[g].work += t.work()
+		r.groups[g].others = r.groups[g].others.plus(t.others, 1)
+		r.groups[g].own = r.groups[g].own.plus(t.own, 1)
 	}
 }
 
@@ -211,7 +225,6 @@
 		return
 	}
 	t := &r.targets[i]
-	before := t.work()
 	if e.PrefillSpeed > 0 {
 		t.prefill = e.PrefillSpeed
 	}
@@ -219,19 +232,27 @@
 		t.decode = e.DecodeSpeed
 	}
 	t.taken = e.Taken
-	t.reported = e.PrefillTokens/t.prefill + e.DecodeTokens/t.decode
+	reported := work{e.PrefillTokens / t.prefill, e.DecodeTokens / t.decode}
 	if t.Kind == fleet.Service {
-		t.reported = float64(e.Requests) * t.service / float64(max(t.Slots, 1))
+		reported = work{prefill: float64(e.Requests) * t.service / float64(max(t.Slots, 1))}
 	}
 	for t.n > 0 && !t.ring[t.head].at.After(e.Taken) {
-		t.since -= t.ring[t.head].work
-		t.head = (t.head + 1) % sentRing
+		t.since = t.since.plus(t.ring[t.head].by, -1)
+		t.head = (t.head + 1) % changeRing
 		t.n--
 	}
 	if t.n == 0 {
-		t.since = 0
+		t.since = work{}
 	}
-	r.changed(t, before)
+	// The report contains this node's work of that time, which is known.
+	ownThen := t.own.plus(t.since, -1)
+	others := reported.plus(ownThen, -1).positive()
+	for _, g := range t.groups {
+		if g >= 0 {
+			r.groups[g].others = r.groups[g].others.plus(others, 1).plus(t.others, -1).positive()
+		}
+	}
+	t.others = others
 }
 
 func (r *Router) summarise(e Summary) {
@@ -247,46 +268,21 @@
 	}
 }
 
-// changed carries a change of a target's work into the sums of its groups.
-func (r *Router) changed(t *target, before float64) {
-	d := t.work() - before
+// shift changes this node's own work at a target. A full ring merges into its
+// newest entry.
+func (r *Router) shift(now time.Time, t *target, by work) {
+	t.own = t.own.plus(by, 1).positive()
+	t.since = t.since.plus(by, 1)
 	for _, g := range t.groups {
 		if g >= 0 {
-			r.groups[g].work = math.Max(0, r.groups[g].work+d)
+			r.groups[g].own = r.groups[g].own.plus(by, 1).positive()
 		}
 	}
-}
-
-func (t *target) work() float64 { return t.reported + t.since }
-
-// add records work handed over now. A full ring merges into its newest entry.
-func (t *target) add(now time.Time, work float64) {
-	t.since += work
-	t.own++
-	if t.n == sentRing {
-		last := &t.ring[(t.head+t.n-1)%sentRing]
-		last.at, last.work = now, last.work+work
+	if t.n == changeRing {
+		last := &t.ring[(t.head+t.n-1)%changeRing]
+		last.at, last.by = now, last.by.plus(by, 1)
 		return
 	}
-	t.ring[(t.head+t.n)%sentRing] = sent{now, work}
+	t.ring[(t.head+t.n)%changeRing] = change{now, by}
 	t.n++
 }
-
-// remove takes back work that ended. Work handed over before the last report
-// is part of the report.
-func (t *target) remove(at time.Time, work float64) {
-	t.own = max(0, t.own-1)
-	if !at.After(t.taken) {
-		t.reported = math.Max(0, t.reported-work)
-		return
-	}
-	for i := range t.n {
-		s := &t.ring[(t.head+i)%sentRing]
-		if !s.at.Before(at) {
-			work = math.Min(work, s.work)
-			s.work -= work
-			t.since = math.Max(0, t.since-work)
-			return
-		}
-	}
-}
--- a/internal/measure/entry.go
+++ b/internal/measure/entry.go
@@ -200,6 +200,9 @@
 	if n.dead || r.ended {
 		return
 	}
+	if n.w.policy.pick == byRouter {
+		n.router.Step(n.w.clock.time(), route.FirstToken{Choice: c, Took: n.w.clock.now - c.Sent.Sub(epoch)})
+	}
 	if r.first == 0 {
 		r.first = n.w.clock.now + n.w.clientDelay()/2
 		n.w.res.firstToken(r)
@@ -220,9 +223,7 @@
 		o := route.Outcome{Choice: c, Customer: customer(r.customer), Result: route.Failed}
 		if ok {
 			o.Result = route.Served
-			if stage == route.Start && r.first > 0 {
-				o.FirstToken = r.first - n.w.clientDelay()/2 - c.Sent.Sub(epoch)
-			}
+			o.Began = stage == route.Start
 		}
 		n.router.Step(n.w.clock.time(), o)
 	}
