--- a/core/admit/run.go
+++ b/core/admit/run.go
@@ -91,24 +91,24 @@
 	return r
 }
 
+// room says whether the targets can take another request of a class. Engines
+// process urgent prompts first, so that patient prompts don't use up the depth
+// that urgent ones may fill.
 func (q *Queue) room(class fleet.Class, reserved float64) bool {
-	prompts, running := 0.0, 0.0
-	for c := range q.class {
-		prompts += q.class[c].prompts
-		running += q.class[c].running
-	}
+	u, p := &q.class[fleet.Urgent], &q.class[fleet.Patient]
 	depth := q.o.PrefillDepth.Seconds() * q.capacity.Prefilling
-	if running >= q.capacity.Slots || (prompts >= depth && running >= q.capacity.Prefilling*minimumPrompts) {
+	least := q.capacity.Prefilling * minimumPrompts
+	running := u.running + p.running
+	if running >= q.capacity.Slots {
 		return false
 	}
 	if class == fleet.Urgent {
-		return true
+		return u.prompts < depth || u.running < least
 	}
-	p := &q.class[fleet.Patient]
-	if running >= q.capacity.Slots*(1-urgentGuard) {
+	if running >= q.capacity.Slots*(1-urgentGuard) || p.running >= q.capacity.Slots*(1-reserved) {
 		return false
 	}
-	return p.running < q.capacity.Slots*(1-reserved) && p.prompts <= depth*(1-reserved)
+	return u.prompts+p.prompts < depth*(1-reserved) || running < least
 }
 
 // hand dispatches the first request of a backlog.
