core/plan: count late first tokens; core/route: hand decode over

Cause: the planner took mixed engines for nearly as good as separate roles, because it counted capacity only; while the one decode engine of a data centre was away, KV caches moved across regions; a decode engine beside a mixed one stayed idle. Change: the value of roles includes the share of first tokens that miss the promise (Sakasegawa's approximation); speeds are medians over engines, so that one slow engine is not taken for all; plan.Best gives the roles for a lasting load. Targets that cannot hand a prompt over in their data centre receive none; a mixed engine hands its decode phase to a decode engine with less to do (Choice.HandOver replaces Choice.Role).

--- a/core/plan/estimate.go
+++ b/core/plan/estimate.go
@@ -18,14 +18,16 @@
 // load is an offered load in tokens/s.
 type load struct {
 	prefill, decode float64
+	requests        float64 // requests/s
 	urgent          float64 // share of the work, 0 to 1
 }
 
 func (l load) toward(to load, weight float64) load {
 	return load{
-		prefill: l.prefill + weight*(to.prefill-l.prefill),
-		decode:  l.decode + weight*(to.decode-l.decode),
-		urgent:  l.urgent + weight*(to.urgent-l.urgent),
+		prefill:  l.prefill + weight*(to.prefill-l.prefill),
+		decode:   l.decode + weight*(to.decode-l.decode),
+		requests: l.requests + weight*(to.requests-l.requests),
+		urgent:   l.urgent + weight*(to.urgent-l.urgent),
 	}
 }
 
@@ -60,6 +62,7 @@
 type speeds struct {
 	prefill, decode float64 // of engines with that one role
 	mixed           float64 // efficiency of a mixed engine against those
+	first           float64 // promise of the first token in seconds
 }
 
 func (s *speeds) learn(v Speed) {
@@ -104,14 +107,37 @@
 	return math.Min(x, (np+nd+mixed)/(p+d))
 }
 
+// mixedPrompt is the speed of a mixed engine on one prompt, against that of a
+// prefill engine: the prompt shares its batches with decoding requests.
+const mixedPrompt = 0.5
+
+// late estimates the share of first tokens that miss the promise, as the tail
+// of the waiting time of a queue with several servers (Sakasegawa's
+// approximation of the probability of waiting).
+func (s speeds) late(n split, l load) float64 {
+	c := n[fleet.Prefill] + n[fleet.Mixed]
+	rate := s.prefill * (n[fleet.Prefill] + mixedPrompt*n[fleet.Mixed])
+	if l.requests == 0 || l.prefill == 0 {
+		return 0
+	}
+	if rate <= l.prefill {
+		return 1
+	}
+	busy := l.prefill / rate
+	one := l.prefill / l.requests / (rate / c) // seconds per prompt
+	left := math.Max(0, s.first-one)
+	return math.Pow(busy, math.Sqrt(2*(c+1))-1) * math.Exp(-c*(1-busy)*left/one)
+}
+
 // value is the work within the promise per second. Urgent work is served
-// first and counts patientValue times as much as patient work.
+// first and counts more than patient work.
 func (s speeds) value(n split, l load) float64 {
 	const patientValue = 0.5
 	total := l.prefill/s.prefill + l.decode/s.decode
-	l.prefill *= headroom
-	l.decode *= headroom
-	done := s.served(n, l) * total
+	grown := l
+	grown.prefill *= headroom
+	grown.decode *= headroom
+	done := s.served(n, grown) * total
 	urgent := math.Min(done, total*l.urgent)
-	return urgent + patientValue*(done-urgent)
+	return urgent*(1-s.late(n, l)) + patientValue*(done-urgent)
 }
--- a/core/plan/event.go
+++ b/core/plan/event.go
@@ -20,6 +20,7 @@
 	Pool       string
 	DataCentre fleet.DataCentre
 	Class      fleet.Class
+	Requests   float64 // requests/s
 	Prefill    float64 // prompt tokens/s that no cache holds
 	Decode     float64 // output tokens/s
 }
@@ -69,6 +70,7 @@
 	Windows []config.Window
 	Horizon time.Duration // over which a role change must pay; 0 means 5 min
 	Drain   time.Duration // expected time to drain an engine; 0 means 4 s
+	First   time.Duration // promise of the first token of urgent requests; 0 means 330 ms
 	Prefill float64       // prompt tokens/s of a prefill engine until learned
 	Decode  float64       // output tokens/s of a decode engine until learned
 }
--- /dev/null
+++ b/core/plan/plan_test.go
@@ -0,0 +1,177 @@
+package plan_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+	"papayarock/core/plan"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const step = 5 * time.Second
+
+// site is a data centre whose engines do what the planner orders.
+type site struct {
+	engines []plan.Engine
+	ready   map[fleet.TargetName]time.Time
+	coming  []plan.Engine
+	changes int
+}
+
+func newSite(roles ...fleet.Role) *site {
+	s := &site{ready: make(map[fleet.TargetName]time.Time)}
+	for i, r := range roles {
+		s.engines = append(s.engines, plan.Engine{Name: fleet.TargetName(fmt.Sprintf("t%d", i)), Pool: "m", DataCentre: "dc", Role: r, Ready: true})
+	}
+	return s
+}
+
+// order adds a target that is ready after the start delay.
+func (s *site) order(at time.Time) {
+	e := plan.Engine{Name: fleet.TargetName(fmt.Sprintf("t%d", len(s.engines)+len(s.coming))), Pool: "m", DataCentre: "dc"}
+	s.coming = append(s.coming, e)
+	s.ready[e.Name] = at.Add(budget().StartDelay)
+}
+
+// play steps the planner under a load of prompt and output tokens/s.
+func (s *site) play(p *plan.Planner, now time.Time, d time.Duration, load func(time.Duration) (prefill, decode float64)) (acts []plan.Act) {
+	for t := time.Duration(0); t < d; t += step {
+		at := now.Add(t)
+		for len(s.coming) > 0 && !at.Before(s.ready[s.coming[0].Name]) {
+			s.engines, s.coming = append(s.engines, s.coming[0]), s.coming[1:]
+		}
+		for i := range s.engines {
+			s.engines[i].Ready = !at.Before(s.ready[s.engines[i].Name])
+		}
+		prefill, decode := load(t)
+		got := p.Step(at, plan.Demand{Engines: s.engines, Rates: []plan.Rate{{
+			Pool: "m", DataCentre: "dc", Class: fleet.Urgent, Requests: prefill / 1000, Prefill: prefill, Decode: decode,
+		}}})
+		for _, a := range got {
+			if a.Kind == plan.OrderTarget {
+				s.order(at)
+			}
+			if a.Kind != plan.ChangeRole {
+				continue
+			}
+			s.changes++
+			for i := range s.engines {
+				if s.engines[i].Name == a.Target {
+					s.engines[i].Role = a.Role
+					s.ready[a.Target] = at.Add(9 * time.Second)
+				}
+			}
+		}
+		acts = append(acts, got...)
+	}
+	return acts
+}
+
+func budget() config.Budget {
+	return config.Budget{
+		HourlyCap: 6, PricePerHour: map[string]float64{"m": 1}, StartDelay: 2 * time.Minute,
+		RoleChangeDelay: 5 * time.Second, MinimumPerPool: map[string]int{"m": 2},
+	}
+}
+
+// Guards against a planner that leaves the roles wrong under a lasting load,
+// and against one that keeps changing them once they are right.
+func TestLastingShift(t *testing.T) {
+	is := is.New(t)
+	p := plan.New(plan.Options{Budget: budget()})
+	s := newSite(fleet.Prefill, fleet.Decode, fleet.Decode, fleet.Decode)
+	s.play(p, start, 10*time.Minute, func(time.Duration) (float64, float64) { return 18000, 1500 })
+	is.True(s.changes > 0)
+	is.True(s.engines[0].Role == fleet.Prefill)
+	before := s.changes
+	s.play(p, start.Add(10*time.Minute), 10*time.Minute, func(time.Duration) (float64, float64) { return 18000, 1500 })
+	is.Equal(s.changes, before)
+}
+
+// Guards against thrashing: a mix that swings every two minutes must not cause
+// a role change per swing.
+func TestSwingDoesNotThrash(t *testing.T) {
+	is := is.New(t)
+	p := plan.New(plan.Options{Budget: budget()})
+	s := newSite(fleet.Prefill, fleet.Prefill, fleet.Decode, fleet.Decode)
+	s.play(p, start, time.Hour, func(t time.Duration) (float64, float64) {
+		x := 0.5 * math.Sin(2*math.Pi*t.Minutes()/4)
+		return 14000 * (1 + x), 3000 * (1 - x)
+	})
+	t.Logf("%d role changes in 30 swings", s.changes)
+	is.True(s.changes <= 8)
+}
+
+// Guards against a spending above the cap, and against an order for a short
+// peak that ends before the target is ready.
+func TestTargetOrders(t *testing.T) {
+	for name, c := range map[string]struct {
+		load  func(time.Duration) (float64, float64)
+		order bool
+	}{
+		"lasting overload": {func(time.Duration) (float64, float64) { return 60000, 10000 }, true},
+		"short peak": {func(t time.Duration) (float64, float64) {
+			if t > time.Minute && t < 90*time.Second {
+				return 60000, 10000
+			}
+			return 5000, 1000
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := plan.New(plan.Options{Budget: budget()})
+			s := newSite(fleet.Mixed, fleet.Mixed, fleet.Mixed, fleet.Mixed)
+			orders := 0
+			for _, a := range s.play(p, start, 4*time.Minute, c.load) {
+				if a.Kind == plan.OrderTarget {
+					orders++
+				}
+			}
+			is.Equal(orders > 0, c.order)
+			is.True(len(s.engines)+len(s.coming) <= 6) // the cap
+		})
+	}
+}
+
+// Guards against orders that leave a data centre unable to serve a phase, name
+// an engine that is away, or take too many engines out at once.
+func TestOrdersAreSafe(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 20).Draw(t, "engines")
+		roles := make([]fleet.Role, n)
+		for i := range roles {
+			roles[i] = fleet.Mixed
+		}
+		p := plan.New(plan.Options{Budget: budget()})
+		s := newSite(roles...)
+		now := start
+		for range 20 {
+			prefill := rapid.Float64Range(0, 200000).Draw(t, "prefill")
+			decode := rapid.Float64Range(0, 40000).Draw(t, "decode")
+			s.play(p, now, time.Minute, func(time.Duration) (float64, float64) { return prefill, decode })
+			now = now.Add(time.Minute)
+			var by [3]int
+			away := 0
+			for _, e := range s.engines {
+				by[e.Role]++
+				if !e.Ready {
+					away++
+				}
+			}
+			if by[fleet.Mixed] == 0 && (by[fleet.Prefill] == 0 || by[fleet.Decode] == 0) {
+				t.Fatalf("roles %v cannot serve both phases", by)
+			}
+			if away > max(1, n/10) {
+				t.Fatalf("%d of %d engines away", away, n)
+			}
+		}
+	})
+}
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	headroom     = 1.25 // capacity over load below which first tokens come late
+	headroom     = 1.1  // capacity over load below which queues grow for seconds
 	fastShare    = 0.4  // weight of the fast estimate in the expected future; the rest is the history
 	payback      = 1.5  // gain over loss at which a change is made
 	minGainShare = 0.02 // of the group's work over the horizon; smaller gains are noise
@@ -53,6 +53,9 @@
 	if o.Drain == 0 {
 		o.Drain = 4 * time.Second
 	}
+	if o.First == 0 {
+		o.First = 330 * time.Millisecond
+	}
 	if o.Prefill == 0 {
 		o.Prefill = 10000
 	}
@@ -109,15 +112,14 @@
 		g.engines = append(g.engines, e)
 		p.speed(e.Pool)
 	}
-	for _, s := range d.Speeds {
-		p.speed(s.Pool).learn(s)
-	}
+	p.learnSpeeds(d)
 	loads := make(map[groupKey]load)
 	for _, r := range d.Rates {
 		k := groupKey{r.Pool, r.DataCentre}
 		l, s := loads[k], p.speed(r.Pool)
 		l.prefill += r.Prefill
 		l.decode += r.Decode
+		l.requests += r.Requests
 		if r.Class == fleet.Urgent {
 			l.urgent += r.Prefill/s.prefill + r.Decode/s.decode // work, until divided below
 		}
@@ -133,6 +135,30 @@
 	}
 }
 
+// learnSpeeds takes the median over the engines of a role, and only when at
+// least half of them report: a single slow engine says nothing about the pool.
+func (p *Planner) learnSpeeds(d Demand) {
+	type role struct {
+		pool string
+		role fleet.Role
+	}
+	engines := make(map[role]int)
+	for _, e := range d.Engines {
+		engines[role{e.Pool, e.Role}]++
+	}
+	reports := make(map[role][]Speed)
+	for _, s := range d.Speeds {
+		reports[role{s.Pool, s.Role}] = append(reports[role{s.Pool, s.Role}], s)
+	}
+	for k, l := range reports {
+		if 2*len(l) < engines[k] {
+			continue
+		}
+		sort.Slice(l, func(i, j int) bool { return l[i].Prefill+l[i].Decode < l[j].Prefill+l[j].Decode })
+		p.speed(k.pool).learn(l[len(l)/2])
+	}
+}
+
 func (p *Planner) group(k groupKey) *group {
 	g := p.groups[k]
 	if g == nil {
@@ -145,7 +171,7 @@
 func (p *Planner) speed(pool string) *speeds {
 	s := p.speeds[pool]
 	if s == nil {
-		s = &speeds{prefill: p.o.Prefill, decode: p.o.Decode, mixed: 0.8}
+		s = &speeds{prefill: p.o.Prefill, decode: p.o.Decode, mixed: 0.8, first: p.o.First.Seconds()}
 		p.speeds[pool] = s
 	}
 	return s
--- a/core/route/event.go
+++ b/core/route/event.go
@@ -86,8 +86,8 @@
 // Stage says which part of a request is placed.
 type Stage uint8
 
-// Stages of a request. A plain service and a mixed engine run the whole
-// request at its start; after a prefill engine the request is placed again.
+// Stages of a request. A plain service runs the whole request at its start, and
+// so does a mixed engine, unless the Choice says HandOver.
 const (
 	Start Stage = iota
 	Decode
@@ -110,7 +110,7 @@
 type Choice struct {
 	Target   fleet.TargetName
 	Agent    netip.AddrPort
-	Role     fleet.Role // Prefill: Pick again with stage Decode after the prompt
+	HandOver bool // the target processes the prompt only; Pick again with stage Decode
 	Sent     time.Time
 	Expected time.Duration // expected time to the first token
 	Prefill  float64       // seconds of target time that the attempt adds until its first token
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -179,6 +179,10 @@
 
 func (r *Router) commit(now time.Time, q Request, c candidate, g *group) Choice {
 	t := &r.targets[c.slot]
+	handOver := q.Stage == Start && t.Kind == fleet.Engine && r.handsOver(now, q, c.slot, g)
+	if handOver {
+		c.work.decode = 0
+	}
 	r.shift(now, t, c.work)
 	if c.probe {
 		t.health.probing = true
@@ -189,8 +193,19 @@
 		}
 	}
 	return Choice{
-		Target: t.Name, Agent: t.Agent, Role: t.Role, Sent: now, Prefill: c.work.prefill, Decode: c.work.decode, Probe: c.probe, Crosses: g.distance == 2,
+		Target: t.Name, Agent: t.Agent, HandOver: handOver, Sent: now, Prefill: c.work.prefill, Decode: c.work.decode, Probe: c.probe, Crosses: g.distance == 2,
 		Expected:    time.Duration((c.wait + 2*g.delay.Seconds()) * float64(time.Second)),
 		incarnation: t.Incarnation,
 	}
 }
+
+// handsOver says whether the decode phase belongs at another target than the
+// one that processes the prompt.
+func (r *Router) handsOver(now time.Time, q Request, slot int32, g *group) bool {
+	if r.targets[slot].Role == fleet.Prefill {
+		return true
+	}
+	q.Stage = Decode
+	c := r.pickIn(now, q, &r.groups[g.pair], nil, 0)
+	return c.slot >= 0 && r.targets[c.slot].Role == fleet.Decode
+}
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -64,6 +64,31 @@
 	}
 }
 
+// Guards against prompts processed where no engine can decode them, which moves
+// their KV cache to another data centre, and against a decode phase far from
+// its prompt.
+func TestDecodeStaysNearPrompt(t *testing.T) {
+	is := is.New(t)
+	r := newRouter()
+	ts := engines(4, 2) // dc0: t0, t2; dc1: t1, t3
+	ts[0].Role, ts[2].Role, ts[1].Role, ts[3].Role = fleet.Prefill, fleet.Prefill, fleet.Prefill, fleet.Decode
+	r.Step(start, route.Configure{Targets: ts})
+	q := request(500, time.Hour)
+	c, err := r.Pick(start, q)
+	is.NoErr(err)
+	is.Equal(c.Target, fleet.TargetName("t1"))
+	ts[2].Role = fleet.Decode
+	r.Step(start, route.Configure{Targets: ts})
+	c, err = r.Pick(start, q)
+	is.NoErr(err)
+	is.Equal(c.Target, fleet.TargetName("t0"))
+	is.True(c.HandOver)
+	q.Stage, q.Near = route.Decode, "dc1"
+	c, err = r.Pick(start, q)
+	is.NoErr(err)
+	is.Equal(c.Target, fleet.TargetName("t3"))
+}
+
 // Guards against a target that fails fast drawing traffic, and against more
 // than one probe at a time of an ejected target.
 func TestFailingTarget(t *testing.T) {
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -53,7 +53,8 @@
 	delay       time.Duration // one-way
 	distance    uint8         // 0 own data centre, 1 own region, 2 other region
 	members     []int32
-	others      work // sums over members
+	pair        int32 // decode group of the data centre, of a start group; -1 if none
+	others      work  // sums over members
 	own         work
 	summary     float64 // mean reported from outside
 	summaryTime time.Time
@@ -158,6 +159,7 @@
 		}
 	}
 	r.cache.renumber(old, r.byName)
+	r.pairGroups()
 	r.sortGroups()
 }
 
@@ -206,6 +208,34 @@
 	return int32(len(r.groups) - 1)
 }
 
+// pairGroups finds the decode group of each start group. A start group of
+// engines without one is emptied: moving KV caches between data centres costs
+// more than starting elsewhere.
+func (r *Router) pairGroups() {
+	for _, p := range r.pools {
+		for _, s := range p.byStage[Start] {
+			g := &r.groups[s]
+			g.pair = r.find(p.byStage[Decode], g.dataCentre)
+			if g.pair < 0 && r.targets[g.members[0]].Kind == fleet.Engine {
+				for _, m := range g.members {
+					r.targets[m].groups[Start] = -1
+				}
+				g.members, g.others, g.own = nil, work{}, work{}
+			}
+		}
+	}
+}
+
+// find returns the group of a data centre, or -1.
+func (r *Router) find(groups []int32, d fleet.DataCentre) int32 {
+	for _, g := range groups {
+		if r.groups[g].dataCentre == d {
+			return g
+		}
+	}
+	return -1
+}
+
 func (r *Router) sortGroups() {
 	for _, p := range r.pools {
 		for s := range stages {
--- a/internal/measure/control.go
+++ b/internal/measure/control.go
@@ -17,7 +17,6 @@
 	startDelay      = 2 * time.Minute
 	drainPoll       = 50 * time.Millisecond
 	greedyRatio     = 1.2 // load per engine of one phase over the other, at which greedy switches
-	mixedEfficiency = 0.8 // of a mixed engine, as the perfect planner assumes
 	demandWeight    = 0.5 // of the last second in the demand that shares follow
 )
 
@@ -108,6 +107,7 @@
 		x = &plan.Rate{Pool: enginePool, DataCentre: dataCentre(site), Class: r.class}
 		c.rates[k] = x
 	}
+	x.Requests += 1 / planInterval.Seconds()
 	x.Prefill += r.prompt / planInterval.Seconds()
 	x.Decode += float64(r.output) / planInterval.Seconds()
 }
@@ -126,7 +126,7 @@
 			if x := c.rates[rateKey{site, class}]; x != nil {
 				x.Prefill *= 1 - saved/asked
 				d.Rates = append(d.Rates, *x)
-				x.Prefill, x.Decode = 0, 0
+				x.Requests, x.Prefill, x.Decode = 0, 0, 0
 			}
 		}
 	}
@@ -192,6 +192,7 @@
 	w.drain(e, func() {
 		w.clock.in(roleChangeTime, func() {
 			e.target.Role = r
+			e.promptSpeed, _ = nominal(r)
 			e.away = false
 			w.configure()
 		})
@@ -256,8 +257,11 @@
 	}
 	vp, vd := nominal(fleet.Prefill)
 	cached := sharedShare * prefixBlocks * blockTokens * 0.9
-	p := (promptFloor + promptMean*(1+mix) - cached) / vp
-	d := (outputFloor + outputMean*(1-mix)) / vd
+	one := plan.Rate{
+		Requests: c.w.scenario.load * engineRate,
+		Prefill:  c.w.scenario.load * engineRate * (promptFloor + promptMean*(1+mix) - cached),
+		Decode:   c.w.scenario.load * engineRate * (outputFloor + outputMean*(1-mix)),
+	}
 	for site := range c.w.size.engines {
 		var l []*engine
 		for _, e := range c.w.engines {
@@ -265,7 +269,9 @@
 				l = append(l, e)
 			}
 		}
-		np, nd := bestSplit(len(l), p, d)
+		k := float64(len(l))
+		best := plan.Best(len(l), plan.Rate{Requests: one.Requests * k, Prefill: one.Prefill * k, Decode: one.Decode * k}, 0.5, plan.Options{Prefill: vp, Decode: vd})
+		np, nd := best[fleet.Prefill], best[fleet.Decode]
 		for i, e := range l {
 			e.target.Role = fleet.Mixed
 			if i < np {
@@ -277,19 +283,3 @@
 	}
 	c.w.configure()
 }
-
-// bestSplit returns the numbers of prefill and decode engines of n that serve
-// most requests, each of which needs p prefill and d decode engine seconds.
-func bestSplit(n int, p, d float64) (np, nd int) {
-	best := -1.0
-	for a := 0; a <= n; a++ {
-		for b := 0; a+b <= n; b++ {
-			m := float64(n-a-b) * mixedEfficiency
-			x := min((float64(a)+m)/p, (float64(b)+m)/d, (float64(a+b)+m)/(p+d))
-			if x > best+1e-9 {
-				best, np, nd = x, a, b
-			}
-		}
-	}
-	return np, nd
-}
--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -20,6 +20,7 @@
 	roleChangeTime = 5 * time.Second
 	serviceTime    = 30 * time.Millisecond
 	serviceSlots   = 8
+	speedWeight    = 0.05 // of one batch in the reported prompt speed
 )
 
 // attempt is one request at one engine.
@@ -28,6 +29,7 @@
 	left    float64 // prompt tokens to process
 	out     int     // output tokens produced
 	decode  bool    // only the decode phase
+	prompt  bool    // only the prompt
 	first   func()  // prompt processed
 	end     func(ok bool)
 	cancel  bool
@@ -58,6 +60,7 @@
 	prefilled, made float64       // tokens since then
 	full            bool          // batches were full
 	asked, saved    float64       // prompt tokens accepted, and found in the cache
+	promptSpeed     float64       // prompt tokens/s in batches with a prompt, moving average
 }
 
 // accept takes an attempt; a dead engine refuses.
@@ -175,6 +178,9 @@
 	e.worked += d
 	e.prefilled += chunk
 	e.made += float64(n)
+	if chunk > mixedChunk/2 {
+		e.promptSpeed += speedWeight * (chunk/d.Seconds() - e.promptSpeed)
+	}
 	keep := e.running[:0]
 	var ended []*attempt
 	for i, a := range e.running {
@@ -207,7 +213,7 @@
 	e.store(a.r)
 	a.out = 1
 	a.first()
-	if e.target.Role == fleet.Prefill || a.r.output <= 1 {
+	if a.prompt || a.r.output <= 1 {
 		a.end(true)
 		return
 	}
@@ -254,7 +260,7 @@
 func (e *engine) backlog() (prefill, decode float64) {
 	for _, a := range e.prompts {
 		prefill += a.left
-		if e.target.Role == fleet.Mixed {
+		if !a.prompt {
 			decode += float64(a.r.output)
 		}
 	}
--- a/internal/measure/entry.go
+++ b/internal/measure/entry.go
@@ -136,7 +136,7 @@
 	}
 	n.outstanding[c.Target]++
 	back := n.w.delay(n.site, e.site)
-	a := &attempt{r: r, decode: stage == route.Decode}
+	a := &attempt{r: r, decode: stage == route.Decode, prompt: c.HandOver}
 	a.first = func() { n.w.clock.in(back, func() { n.first(r, c, e) }) }
 	a.end = func(ok bool) { n.w.clock.in(back, func() { n.ended(r, c, e, stage, ok) }) }
 	n.w.clock.in(delay, func() { e.accept(a) })
@@ -208,7 +208,7 @@
 		n.w.res.firstToken(r)
 	}
 	n.step(admit.FirstToken{ID: r.id})
-	if e.target.Kind == fleet.Engine && c.Role == fleet.Prefill && r.output > 1 {
+	if e.target.Kind == fleet.Engine && c.HandOver && r.output > 1 {
 		n.place(r, route.Decode, e.target.DataCentre)
 	}
 }
@@ -230,7 +230,7 @@
 	switch {
 	case !ok:
 		n.failed(r, c, e)
-	case stage == route.Start && c.Role == fleet.Prefill && r.output > 1 && !r.service:
+	case stage == route.Start && c.HandOver && r.output > 1 && !r.service:
 	default:
 		n.finish(r, false)
 		n.w.served(r)
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -66,7 +66,7 @@
 
 // role is the role of engine i of n at the start.
 func role(p policy, i, n int) fleet.Role {
-	if p.roles != rolesSplit && p.roles != rolesGreedy {
+	if p.roles == rolesMixed {
 		return fleet.Mixed
 	}
 	if i < n/2 {
@@ -81,6 +81,7 @@
 
 func (w *world) add(e *engine) {
 	e.c, e.slow, e.since = &w.clock, 1, w.clock.now
+	e.promptSpeed, _ = nominal(e.target.Role)
 	e.target.Name = fleet.TargetName(fmt.Sprintf("t%d", len(w.engines)))
 	e.target.DataCentre, e.target.Region, e.target.Phase = dataCentre(e.site), region(e.site), fleet.Ready
 	w.byName[e.target.Name] = len(w.engines)
@@ -187,7 +188,8 @@
 		}
 		p, d := e.backlog()
 		l := route.Load{Target: e.target.Name, Taken: now, PrefillTokens: p, DecodeTokens: d, Requests: uint32(len(e.prompts) + len(e.running))}
-		l.PrefillSpeed, l.DecodeSpeed = nominal(e.target.Role)
+		_, l.DecodeSpeed = nominal(e.target.Role)
+		l.PrefillSpeed = e.promptSpeed
 		loads = append(loads, l)
 	}
 	w.clock.in(w.scenario.lag, func() {
