core/plan: change few engines at a time over the whole pool

Cause: two data centres took an engine out at the same time, and roles changed in the first seconds of a window and on the first samples. Change: a minute of history before the first change, at most a tenth of a pool's engines away (at least one), six times the loss as payback inside a window.

--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -10,16 +10,18 @@
 )
 
 const (
-	headroom     = 1.1  // capacity over load below which queues grow for seconds
-	fastShare    = 0.4  // weight of the fast estimate in the expected future; the rest is the history
-	payback      = 1.5  // gain over loss at which a change is made
-	minGainShare = 0.02 // of the group's work over the horizon; smaller gains are noise
-	dwell        = 30 * time.Second
-	engineDwell  = 90 * time.Second // between two role changes of one engine
-	awayShare    = 0.1              // of a group's engines that may be away at once, at least one
-	idleShare    = 0.6              // utilisation after a release, at the highest load in the history
-	growPatience = time.Minute      // time for which the load must exceed the engines before an order
-	windowLead   = 45 * time.Second
+	headroom      = 1.1  // capacity over load below which queues grow for seconds
+	fastShare     = 0.4  // weight of the fast estimate in the expected future; the rest is the history
+	payback       = 1.5  // gain over loss at which a change is made
+	windowPayback = 6.0  // the same within a window, where an engine that is away costs urgent work
+	minGainShare  = 0.02 // of the group's work over the horizon; smaller gains are noise
+	dwell         = 30 * time.Second
+	engineDwell   = 90 * time.Second // between two role changes of one engine
+	awayShare     = 0.1              // of a pool's engines that may be away at once, at least one
+	idleShare     = 0.6              // utilisation after a release, at the highest load in the history
+	growPatience  = time.Minute      // time for which the load must exceed the engines before an order
+	windowLead    = 45 * time.Second
+	leastHistory  = 6 // samples before the first change; fewer are dominated by chance
 )
 
 // Planner decides by data centre and pool. Use New.
@@ -225,27 +227,24 @@
 	return v
 }
 
-func (g *group) split() (ready, all split) {
+func (g *group) split() (all split) {
 	for _, e := range g.engines {
 		all[e.Role]++
-		if e.Ready {
-			ready[e.Role]++
-		}
 	}
-	return ready, all
+	return all
 }
 
 // change finds the role change with the highest gain and returns it if it
 // pays.
 func (p *Planner) change(now time.Time, g *group) (Act, bool) {
-	ready, all := g.split()
-	away := 0.0
-	for r := range all {
-		away += all[r] - ready[r]
-	}
-	if now.Sub(g.changed) < dwell || away+1 > math.Max(1, awayShare*float64(len(g.engines))) {
+	all := g.split()
+	if g.estimate.n < leastHistory || now.Sub(g.changed) < dwell || !p.mayLeave(now, g.key.pool) {
 		return Act{}, false
 	}
+	pays := payback
+	if p.inWindow(now) {
+		pays = windowPayback
+	}
 	s := p.speed(g.key.pool)
 	base := p.expected(now, g, all)
 	horizon, lost := p.o.Horizon.Seconds(), (p.o.Drain + p.o.Budget.RoleChangeDelay).Seconds()
@@ -265,7 +264,7 @@
 			}
 			loss := lost * (s.value(all, g.estimate.fast) - s.value(during, g.estimate.fast))
 			gain := (horizon - lost) * (p.expected(now, g, n) - base)
-			if gain < payback*loss || gain < minGainShare*horizon*base {
+			if gain < pays*loss || gain < minGainShare*horizon*base {
 				continue
 			}
 			if gain-loss > best.Gain {
@@ -281,6 +280,34 @@
 	return best, true
 }
 
+// mayLeave says whether one more engine of a pool may be away. The bound is on
+// the whole pool, as data centres take over each other's load meanwhile.
+func (p *Planner) mayLeave(now time.Time, pool string) bool {
+	engines, away := 0, 0
+	for k, g := range p.groups {
+		if k.pool != pool {
+			continue
+		}
+		engines += len(g.engines)
+		for _, e := range g.engines {
+			// An engine ordered in this step still looks ready.
+			if !e.Ready || g.changes[e.Name].Equal(now) {
+				away++
+			}
+		}
+	}
+	return float64(away+1) <= math.Max(1, awayShare*float64(engines))
+}
+
+func (p *Planner) inWindow(now time.Time) bool {
+	for _, w := range p.o.Windows {
+		if !now.Before(w.Opens) && now.Before(w.Closes) {
+			return true
+		}
+	}
+	return false
+}
+
 // whole says whether a split can serve both phases.
 func whole(n split) bool {
 	return n[fleet.Mixed] > 0 || (n[fleet.Prefill] > 0 && n[fleet.Decode] > 0)
--- a/core/plan/size.go
+++ b/core/plan/size.go
@@ -97,7 +97,7 @@
 	if highest > headroom*idleShare*float64(len(g.engines)-1) {
 		return Act{}, false
 	}
-	_, all := g.split()
+	all := g.split()
 	for _, r := range []fleet.Role{fleet.Mixed, fleet.Decode, fleet.Prefill} {
 		all[r]--
 		if name, ok := g.free(now, r); ok && whole(all) {
