core/route: expect a wait at a mixed engine without a free slot

Cause: in the window, mixed engines whose slots were full of patient decodes drew urgent prompts that they could not begin. Change: the expected wait of a mixed engine includes the time until a slot is free, from the requests and decode work in its last report.

--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -139,7 +139,8 @@
 	}
 	held := math.Min(r.held(now, entry, tokens, m), q.PromptTokens)
 	c.work = t.cost(q, held)
-	c.wait = (ahead(t.queue(now, g), q.Stage) + c.work.prefill) * t.health.slowness
+	queue := t.queue(now, g)
+	c.wait = (ahead(queue, q.Stage) + t.blocked(now, queue) + c.work.prefill) * t.health.slowness
 	c.score = c.wait/t.health.ramp(now) + t.health.rate*failPenalty
 	if c.probe {
 		// A due probe goes first; by its score a target that has failed would
@@ -152,14 +153,28 @@
 	return true
 }
 
+// blocked is the time until a slot is free at a mixed engine whose slots are
+// all taken: it begins no further prompt before.
+func (t *target) blocked(now time.Time, queue work) float64 {
+	if t.Role != fleet.Mixed || t.Kind != fleet.Engine || t.count < t.Slots {
+		return 0
+	}
+	return t.trust(now) * float64(t.count-t.Slots+1) * queue.decode / float64(t.count)
+}
+
+// trust is the weight of the last report against the mean of the data centre.
+func (t *target) trust(now time.Time) float64 {
+	if t.taken.IsZero() {
+		return 1
+	}
+	return math.Exp(-float64(now.Sub(t.taken)) / float64(trustReport))
+}
+
 // queue estimates the work at the target. An old report says little about the
 // work of other nodes, so that it approaches the mean of the data centre with
 // its age; this node's own work is known exactly.
 func (t *target) queue(now time.Time, g *group) work {
-	trust := 1.0
-	if !t.taken.IsZero() {
-		trust = math.Exp(-float64(now.Sub(t.taken)) / float64(trustReport))
-	}
+	trust := t.trust(now)
 	return t.own.plus(t.others, trust).plus(g.others, (1-trust)/float64(len(g.members)))
 }
 
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -82,6 +82,7 @@
 	others  work          // in that report, without this node's own
 	own     work          // of this node, handed over and not ended
 	since   work          // change of own after taken
+	count   uint32        // requests in that report
 	ring    [changeRing]change
 	head, n int
 	prefill float64 // tokens/s
@@ -261,7 +262,7 @@
 	if e.DecodeSpeed > 0 {
 		t.decode = e.DecodeSpeed
 	}
-	t.taken = e.Taken
+	t.taken, t.count = e.Taken, e.Requests
 	reported := work{e.PrefillTokens / t.prefill, e.DecodeTokens / t.decode}
 	if t.Kind == fleet.Service {
 		reported = work{prefill: float64(e.Requests) * t.service / float64(max(t.Slots, 1))}
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -187,7 +187,7 @@
 			continue
 		}
 		p, d := e.backlog()
-		l := route.Load{Target: e.target.Name, Taken: now, PrefillTokens: p, DecodeTokens: d, Requests: uint32(len(e.prompts) + len(e.running))}
+		l := route.Load{Target: e.target.Name, Taken: now, PrefillTokens: p, DecodeTokens: d, Requests: uint32(len(e.prompts) + len(e.wait) + len(e.running))}
 		_, l.DecodeSpeed = nominal(e.target.Role)
 		l.PrefillSpeed = e.promptSpeed
 		loads = append(loads, l)
