core/plan: prepare windows not seen before, move engines in batches

Cause: in a data centre of 100 engines one change gains less than the noise limit, so the planner never moved; the first window of a name was not prepared; the own length of a prompt was missing from late first tokens. Change: large groups move a twentieth of their engines together with a gain limit per engine; before its first occurrence a window is taken as the present load with the reserved urgent share, from 90 s ahead; late first tokens include prompts that are too long by themselves; waiting counts the four engines that a router compares.

--- a/core/plan/estimate.go
+++ b/core/plan/estimate.go
@@ -111,6 +111,9 @@
 // prefill engine: the prompt shares its batches with decoding requests.
 const mixedPrompt = 0.5
 
+// comparedEngines is the number of engines that a router compares.
+const comparedEngines = 4
+
 // late estimates the share of first tokens that miss the promise, as the tail
 // of the waiting time of a queue with several servers (Sakasegawa's
 // approximation of the probability of waiting).
@@ -126,7 +129,12 @@
 	busy := l.prefill / rate
 	one := l.prefill / l.requests / (rate / c) // seconds per prompt
 	left := math.Max(0, s.first-one)
-	return math.Pow(busy, math.Sqrt(2*(c+1))-1) * math.Exp(-c*(1-busy)*left/one)
+	// A router compares a few engines, so that many engines with a queue each
+	// don't act as one queue with as many servers.
+	c = math.Min(c, comparedEngines)
+	waits := math.Pow(busy, math.Sqrt(2*(c+1))-1) * math.Exp(-c*(1-busy)*left/one)
+	long := math.Exp(-s.first / one) // prompts that take too long by themselves, if their length is exponential
+	return math.Min(1, waits+long)
 }
 
 // value is the work within the promise per second. Urgent work is served
--- a/core/plan/event.go
+++ b/core/plan/event.go
@@ -14,8 +14,9 @@
 	Speeds  []Speed
 }
 
-// Rate is the offered load of one class in one data centre, refused requests
-// included.
+// Rate is the offered load of one class in one data centre. Requests refused
+// for want of capacity count; those beyond a customer's share (admit.Grants)
+// don't, or a burst would set the roles for everybody.
 type Rate struct {
 	Pool       string
 	DataCentre fleet.DataCentre
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -14,7 +14,8 @@
 	fastShare     = 0.4  // weight of the fast estimate in the expected future; the rest is the history
 	payback       = 1.5  // gain over loss at which a change is made
 	windowPayback = 6.0  // the same within a window, where an engine that is away costs urgent work
-	minGainShare  = 0.02 // of the group's work over the horizon; smaller gains are noise
+	minGain       = 0.06 // of the changed engines' time over the horizon; smaller gains are noise
+	windowShare   = 0.8  // weight of a window's load in the expected future, from its preparation to its end
 	dwell         = 30 * time.Second
 	engineDwell   = 90 * time.Second // between two role changes of one engine
 	awayShare     = 0.1              // of a pool's engines that may be away at once, at least one
@@ -98,9 +99,7 @@
 			acts = append(acts, a)
 			continue
 		}
-		if a, ok := p.change(now, g); ok {
-			acts = append(acts, a)
-		}
+		acts = append(acts, p.change(now, g)...)
 	}
 	return acts
 }
@@ -195,15 +194,20 @@
 	}
 }
 
-// coming returns the load of a window that is open or opens soon.
+// coming returns the load of a window that is open or opens soon. Before the
+// first window of a name has been seen, it is the present load with the urgent
+// share that the window reserves.
 func (p *Planner) coming(now time.Time, g *group) (load, bool) {
 	for _, w := range p.o.Windows {
 		if now.Before(w.Opens.Add(-windowLead)) || !now.Before(w.Closes) {
 			continue
 		}
-		if l, ok := p.windows[w.Name][g.key]; ok {
-			return l, true
+		l, ok := p.windows[w.Name][g.key]
+		if !ok {
+			l = g.estimate.fast
+			l.urgent = math.Max(l.urgent, w.Reserved)
 		}
+		return l, true
 	}
 	return load{}, false
 }
@@ -222,7 +226,7 @@
 	}
 	v := fastShare*s.value(n, e.fast) + (1-fastShare)*past
 	if l, ok := p.coming(now, g); ok {
-		v = 0.5*v + 0.5*s.value(n, l)
+		v = (1-windowShare)*v + windowShare*s.value(n, l)
 	}
 	return v
 }
@@ -235,54 +239,69 @@
 }
 
 // change finds the role change with the highest gain and returns it if it
-// pays.
-func (p *Planner) change(now time.Time, g *group) (Act, bool) {
-	all := g.split()
-	if g.estimate.n < leastHistory || now.Sub(g.changed) < dwell || !p.mayLeave(now, g.key.pool) {
-		return Act{}, false
+// pays. A large group changes several engines together.
+func (p *Planner) change(now time.Time, g *group) []Act {
+	k := max(1, int(awayShare*float64(len(g.engines))/2))
+	if g.estimate.n < leastHistory || now.Sub(g.changed) < dwell || !p.mayLeave(now, g.key.pool, k) {
+		return nil
+	}
+	c := p.best(now, g, k)
+	if c.gain <= 0 {
+		return nil
 	}
+	g.changed = now
+	acts := make([]Act, 0, k)
+	for _, name := range g.free(now, c.from, k) {
+		g.changes[name] = now
+		acts = append(acts, Act{
+			Kind: ChangeRole, Pool: g.key.pool, DataCentre: g.key.dataCentre,
+			Target: name, Role: c.to, Gain: c.gain / float64(k),
+		})
+	}
+	return acts
+}
+
+// move is a change of k engines from one role to another.
+type move struct {
+	from, to fleet.Role
+	gain     float64 // in seconds of engine work, loss subtracted
+}
+
+// best returns the move of k engines with the highest gain among those that
+// pay, or a gain of 0.
+func (p *Planner) best(now time.Time, g *group, k int) (best move) {
+	all, s := g.split(), p.speed(g.key.pool)
 	pays := payback
 	if p.inWindow(now) {
 		pays = windowPayback
 	}
-	s := p.speed(g.key.pool)
-	base := p.expected(now, g, all)
+	base, present := p.expected(now, g, all), s.value(all, g.estimate.fast)
 	horizon, lost := p.o.Horizon.Seconds(), (p.o.Drain + p.o.Budget.RoleChangeDelay).Seconds()
-	best := Act{Kind: ChangeRole, Pool: g.key.pool, DataCentre: g.key.dataCentre}
 	for from := range all {
+		if len(g.free(now, fleet.Role(from), k)) < k {
+			continue
+		}
+		during := all
+		during[from] -= float64(k)
+		loss := lost * (present - s.value(during, g.estimate.fast))
 		for to := range all {
-			n := all
-			n[from]--
-			during := n
-			n[to]++
-			if from == to || all[from] == 0 || !whole(n) {
+			n := during
+			n[to] += float64(k)
+			if from == to || !whole(n) {
 				continue
 			}
-			name, ok := g.free(now, fleet.Role(from))
-			if !ok {
-				continue
-			}
-			loss := lost * (s.value(all, g.estimate.fast) - s.value(during, g.estimate.fast))
 			gain := (horizon - lost) * (p.expected(now, g, n) - base)
-			if gain < pays*loss || gain < minGainShare*horizon*base {
-				continue
-			}
-			if gain-loss > best.Gain {
-				best.Gain, best.Target, best.Role = gain-loss, name, fleet.Role(to)
+			if gain >= pays*loss && gain >= minGain*float64(k)*horizon && gain-loss > best.gain {
+				best = move{fleet.Role(from), fleet.Role(to), gain - loss}
 			}
 		}
 	}
-	if best.Target == "" {
-		return Act{}, false
-	}
-	g.changed = now
-	g.changes[best.Target] = now
-	return best, true
+	return best
 }
 
-// mayLeave says whether one more engine of a pool may be away. The bound is on
+// mayLeave says whether k more engines of a pool may be away. The bound is on
 // the whole pool, as data centres take over each other's load meanwhile.
-func (p *Planner) mayLeave(now time.Time, pool string) bool {
+func (p *Planner) mayLeave(now time.Time, pool string, k int) bool {
 	engines, away := 0, 0
 	for k, g := range p.groups {
 		if k.pool != pool {
@@ -296,7 +315,7 @@
 			}
 		}
 	}
-	return float64(away+1) <= math.Max(1, awayShare*float64(engines))
+	return float64(away+k) <= math.Max(1, awayShare*float64(engines))
 }
 
 func (p *Planner) inWindow(now time.Time) bool {
@@ -313,15 +332,19 @@
 	return n[fleet.Mixed] > 0 || (n[fleet.Prefill] > 0 && n[fleet.Decode] > 0)
 }
 
-// free returns the least loaded ready engine of a role that has not changed
-// its role lately.
-func (g *group) free(now time.Time, r fleet.Role) (name fleet.TargetName, ok bool) {
-	least := math.Inf(1)
+// free returns at most k ready engines of a role that have not changed their
+// role lately, least loaded first.
+func (g *group) free(now time.Time, r fleet.Role, k int) []fleet.TargetName {
+	var l []Engine
 	for _, e := range g.engines {
-		if e.Role != r || !e.Ready || now.Sub(g.changes[e.Name]) < engineDwell || e.Load >= least {
-			continue
+		if e.Role == r && e.Ready && now.Sub(g.changes[e.Name]) >= engineDwell {
+			l = append(l, e)
 		}
-		least, name, ok = e.Load, e.Name, true
 	}
-	return name, ok
+	sort.SliceStable(l, func(i, j int) bool { return l[i].Load < l[j].Load })
+	names := make([]fleet.TargetName, 0, k)
+	for _, e := range l[:min(k, len(l))] {
+		names = append(names, e.Name)
+	}
+	return names
 }
--- a/core/plan/size.go
+++ b/core/plan/size.go
@@ -100,8 +100,8 @@
 	all := g.split()
 	for _, r := range []fleet.Role{fleet.Mixed, fleet.Decode, fleet.Prefill} {
 		all[r]--
-		if name, ok := g.free(now, r); ok && whole(all) {
-			return Act{Kind: ReleaseTarget, Pool: g.key.pool, DataCentre: g.key.dataCentre, Target: name}, true
+		if l := g.free(now, r, 1); len(l) > 0 && whole(all) {
+			return Act{Kind: ReleaseTarget, Pool: g.key.pool, DataCentre: g.key.dataCentre, Target: l[0]}, true
 		}
 		all[r]++
 	}
