core/admit: share by customer over both classes, grants over all entries

Cause: a burst of urgent requests of one customer starved the patient requests of others (49 of 222 refused for one customer at the same site), and its demand set the roles of engines. Change: one fair-queue tag per customer over both classes; urgent work goes first unless its customer is 2 s of capacity ahead of another's patient work; Grants gives each customer's share, and the planner's demand leaves out what exceeds it.

--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -56,6 +56,35 @@
 	is.Equal(got[0].ID, id(200))
 }
 
+// Guards against a burst of urgent requests of one customer that starves the
+// patient work of another.
+func TestUrgentBurstDoesNotStarvePatient(t *testing.T) {
+	is := is.New(t)
+	q := queue(admit.Options{})
+	var running []fleet.RequestID
+	run := func(actions []admit.Action) (patient bool) {
+		for _, a := range actions {
+			if a.Reason == admit.Dispatch {
+				running = append(running, a.ID)
+				patient = patient || a.ID == id(500)
+			}
+		}
+		return patient
+	}
+	for n := range 200 {
+		run(q.Step(start, submit(n, "a", fleet.Urgent)))
+	}
+	run(q.Step(start, submit(500, "b", fleet.Patient)))
+	for range 50 { // a's urgent work uses 5.5 s of the target
+		done := running[0]
+		running = running[1:]
+		if run(q.Step(start, admit.Done{ID: done, PromptTokens: 100, OutputTokens: 100})) {
+			return
+		}
+	}
+	is.Fail() // the patient request still waits
+}
+
 // Guards against patient work that keeps urgent work waiting: urgent goes
 // first, patient leaves free slots, and in a window it leaves the reserved
 // share, beginning ahead of it.
@@ -204,6 +233,21 @@
 	})
 }
 
+// Guards against a burst of one customer that takes capacity from another one,
+// and against capacity that nobody may use.
+func TestDivide(t *testing.T) {
+	is := is.New(t)
+	wants := []admit.Want{
+		{Entry: "e1", Customer: "a", Weight: 1, Demand: 100}, // a burst
+		{Entry: "e1", Customer: "b", Weight: 1, Demand: 2},
+		{Entry: "e2", Customer: "c", Weight: 1, Demand: 3},
+	}
+	grants := admit.Grants(10, wants)
+	is.Equal(grants, map[fleet.Customer]float64{"a": 5, "b": 2, "c": 3})
+	is.Equal(admit.Divide(10, wants), map[fleet.Host]float64{"e1": 7, "e2": 3})
+	is.Equal(admit.Divide(10, wants[1:]), map[fleet.Host]float64{"e1": 4, "e2": 6})
+}
+
 // Guards against a cost per request that grows with the number of customers.
 func BenchmarkStep(b *testing.B) {
 	for _, n := range []int{8, 1000, 11000} {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -32,12 +32,12 @@
 	estimates estimates
 	actions   []Action
 	drained   drain
+	virtual   float64 // highest start tag that was dispatched
 	overhead  float64 // seconds from hand-over to first token beyond the prompt's price, moving average
 }
 
 // classState sums the requests of one class.
 type classState struct {
-	virtual float64 // start tag of the last dispatched request
 	weights float64 // of customers with waiting requests
 	waiting float64 // price of waiting requests
 	prompts float64 // price of prompts handed over and not yet processed
@@ -49,6 +49,8 @@
 	weight   float64
 	limited  bool
 	share    Share
+	start    float64 // start tag of the next request, price over weight
+	finish   float64 // finish tag of the last dispatched request
 	queues   [classes]backlog
 	waiting  int
 	inFlight int
@@ -57,14 +59,12 @@
 
 // backlog is the queue of one customer and class.
 type backlog struct {
-	owner  *customer
-	class  fleet.Class
-	list   []*item
-	head   int
-	start  float64 // start tag of the first waiting request
-	finish float64 // finish tag of the last dispatched request
-	price  float64
-	place  int
+	owner *customer
+	class fleet.Class
+	list  []*item
+	head  int
+	price float64
+	place int
 }
 
 type item struct {
@@ -106,7 +106,7 @@
 		estimates: make(estimates),
 	}
 	for c := range q.active {
-		q.active[c].less = func(a, b *backlog) bool { return a.start < b.start }
+		q.active[c].less = func(a, b *backlog) bool { return a.owner.start < b.owner.start }
 	}
 	q.expiry.less = func(a, b *item) bool { return a.refuseAt.Before(b.refuseAt) }
 	q.longest.less = func(a, b *customer) bool { return a.waiting > b.waiting }
@@ -233,8 +233,10 @@
 func (q *Queue) enqueue(i *item) {
 	b := &i.owner.queues[i.Class]
 	s := &q.class[i.Class]
+	if i.owner.waiting == 0 {
+		i.owner.start = math.Max(q.virtual, i.owner.finish)
+	}
 	if b.empty() {
-		b.start = math.Max(s.virtual, b.finish)
 		s.weights += i.owner.weight
 	}
 	b.list = append(b.list, i)
--- a/core/admit/run.go
+++ b/core/admit/run.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	urgentGuard    = 0.1 // share of slots and prompt depth that patient work leaves free
+	urgentGuard    = 0.1             // share of slots and prompt depth that patient work leaves free
+	urgentAhead    = 2 * time.Second // of capacity that urgent work of one customer may run ahead of another's patient work
 	drainWeight    = 0.2
 	drainInterval  = time.Second
 	overheadWeight = 0.05
@@ -74,13 +75,40 @@
 func (q *Queue) dispatch(now time.Time) {
 	q.measure(now)
 	reserved := q.reserved(now)
-	for class := classes - 1; class >= 0; class-- {
-		for len(q.active[class].list) > 0 && q.room(fleet.Class(class), reserved) {
-			q.hand(now, q.active[class].list[0])
+	for {
+		b := q.first(reserved)
+		if b == nil {
+			return
 		}
+		q.hand(now, b)
 	}
 }
 
+// first returns the backlog whose turn it is. Urgent work goes before patient
+// work, unless its customer is so far ahead of its share that the patient work
+// of another would pay for it.
+func (q *Queue) first(reserved float64) *backlog {
+	var u, p *backlog
+	if l := q.active[fleet.Urgent].list; len(l) > 0 && q.room(fleet.Urgent, reserved) {
+		u = l[0]
+	}
+	if l := q.active[fleet.Patient].list; len(l) > 0 && q.room(fleet.Patient, reserved) {
+		p = l[0]
+	}
+	if u == nil || p == nil {
+		if u == nil {
+			return p
+		}
+		return u
+	}
+	weights := q.class[fleet.Urgent].weights + q.class[fleet.Patient].weights
+	slack := urgentAhead.Seconds() * q.capacity.Targets / math.Max(weights, 1)
+	if p.owner.start+slack < u.owner.start {
+		return p
+	}
+	return u
+}
+
 // reserved is the share of capacity that patient work may not use now.
 func (q *Queue) reserved(now time.Time) float64 {
 	r := urgentGuard
@@ -116,13 +144,12 @@
 func (q *Queue) hand(now time.Time, b *backlog) {
 	i := b.list[b.head]
 	s := &q.class[b.class]
-	s.virtual = b.start
-	b.finish = b.start + i.charged/i.owner.weight
-	b.start = b.finish
+	c := i.owner
+	q.virtual = math.Max(q.virtual, c.start)
+	c.finish = c.start + i.charged/c.weight
+	c.start = c.finish
 	q.unqueue(i)
-	if !b.empty() {
-		q.active[b.class].put(b)
-	}
+	q.reorder(c)
 	i.gone, i.dispatched, i.handed = false, true, now
 	i.owner.inFlight++
 	s.prompts += i.prompt
@@ -131,6 +158,15 @@
 	q.actions = append(q.actions, Action{ID: i.ID, Reason: Dispatch, Output: i.output})
 }
 
+// reorder restores the order after a customer's start tag has changed.
+func (q *Queue) reorder(c *customer) {
+	for k := range c.queues {
+		if c.queues[k].place > 0 {
+			q.active[k].put(&c.queues[k])
+		}
+	}
+}
+
 // learnOverhead follows how long first tokens of urgent requests take beyond
 // the price of their prompts: queues at the targets, batches and the network.
 func (q *Queue) learnOverhead(now time.Time, i *item) {
@@ -169,12 +205,11 @@
 		i.owner.share.Tokens += i.PromptTokens + i.output - prompt - output
 	}
 	price := prompt*q.capacity.PrefillPrice + output*q.capacity.DecodePrice
-	b := &i.owner.queues[i.Class]
 	d := (price - i.charged) / i.owner.weight
-	b.finish += d
-	if b.place > 0 {
-		b.start += d
-		q.active[i.Class].put(b)
+	i.owner.finish += d
+	if i.owner.waiting > 0 {
+		i.owner.start += d
+		q.reorder(i.owner)
 	}
 	i.output, i.charged, i.PromptTokens = output, price, prompt
 }
--- a/internal/measure/control.go
+++ b/internal/measure/control.go
@@ -26,6 +26,7 @@
 	planner *plan.Planner
 	demand  map[*entry]map[int]float64
 	rates   map[rateKey]*plan.Rate
+	granted map[fleet.Customer]float64 // share of its demand that a customer is entitled to
 }
 
 type rateKey struct {
@@ -34,7 +35,7 @@
 }
 
 func newControl(w *world) *control {
-	c := &control{w: w, demand: make(map[*entry]map[int]float64), rates: make(map[rateKey]*plan.Rate)}
+	c := &control{w: w, demand: make(map[*entry]map[int]float64), rates: make(map[rateKey]*plan.Rate), granted: make(map[fleet.Customer]float64)}
 	prefill, decode := nominal(fleet.Prefill)
 	c.planner = plan.New(plan.Options{
 		Windows: w.windows(), Prefill: prefill, Decode: decode,
@@ -90,6 +91,14 @@
 		}
 	}
 	shares := admit.Divide(engines, wants)
+	grants := admit.Grants(engines, wants)
+	total := make(map[fleet.Customer]float64)
+	for _, x := range wants {
+		total[x.Customer] += x.Demand
+	}
+	for name, d := range total {
+		c.granted[name] = grants[name] / d
+	}
 	for _, n := range c.w.entries {
 		part := shares[n.host] / engines
 		n.step(admit.Capacity{
@@ -107,9 +116,13 @@
 		x = &plan.Rate{Pool: enginePool, DataCentre: dataCentre(site), Class: r.class}
 		c.rates[k] = x
 	}
-	x.Requests += 1 / planInterval.Seconds()
-	x.Prefill += r.prompt / planInterval.Seconds()
-	x.Decode += float64(r.output) / planInterval.Seconds()
+	part := 1.0
+	if g, ok := c.granted[customer(r.customer)]; ok {
+		part = g
+	}
+	x.Requests += part / planInterval.Seconds()
+	x.Prefill += part * r.prompt / planInterval.Seconds()
+	x.Decode += part * float64(r.output) / planInterval.Seconds()
 }
 
 // measured returns the demand since the last call.
