core/admit: leave half a mean deviation before the promise

Cause: p99 of the urgent first token still exceeded the promise of 330 ms, by up to 114 ms in the window. Change: the latest start leaves the mean overhead plus half its mean deviation.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -33,7 +33,7 @@
 	actions   []Action
 	drained   drain
 	virtual   float64 // highest start tag that was dispatched
-	overhead  float64 // seconds from hand-over to first token beyond the prompt's price, moving average
+	overhead  overhead
 }
 
 // classState sums the requests of one class.
@@ -222,7 +222,7 @@
 // latestStart is the time after which handing the request over cannot keep its
 // promise.
 func (q *Queue) latestStart(i *item) time.Time {
-	prompt := time.Duration((i.prompt + q.overhead) * float64(time.Second))
+	prompt := time.Duration((i.prompt + q.overhead.bound()) * float64(time.Second))
 	by := i.Deadline.Add(-prompt)
 	if !i.FirstTokenBy.IsZero() && i.FirstTokenBy.Add(-prompt).Before(by) {
 		by = i.FirstTokenBy.Add(-prompt)
--- a/core/admit/run.go
+++ b/core/admit/run.go
@@ -167,6 +167,16 @@
 	}
 }
 
+// overhead follows the time from hand-over to first token beyond the price of
+// the prompt, in seconds, as moving averages.
+type overhead struct{ mean, spread float64 }
+
+// bound is the time to leave for it. The mean alone let p99 of the first token
+// rise to 444 ms against a promise of 330 ms; mean plus a whole mean deviation
+// refused requests that would have been in time (goodput 97.1 to 93.8% under a
+// swing).
+func (o overhead) bound() float64 { return math.Max(0, o.mean+o.spread/2) }
+
 // learnOverhead follows how long first tokens of urgent requests take beyond
 // the price of their prompts: queues at the targets, batches and the network.
 func (q *Queue) learnOverhead(now time.Time, i *item) {
@@ -174,7 +184,9 @@
 		return
 	}
 	x := now.Sub(i.handed).Seconds() - i.prompt
-	q.overhead = math.Max(0, q.overhead+overheadWeight*(x-q.overhead))
+	o := &q.overhead
+	o.spread += overheadWeight * (math.Abs(x-o.mean) - o.spread)
+	o.mean += overheadWeight * (x - o.mean)
 }
 
 func (q *Queue) firstToken(i *item) {
