--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -32,11 +32,12 @@
 	estimates estimates
 	actions   []Action
 	drained   drain
+	virtual   float64 // highest start tag that was dispatched
+	overhead  overhead
 }
 
 // classState sums the requests of one class.
 type classState struct {
-	virtual float64 // start tag of the last dispatched request
 	weights float64 // of customers with waiting requests
 	waiting float64 // price of waiting requests
 	prompts float64 // price of prompts handed over and not yet processed
@@ -48,6 +49,8 @@
 	weight   float64
 	limited  bool
 	share    Share
+	start    float64 // start tag of the next request, price over weight
+	finish   float64 // finish tag of the last dispatched request
 	queues   [classes]backlog
 	waiting  int
 	inFlight int
@@ -56,14 +59,12 @@
 
 // backlog is the queue of one customer and class.
 type backlog struct {
-	owner  *customer
-	class  fleet.Class
-	list   []*item
-	head   int
-	start  float64 // start tag of the first waiting request
-	finish float64 // finish tag of the last dispatched request
-	price  float64
-	place  int
+	owner *customer
+	class fleet.Class
+	list  []*item
+	head  int
+	price float64
+	place int
 }
 
 type item struct {
@@ -74,6 +75,7 @@
 	prompt     float64 // price of the prompt
 	refuseAt   time.Time
 	dispatched bool
+	handed     time.Time // when it was dispatched
 	first      bool
 	gone       bool // refused or cancelled while in the middle of a backlog
 	place      int
@@ -104,7 +106,7 @@
 		estimates: make(estimates),
 	}
 	for c := range q.active {
-		q.active[c].less = func(a, b *backlog) bool { return a.start < b.start }
+		q.active[c].less = func(a, b *backlog) bool { return a.owner.start < b.owner.start }
 	}
 	q.expiry.less = func(a, b *item) bool { return a.refuseAt.Before(b.refuseAt) }
 	q.longest.less = func(a, b *customer) bool { return a.waiting > b.waiting }
@@ -128,6 +130,7 @@
 		q.submit(now, e)
 	case FirstToken:
 		if i := q.items[e.ID]; i != nil && i.dispatched {
+			q.learnOverhead(now, i)
 			q.firstToken(i)
 		}
 	case Progress:
@@ -219,7 +222,7 @@
 // latestStart is the time after which handing the request over cannot keep its
 // promise.
 func (q *Queue) latestStart(i *item) time.Time {
-	prompt := time.Duration(i.prompt * float64(time.Second))
+	prompt := time.Duration((i.prompt + q.overhead.bound()) * float64(time.Second))
 	by := i.Deadline.Add(-prompt)
 	if !i.FirstTokenBy.IsZero() && i.FirstTokenBy.Add(-prompt).Before(by) {
 		by = i.FirstTokenBy.Add(-prompt)
@@ -230,8 +233,10 @@
 func (q *Queue) enqueue(i *item) {
 	b := &i.owner.queues[i.Class]
 	s := &q.class[i.Class]
+	if i.owner.waiting == 0 {
+		i.owner.start = math.Max(q.virtual, i.owner.finish)
+	}
 	if b.empty() {
-		b.start = math.Max(s.virtual, b.finish)
 		s.weights += i.owner.weight
 	}
 	b.list = append(b.list, i)
--- a/core/route/event.go
+++ b/core/route/event.go
@@ -7,8 +7,8 @@
 	"papayarock/core/fleet"
 )
 
-// Event is something a Router learns: Configure, Load, Summary, Outcome or
-// Cache.
+// Event is something a Router learns: Configure, Load, Summary, FirstToken,
+// Outcome or Cache.
 type Event interface{ event() }
 
 // Configure replaces the known targets. Figures of targets that stay under the
@@ -46,14 +46,21 @@
 	Cancelled        // ended by the caller; says nothing about the target
 )
 
+// FirstToken reports that the prompt of an attempt has been processed, or that
+// a plain service has answered. It is optional, once per Choice.
+type FirstToken struct {
+	Choice Choice
+	Took   time.Duration // since Choice.Sent
+}
+
 // Outcome reports the end of the attempt that a Choice began. Each Choice needs
 // exactly one Outcome.
 type Outcome struct {
-	Choice     Choice
-	Result     Result
-	FirstToken time.Duration // from the Choice to the first token, or to the whole answer of a plain service; 0 if unknown
-	Customer   fleet.Customer
-	Bytes      uint64 // sent and received
+	Choice   Choice
+	Result   Result
+	Began    bool // FirstToken was reported for the Choice
+	Customer fleet.Customer
+	Bytes    uint64 // sent and received
 }
 
 // Cache reports changes of a target's prefix cache.
@@ -65,11 +72,12 @@
 	Evicted  []uint64
 }
 
-func (Configure) event() {}
-func (Load) event()      {}
-func (Summary) event()   {}
-func (Outcome) event()   {}
-func (Cache) event()     {}
+func (Configure) event()  {}
+func (Load) event()       {}
+func (Summary) event()    {}
+func (FirstToken) event() {}
+func (Outcome) event()    {}
+func (Cache) event()      {}
 
 // Resync asks the owner to request the whole cache content of a target, after
 // a gap in its cache events.
@@ -78,8 +86,8 @@
 // Stage says which part of a request is placed.
 type Stage uint8
 
-// Stages of a request. A plain service and a mixed engine run the whole
-// request at its start; after a prefill engine the request is placed again.
+// Stages of a request. A plain service runs the whole request at its start, and
+// so does a mixed engine, unless the Choice says HandOver.
 const (
 	Start Stage = iota
 	Decode
@@ -90,10 +98,11 @@
 	Pool         string
 	Customer     fleet.Customer
 	Stage        Stage
-	PromptTokens float64   // 0 for plain services
-	OutputTokens float64   // estimate
-	FirstTokenBy time.Time // promise; zero means none
-	Prefix       []uint64  // hashes of the prompt's prefixes in blocks of Options.BlockTokens, shortest first
+	Near         fleet.DataCentre // with Decode: of the prefill engine, whose KV cache moves
+	PromptTokens float64          // 0 for plain services
+	OutputTokens float64          // estimate
+	FirstTokenBy time.Time        // promise; zero means none
+	Prefix       []uint64         // hashes of the prompt's prefixes in blocks of Options.BlockTokens, shortest first
 	Tried        []fleet.TargetName
 }
 
@@ -101,10 +110,11 @@
 type Choice struct {
 	Target   fleet.TargetName
 	Agent    netip.AddrPort
-	Role     fleet.Role // Prefill: Pick again with stage Decode after the prompt
+	HandOver bool // the target processes the prompt only; Pick again with stage Decode
 	Sent     time.Time
 	Expected time.Duration // expected time to the first token
-	Work     float64       // seconds of target time this attempt adds
+	Prefill  float64       // seconds of target time that the attempt adds until its first token
+	Decode   float64       // and after it
 	Probe    bool          // the one attempt that tests an ejected target
 	Crosses  bool          // leaves the region
 
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -12,6 +12,7 @@
 	candidates  = 4               // targets compared per data centre, besides holders of the prefix
 	maxSamples  = 16              // draws to find them among ejected or tried targets
 	trustReport = 2 * time.Second // age at which a report has lost 63% of its weight against the mean
+	decodeShare = 0.2             // delay of a prompt by a second of decode work in the same batches, and the reverse
 	spillMargin = 0.8             // share of the remaining time that an estimate may use
 )
 
@@ -19,7 +20,7 @@
 	slot  int32
 	score float64 // seconds, with penalties
 	wait  float64 // expected seconds to the first token, without penalties
-	work  float64
+	work  work
 	probe bool
 }
 
@@ -31,6 +32,11 @@
 	if p == nil || int(q.Stage) >= stages {
 		return Choice{}, ErrNoTarget
 	}
+	if q.Near != "" {
+		if c, err := r.pickNear(now, q, p); err == nil {
+			return c, nil
+		}
+	}
 	entry, tokens := r.longest(q.Prefix)
 	best, bestGroup := candidate{slot: -1, score: math.Inf(1)}, int32(-1)
 	for _, gi := range p.byStage[q.Stage] {
@@ -38,7 +44,7 @@
 		if best.slot >= 0 && g.distance > r.groups[bestGroup].distance && r.keeps(now, q, best, bestGroup) {
 			break
 		}
-		if bestGroup >= 0 && g.mean()+g.delay.Seconds()*2 > best.wait+r.groups[bestGroup].delay.Seconds()*2 {
+		if bestGroup >= 0 && g.mean(q.Stage)+g.delay.Seconds()*2 > best.wait+r.groups[bestGroup].delay.Seconds()*2 {
 			continue // by its summary it is no better
 		}
 		c := r.pickIn(now, q, g, entry, tokens)
@@ -53,6 +59,18 @@
 	return r.commit(now, q, best, &r.groups[bestGroup]), nil
 }
 
+// pickNear chooses in the data centre q.Near only.
+func (r *Router) pickNear(now time.Time, q Request, p *pool) (Choice, error) {
+	for _, gi := range p.byStage[q.Stage] {
+		if g := &r.groups[gi]; g.dataCentre == q.Near {
+			if c := r.pickIn(now, q, g, nil, 0); c.slot >= 0 {
+				return r.commit(now, q, c, g), nil
+			}
+		}
+	}
+	return Choice{}, ErrNoTarget
+}
+
 // keeps says whether a candidate is expected to keep the promise.
 func (r *Router) keeps(now time.Time, q Request, c candidate, gi int32) bool {
 	if q.FirstTokenBy.IsZero() {
@@ -62,11 +80,21 @@
 	return c.wait <= left.Seconds()*spillMargin
 }
 
-func (g *group) mean() float64 {
-	if len(g.members) == 0 {
+// mean is the score that an average member of the group has.
+func (g *group) mean(stage Stage) float64 {
+	n := float64(len(g.members))
+	if n == 0 {
 		return math.Inf(1)
 	}
-	return math.Max(g.summary, g.work/float64(len(g.members)))
+	return math.Max(g.summary, ahead(g.others.plus(g.own, 1), stage)/n)
+}
+
+// ahead weighs the work at a target by how much it delays a new request.
+func ahead(w work, stage Stage) float64 {
+	if stage == Decode {
+		return w.decode + decodeShare*w.prefill
+	}
+	return w.prefill + decodeShare*w.decode
 }
 
 // pickIn compares a few random members of a group and the holders of the
@@ -110,46 +138,67 @@
 		c.probe = true
 	}
 	held := math.Min(r.held(now, entry, tokens, m), q.PromptTokens)
-	queue := t.queue(now, g.mean())
-	first, rest := t.cost(q, held)
-	c.work = first + rest
-	c.wait = (queue + first) * t.health.slowness
+	c.work = t.cost(q, held)
+	queue := t.queue(now, g)
+	c.wait = (ahead(queue, q.Stage) + t.blocked(now, queue) + c.work.prefill) * t.health.slowness
 	c.score = c.wait/t.health.ramp(now) + t.health.rate*failPenalty
+	if c.probe {
+		// A due probe goes first; by its score a target that has failed would
+		// never be tried while others are idle.
+		c.score = 0
+	}
 	if c.score < best.score {
 		*best = c
 	}
 	return true
 }
 
-// queue estimates the seconds of work ahead at the target. An old report says
-// little, so that it approaches the mean of the data centre with its age.
-func (t *target) queue(now time.Time, mean float64) float64 {
-	trust := 1.0
-	if !t.taken.IsZero() {
-		trust = math.Exp(-float64(now.Sub(t.taken)) / float64(trustReport))
+// blocked is the time until a slot is free at a mixed engine whose slots are
+// all taken: it begins no further prompt before.
+func (t *target) blocked(now time.Time, queue work) float64 {
+	if t.Role != fleet.Mixed || t.Kind != fleet.Engine || t.count < t.Slots {
+		return 0
+	}
+	return t.trust(now) * float64(t.count-t.Slots+1) * queue.decode / float64(t.count)
+}
+
+// trust is the weight of the last report against the mean of the data centre.
+func (t *target) trust(now time.Time) float64 {
+	if t.taken.IsZero() {
+		return 1
 	}
-	return mean + trust*(t.reported-mean) + t.since
+	return math.Exp(-float64(now.Sub(t.taken)) / float64(trustReport))
+}
+
+// queue estimates the work at the target. An old report says little about the
+// work of other nodes, so that it approaches the mean of the data centre with
+// its age; this node's own work is known exactly.
+func (t *target) queue(now time.Time, g *group) work {
+	trust := t.trust(now)
+	return t.own.plus(t.others, trust).plus(g.others, (1-trust)/float64(len(g.members)))
 }
 
-// cost is the target time of a request: until its first token, and after it.
-func (t *target) cost(q Request, held float64) (first, rest float64) {
+// cost is the target time of a request.
+func (t *target) cost(q Request, held float64) (w work) {
 	if t.Kind == fleet.Service {
-		return t.service / float64(max(t.Slots, 1)), 0
+		return work{prefill: t.service / float64(max(t.Slots, 1))}
 	}
 	if q.Stage == Start {
-		first = (q.PromptTokens - held) / t.prefill
+		w.prefill = (q.PromptTokens - held) / t.prefill
 	}
 	if q.Stage == Decode || t.Role == fleet.Mixed {
-		rest = q.OutputTokens / t.decode
+		w.decode = q.OutputTokens / t.decode
 	}
-	return first, rest
+	return w
 }
 
 func (r *Router) commit(now time.Time, q Request, c candidate, g *group) Choice {
 	t := &r.targets[c.slot]
-	before := t.work()
-	t.add(now, c.work)
-	r.changed(t, before)
+	handOver := q.Stage == Start && t.Kind == fleet.Engine && r.handsOver(now, q, c.slot, g)
+	if handOver {
+		c.work.decode = 0
+	}
+	r.shift(now, t, c.work)
 	if c.probe {
 		t.health.probing = true
 	}
@@ -159,8 +208,19 @@
 		}
 	}
 	return Choice{
-		Target: t.Name, Agent: t.Agent, Role: t.Role, Sent: now, Work: c.work, Probe: c.probe, Crosses: g.distance == 2,
+		Target: t.Name, Agent: t.Agent, HandOver: handOver, Sent: now, Prefill: c.work.prefill, Decode: c.work.decode, Probe: c.probe, Crosses: g.distance == 2,
 		Expected:    time.Duration((c.wait + 2*g.delay.Seconds()) * float64(time.Second)),
 		incarnation: t.Incarnation,
 	}
 }
+
+// handsOver says whether the decode phase belongs at another target than the
+// one that processes the prompt.
+func (r *Router) handsOver(now time.Time, q Request, slot int32, g *group) bool {
+	if r.targets[slot].Role == fleet.Prefill {
+		return true
+	}
+	q.Stage = Decode
+	c := r.pickIn(now, q, &r.groups[g.pair], nil, 0)
+	return c.slot >= 0 && r.targets[c.slot].Role == fleet.Decode
+}
--- a/io/daemon/roles.go
+++ b/io/daemon/roles.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +16,6 @@
 	"papayarock/io/agent"
 	"papayarock/io/controller"
 	"papayarock/io/entry"
-	"papayarock/io/identity"
 	"papayarock/io/link"
 	"papayarock/io/serving"
 	"papayarock/io/settings"
@@ -25,18 +25,21 @@
 func (p *process) addControl(ctx context.Context) error {
 	s := p.s.Control
 	o := controller.Options{
-		Self: p.s.Host, Addresses: make(map[fleet.Host]netip.AddrPort), Data: s.Data, Links: p.links,
+		Self: p.s.Host, Data: s.Data, Links: p.links,
 		Log: p.log.Named("control"), Platform: s.Platform, Usage: s.Usage, Client: http.DefaultClient,
 		UsageWindow: s.UsageWindow,
+		Addresses:   make(map[fleet.Host]netip.AddrPort), Operators: make(map[fleet.Host]netip.AddrPort),
 	}
 	for _, h := range p.s.ControlHosts {
-		o.Addresses[h.Host] = h.Address
 		if !s.Learner {
 			o.Voters = append(o.Voters, h.Host)
 		}
 	}
-	for _, h := range p.s.Relays {
+	for _, h := range slices.Concat(p.s.ControlHosts, p.s.Relays) {
 		o.Addresses[h.Host] = h.Address
+		if h.Operator.IsValid() {
+			o.Operators[h.Host] = h.Operator
+		}
 	}
 	c, err := controller.New(o)
 	if err != nil {
@@ -58,15 +61,13 @@
 // operators serves operators. Without TLS anybody who reaches the address is an
 // operator, so plain links suit a closed network only.
 func (p *process) operators(c *controller.Controller) server {
-	name := controller.OperatorName
+	handler, config := c.ServeOperators(p.credentials)
 	options := []khttp.ServerOption{khttp.Address(p.s.Control.Operator.String()), khttp.Timeout(0)}
-	if p.credentials == nil {
-		name = func(r *http.Request) (string, error) { return "plain " + r.RemoteAddr, nil }
-	} else {
-		options = append(options, khttp.TLSConfig(identity.ServerConfig(p.credentials, identity.Operator)))
+	if config != nil {
+		options = append(options, khttp.TLSConfig(config))
 	}
 	h := khttp.NewServer(options...)
-	h.Handler = c.Operators(name)
+	h.Handler = handler
 	h.ReadHeaderTimeout = headerTimeout
 	return h
 }
--- a/io/serving/admit.go
+++ b/io/serving/admit.go
@@ -8,6 +8,7 @@
 
 	"papayarock/core/admit"
 	"papayarock/core/fleet"
+	"papayarock/core/route"
 	"papayarock/core/state"
 	"papayarock/io/entry"
 )
@@ -90,7 +91,12 @@
 func (p *Policy) FirstByte(id fleet.RequestID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.firstToken(time.Now(), id)
+	now := time.Now()
+	if f := p.flights[id]; f != nil && f.chosen && !f.began {
+		f.began = true
+		p.router.Step(now, route.FirstToken{Choice: f.choice, Took: now.Sub(f.choice.Sent)})
+	}
+	p.firstToken(now, id)
 }
 
 func (p *Policy) firstToken(now time.Time, id fleet.RequestID) {
--- a/io/serving/pick.go
+++ b/io/serving/pick.go
@@ -55,7 +55,7 @@
 		f = &flight{}
 		p.flights[id] = f
 	}
-	f.choice, f.chosen = c, true
+	f.choice, f.chosen, f.began = c, true, false
 	f.firstBy = now.Add(c.Expected + c.Expected/2)
 }
 
@@ -69,11 +69,9 @@
 		return
 	}
 	f.chosen = false
-	out := route.Outcome{Choice: f.choice, Result: resultOf(o), Customer: r.Customer, Bytes: o.Bytes + uint64(r.BodyBytes)}
-	if !o.FirstByte.IsZero() && !o.FirstByte.Before(f.choice.Sent) {
-		out.FirstToken = o.FirstByte.Sub(f.choice.Sent)
-	}
-	p.router.Step(now, out)
+	p.router.Step(now, route.Outcome{
+		Choice: f.choice, Result: resultOf(o), Began: f.began, Customer: r.Customer, Bytes: o.Bytes + uint64(r.BodyBytes),
+	})
 	if o.Load != nil {
 		p.load(now, t, o.Load)
 	}
--- a/io/serving/policy.go
+++ b/io/serving/policy.go
@@ -85,6 +85,7 @@
 	decided chan admit.Action
 	choice  route.Choice
 	chosen  bool
+	began   bool      // the router knows of the first token of this choice
 	first   bool      // the first token has been noted
 	firstBy time.Time // when it is taken as sent, for an answer that is not streamed
 }
