core/config: name the model that a pool's engines serve

Cause: the leader took the model of a pool to have the pool's name, so no engine of the shipped questionnaires was ever ordered to load its weights. Change: the generated configuration maps pools to models; the stand-in of the platform takes the wanted name of a target and can hold targets that ran before.

--- a/core/config/check.go
+++ b/core/config/check.go
@@ -63,7 +63,7 @@
 
 // Equal reports whether g and o are the same configuration.
 func (g General) Equal(o General) bool {
-	return g.Team == o.Team && sameList(g.Routes, o.Routes) && sameList(g.Models, o.Models) &&
+	return g.Team == o.Team && sameList(g.Routes, o.Routes) && sameList(g.Models, o.Models) && sameMap(g.PoolModel, o.PoolModel) &&
 		sameList(g.Windows, o.Windows) && sameBudget(g.Budget, o.Budget)
 }
 
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -82,6 +82,7 @@
 	Customers []Customer
 	Routes    []Route
 	Models    []Model
+	PoolModel map[string]string // model that the engines of a pool serve
 	Windows   []Window
 	Budget    Budget
 }
--- a/core/config/delta.go
+++ b/core/config/delta.go
@@ -6,11 +6,12 @@
 
 // General is the part of a Document that is small and replaced as a whole.
 type General struct {
-	Team    string
-	Routes  []Route
-	Models  []Model
-	Windows []Window
-	Budget  Budget
+	Team      string
+	Routes    []Route
+	Models    []Model
+	PoolModel map[string]string // as in Document
+	Windows   []Window
+	Budget    Budget
 }
 
 // CutKey names a withdrawn key whose running requests are interrupted.
--- a/core/config/index.go
+++ b/core/config/index.go
@@ -39,7 +39,7 @@
 	d := s.Document
 	x, _ := (&Index{}).Apply(Delta{ // a delta from revision 0 never has a gap
 		To: s.Revision, PutCustomers: d.Customers, PutKeys: s.Keys, PutTargets: s.Targets, Cut: s.Cut,
-		General: &General{Team: d.Team, Routes: d.Routes, Models: d.Models, Windows: d.Windows, Budget: d.Budget},
+		General: &General{Team: d.Team, Routes: d.Routes, Models: d.Models, PoolModel: d.PoolModel, Windows: d.Windows, Budget: d.Budget},
 	})
 	x.Revision = s.Revision
 	return x
@@ -167,7 +167,7 @@
 	return Snapshot{
 		Revision: x.Revision, Cut: x.Cut,
 		Document: Document{
-			Team: g.Team, Routes: g.Routes, Models: g.Models, Windows: g.Windows, Budget: g.Budget,
+			Team: g.Team, Routes: g.Routes, Models: g.Models, PoolModel: g.PoolModel, Windows: g.Windows, Budget: g.Budget,
 			Customers: x.Customers(),
 		},
 		Keys:    x.Keys(),
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -206,7 +206,8 @@
 
 func (w *world) document(version string) {
 	w.change(state.ReplaceDocument{Document: config.Document{
-		Models: []config.Model{{Name: "grade", Version: version, Bytes: 1}},
+		Models:    []config.Model{{Name: "notes", Version: version, Bytes: 1}},
+		PoolModel: map[string]string{"grade": "notes"},
 	}})
 }
 
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -153,6 +153,11 @@
 	s.phase(r, fleet.Draining, s.now.Add(settleTime))
 }
 
+func (s *step) poolOf(name fleet.TargetName) string {
+	t, _ := s.view.Config.Target(name)
+	return t.Pool
+}
+
 // proposing says whether this step already drains a target of the pool.
 func (s *step) proposing(pool string) bool {
 	for _, a := range s.actions {
@@ -164,7 +169,7 @@
 		if !ok || c.Phase != fleet.Draining {
 			continue
 		}
-		if t, ok := s.view.Config.Target(c.Target); ok && t.Pool == pool {
+		if s.poolOf(c.Target) == pool {
 			return true
 		}
 	}
@@ -189,7 +194,7 @@
 		return config.Model{}, false
 	}
 	for _, m := range s.view.Config.General.Models {
-		if m.Name == r.Target.Pool {
+		if m.Name == s.view.Config.General.PoolModel[r.Target.Pool] {
 			return m, r.Loaded.Model != m.Name || r.Loaded.Version != m.Version
 		}
 	}
@@ -205,7 +210,7 @@
 	}
 	for _, a := range s.actions {
 		if p, ok := a.(Propose); ok {
-			if c, ok := p.Command.(state.PlaceOrder); ok && c.Kind == state.OrderLoad && c.Content.Model == pool {
+			if c, ok := p.Command.(state.PlaceOrder); ok && c.Kind == state.OrderLoad && c.Target != "" && s.poolOf(c.Target) == pool {
 				n++
 			}
 		}
--- a/core/state/change.go
+++ b/core/state/change.go
@@ -183,7 +183,7 @@
 			}
 		}
 	}
-	g := config.General{Team: d.Team, Routes: d.Routes, Models: d.Models, Windows: d.Windows, Budget: d.Budget}
+	g := config.General{Team: d.Team, Routes: d.Routes, Models: d.Models, PoolModel: d.PoolModel, Windows: d.Windows, Budget: d.Budget}
 	if !m.config.General.Equal(g) {
 		m.pending.General = &g
 	}
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -59,6 +59,7 @@
 	Target     string    `json:"-"`
 	Repeated   bool      `json:"-"` // the number was known and nothing was done
 	Number     string    `json:"order"`
+	Wanted     string    `json:"target"` // name for a started target, if it is free
 	DataCentre string    `json:"data-centre"`
 	Pool       string    `json:"pool"`
 }
@@ -135,6 +136,17 @@
 	respond(w, lose, status, message, t)
 }
 
+// Add registers a target that runs already.
+func (p *Platform) Add(t PlatformTarget) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.targets == nil {
+		p.targets = make(map[string]*PlatformTarget)
+	}
+	t.State = "running"
+	p.targets[t.Name] = &t
+}
+
 // startTarget returns the target an order starts or started.
 func (p *Platform) startTarget(o PlatformOrder) (PlatformTarget, int, string) {
 	if p.Idempotent {
@@ -150,8 +162,12 @@
 		return PlatformTarget{}, http.StatusInsufficientStorage, fmt.Sprintf("no capacity in data centre %q", o.DataCentre)
 	}
 	p.names++
+	name := fmt.Sprintf("p%d", p.names)
+	if o.Wanted != "" && p.targets[o.Wanted] == nil {
+		name = o.Wanted
+	}
 	t := &PlatformTarget{
-		Name: fmt.Sprintf("p%d", p.names), DataCentre: o.DataCentre, Pool: o.Pool,
+		Name: name, DataCentre: o.DataCentre, Pool: o.Pool,
 		State: "starting", Order: o.Number, Ordered: o.At,
 	}
 	if p.targets == nil {
--- a/io/answers/document.go
+++ b/io/answers/document.go
@@ -53,7 +53,7 @@
 		})
 		t.Close()
 	}
-	d.Budget = readBudget(root)
+	d.Budget = readBudget(root, &d)
 	root.Close()
 	return d, file.Faults()
 }
@@ -87,11 +87,18 @@
 	}
 }
 
-func readBudget(root *tomlfile.Table) config.Budget {
+// readBudget reads the budget, and the pools into d.
+func readBudget(root *tomlfile.Table, d *config.Document) config.Budget {
 	b := config.Budget{PricePerHour: make(map[string]float64), MinimumPerPool: make(map[string]int), MaximumPerPool: make(map[string]int)}
 	for _, t := range root.Subs("pool") {
 		t.Need("name", "name the pool")
 		name := t.String("name")
+		if model := t.String("model"); model != "" {
+			if d.PoolModel == nil {
+				d.PoolModel = make(map[string]string)
+			}
+			d.PoolModel[name] = model
+		}
 		b.PricePerHour[name] = t.Float("price-per-hour", 0, maxPrice, 0)
 		b.MinimumPerPool[name] = int(t.Int("minimum", 0, maxTargets, 0))
 		b.MaximumPerPool[name] = int(t.Int("maximum", 0, maxTargets, 0))
--- a/io/answers/generate.go
+++ b/io/answers/generate.go
@@ -21,7 +21,7 @@
 // Generate derives the configuration. The same answers always give the same
 // configuration.
 func Generate(a Answers) Generated {
-	d := config.Document{Team: a.Team, Models: a.Models, Budget: budget(a)}
+	d := config.Document{Team: a.Team, Models: a.Models, PoolModel: poolModels(a), Budget: budget(a)}
 	for _, c := range a.Customers {
 		d.Customers = append(d.Customers, c.Customer)
 	}
@@ -57,6 +57,20 @@
 	return all
 }
 
+func poolModels(a Answers) map[string]string {
+	var all map[string]string
+	for _, p := range a.Pools {
+		if p.Model == "" {
+			continue
+		}
+		if all == nil {
+			all = make(map[string]string)
+		}
+		all[p.Name] = p.Model
+	}
+	return all
+}
+
 func budget(a Answers) config.Budget {
 	b := config.Budget{
 		HourlyCap: a.Spending.HourlyCap, StartDelay: a.Spending.StartDelay, RoleChangeDelay: a.Spending.RoleChange,
@@ -171,6 +185,9 @@
 func (w *writer) pool(p Pool, from string) {
 	w.table("[[pool]]")
 	w.key("name", p.Name, from+"name")
+	if p.Model != "" {
+		w.key("model", p.Model, from+"model")
+	}
 	w.key("minimum", p.Least, from+"least", from+"targets")
 	w.key("maximum", p.Most, from+"most", from+"targets")
 	w.key("price-per-hour", p.PricePerHour, from+"price-per-hour")
--- a/io/answers/write.go
+++ b/io/answers/write.go
@@ -27,7 +27,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(d.Budget.MaximumPerPool)) {
 		w.pool(Pool{
-			Name: name, Least: d.Budget.MinimumPerPool[name], Most: d.Budget.MaximumPerPool[name],
+			Name: name, Model: d.PoolModel[name], Least: d.Budget.MinimumPerPool[name], Most: d.Budget.MaximumPerPool[name],
 			PricePerHour: d.Budget.PricePerHour[name],
 		}, "")
 	}
--- a/io/wire/codec_config.go
+++ b/io/wire/codec_config.go
@@ -11,7 +11,7 @@
 	return &ConfigDocument{
 		Customers: mapped(d.Customers, encodeCustomer),
 		General: encodeGeneral(config.General{
-			Team: d.Team, Routes: d.Routes, Models: d.Models, Windows: d.Windows, Budget: d.Budget,
+			Team: d.Team, Routes: d.Routes, Models: d.Models, PoolModel: d.PoolModel, Windows: d.Windows, Budget: d.Budget,
 		}),
 	}
 }
@@ -19,7 +19,7 @@
 func (r *reader) document(m *ConfigDocument) config.Document {
 	g := r.general(m.GetGeneral())
 	return config.Document{
-		Team: g.Team, Routes: g.Routes, Models: g.Models, Windows: g.Windows, Budget: g.Budget,
+		Team: g.Team, Routes: g.Routes, Models: g.Models, PoolModel: g.PoolModel, Windows: g.Windows, Budget: g.Budget,
 		Customers: mapped(m.GetCustomers(), decodeCustomer),
 	}
 }
@@ -40,21 +40,23 @@
 
 func encodeGeneral(g config.General) *ConfigGeneral {
 	return &ConfigGeneral{
-		Team:    g.Team,
-		Routes:  mapped(g.Routes, encodeRoute),
-		Models:  mapped(g.Models, encodeModel),
-		Windows: mapped(g.Windows, encodeWindow),
-		Budget:  encodeBudget(g.Budget),
+		Team:      g.Team,
+		Routes:    mapped(g.Routes, encodeRoute),
+		Models:    mapped(g.Models, encodeModel),
+		PoolModel: g.PoolModel,
+		Windows:   mapped(g.Windows, encodeWindow),
+		Budget:    encodeBudget(g.Budget),
 	}
 }
 
 func (r *reader) general(m *ConfigGeneral) config.General {
 	return config.General{
-		Team:    m.GetTeam(),
-		Routes:  mapped(m.GetRoutes(), r.route),
-		Models:  mapped(m.GetModels(), decodeModel),
-		Windows: mapped(m.GetWindows(), decodeWindow),
-		Budget:  decodeBudget(m.GetBudget()),
+		Team:      m.GetTeam(),
+		Routes:    mapped(m.GetRoutes(), r.route),
+		Models:    mapped(m.GetModels(), decodeModel),
+		PoolModel: mappedValues(m.GetPoolModel(), func(s string) string { return s }),
+		Windows:   mapped(m.GetWindows(), decodeWindow),
+		Budget:    decodeBudget(m.GetBudget()),
 	}
 }
 
