--- a/io/entry/frames_test.go
+++ b/io/entry/frames_test.go
@@ -131,3 +131,24 @@
 		}
 	}
 }
+
+// Guards against callers over HTTP/2 that are served differently, and against a
+// cut answer that ends their stream cleanly.
+func TestHTTP2(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		r := newRig(t, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			_, _ = w.Write(make([]byte, 100_000))
+			if q.URL.Path == "/reads/cut" {
+				panic(http.ErrAbortHandler)
+			}
+		}), 1)
+		defer r.stop()
+		tr := r.client.Transport.(*http.Transport)
+		tr.Protocols = new(http.Protocols)
+		tr.Protocols.SetUnencryptedHTTP2(true)
+		got := r.do(http.MethodGet, "/reads/whole", "")
+		r.is.NoErr(got.err)
+		r.is.Equal(len(got.body), 100_000)
+		r.is.True(r.do(http.MethodGet, "/reads/cut", "").err != nil)
+	})
+}
