io/agent: a stop waits until each answer was taken to its end

Cause: an agent that stopped while a link was silent went away with answers that an entry was about to resume. A sent last frame proves nothing, since a silent link swallows it.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -71,6 +71,9 @@
 	bodies   int64
 	running  map[fleet.RequestID]*job
 	ended    expiry.Map[fleet.RequestID, *job]
+	// unread holds the ended requests whose answer no entry has taken to its
+	// end. A stop waits for them, since an entry may be resuming.
+	unread expiry.Map[fleet.RequestID, struct{}]
 	// known holds the non-idempotent requests that were started (true) or
 	// barred (false); recent holds the idempotent ones that were started.
 	known  expiry.Map[fleet.RequestID, bool]
@@ -92,6 +95,7 @@
 	a.usage.keep = a.Control != nil
 	a.running = make(map[fleet.RequestID]*job)
 	a.ended.MaxEntries, a.ended.MaxBytes = maxRetained, maxRetainedBytes
+	a.unread.MaxEntries = maxRetained
 	a.known.MaxEntries, a.recent.MaxEntries = maxKnown, maxKnown
 }
 
@@ -143,7 +147,7 @@
 	}
 }
 
-// linger holds the links open while requests run.
+// linger holds the links open while requests run or answers wait for a reader.
 func (a *Agent) linger() {
 	a.mu.Lock()
 	a.stopping = true
@@ -154,7 +158,8 @@
 	}
 	for until := time.Now().Add(timeout); time.Now().Before(until); time.Sleep(stopPoll) {
 		a.mu.Lock()
-		n := len(a.running)
+		a.unread.Expire(time.Now())
+		n := len(a.running) + a.unread.Len()
 		a.mu.Unlock()
 		if n == 0 {
 			break
--- a/io/agent/calls.go
+++ b/io/agent/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -174,6 +175,9 @@
 	if ran == wire.Ran_RAN_NO && !j.request.Idempotent {
 		a.known.Put(now, j.request.ID, false, 0, j.request.Deadline.Add(memory))
 	}
+	if end != nil {
+		a.unread.Put(now, j.request.ID, struct{}{}, 0, now.Add(orphanAfter))
+	}
 	a.ended.Put(now, j.request.ID, j, int64(j.answer.Bytes()), now.Add(retention))
 	a.mu.Unlock()
 	j.conclude(end, failed)
@@ -203,11 +207,13 @@
 	r.stream.Bind(ctx)
 	r.stream.Patience = -1
 	gone := make(chan struct{})
+	left := false // the entry closed its side
 	go func() {
 		defer close(gone)
 		for {
 			var m wire.Open
-			if r.stream.Receive(&m) != nil {
+			if err := r.stream.Receive(&m); err != nil {
+				left = errors.Is(err, io.EOF)
 				return
 			}
 			if c := m.GetCancel(); c != nil {
@@ -215,12 +221,31 @@
 			}
 		}
 	}()
-	err := r.send(ctx, gone)
+	last, err := r.send(ctx, gone)
+	if last {
+		wait(gone, link.DefaultProgress)
+	}
 	cancel()
 	<-gone // the stream must not be closed beside Receive
+	if last && left {
+		// An entry closes its side after the last frame. What was only sent
+		// may be lost with the link.
+		a.mu.Lock()
+		a.unread.Delete(r.job.request.ID)
+		a.mu.Unlock()
+	}
 	return err
 }
 
+func wait(c <-chan struct{}, limit time.Duration) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-c:
+	case <-t.C:
+	}
+}
+
 func (a *Agent) resume(ctx context.Context, s *link.Stream, m *wire.Resume) error {
 	id, err := wire.DecodeRequestID(m.GetRequestId())
 	if err != nil {
--- a/io/agent/job.go
+++ b/io/agent/job.go
@@ -219,33 +219,34 @@
 	}
 }
 
-// send sends the answer until it ends, the stream fails or gone is closed.
-func (r *reader) send(ctx context.Context, gone <-chan struct{}) error {
+// send sends the answer until it ends, the stream fails or gone is closed. It
+// returns true after the last frame.
+func (r *reader) send(ctx context.Context, gone <-chan struct{}) (bool, error) {
 	beat := time.NewTimer(beatEvery)
 	defer beat.Stop()
 	for {
 		last, err := r.queue()
 		if err != nil {
-			return err
+			return false, err
 		}
 		if err := r.stream.Flush(); err != nil {
-			return err
+			return false, err
 		}
 		r.moved()
 		if last {
-			return nil
+			return true, nil
 		}
 		select {
 		case <-r.wake:
 		case <-beat.C:
 			if err := r.stream.Send(&wire.Frame{Frame: &wire.Frame_Beat{Beat: &wire.Beat{}}}); err != nil {
-				return err
+				return false, err
 			}
 			beat.Reset(beatEvery)
 		case <-gone:
-			return nil
+			return false, nil
 		case <-ctx.Done():
-			return ctx.Err()
+			return false, ctx.Err()
 		}
 	}
 }
--- a/io/entry/path_test.go
+++ b/io/entry/path_test.go
@@ -215,6 +215,31 @@
 	})
 }
 
+// Guards against a stop of the agent that cuts an answer whose link went silent
+// shortly before.
+func TestStopWaitsForResume(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		r := newRig(t, stream(20, 100*time.Millisecond), 1)
+		defer r.stop()
+		f := &fault{}
+		f.left.Store(10) // in mid-answer
+		r.damage = func(n int) *fault {
+			if n == 0 {
+				return f
+			}
+			return nil
+		}
+		got := make(chan reply, 1)
+		go func() { got <- r.do(http.MethodPost, "/v1/completions", "{}") }()
+		time.Sleep(time.Second)
+		r.is.True(f.hit.Load())
+		r.stopA()
+		answer := <-got
+		r.is.NoErr(answer.err)
+		r.is.Equal(answer.body, streamed(20))
+	})
+}
+
 // Guards against work that goes on at the engine after its caller has left,
 // and against a non-idempotent request that is stopped halfway.
 func TestCallerLeaves(t *testing.T) {
