core/log: keep a group able to elect and to catch up

Change: the committed membership also makes a node electable; a change needs recorded directories for all voters it leaves; the retry looks at what is not acknowledged. The broken lease-from-reply variant also counts the quorum from the reply.

--- a/core/log/event.go
+++ b/core/log/event.go
@@ -106,6 +106,7 @@
 	TooLarge      Reason = "the command is too large"
 	Busy          Reason = "too many entries are not committed yet"
 	ChangePending Reason = "the term or a membership change is not committed yet"
+	Unidentified  Reason = "the directory of a first voter is not recorded yet"
 	NotCaughtUp   Reason = "the learner has not caught up"
 	BadChange     Reason = "the change does not fit the membership"
 	StorageFailed Reason = "the storage failed"
--- a/core/log/fault_test.go
+++ b/core/log/fault_test.go
@@ -10,6 +10,9 @@
 // propose sends commands, reads and membership changes to some host, most
 // often to a leader, and arranges the next.
 func (s *sim) propose() {
+	if s.quiet {
+		return
+	}
 	interval := lease / 2
 	if s.sharp {
 		interval = 4 * lease
@@ -64,6 +67,9 @@
 
 // fault injects one fault and arranges the next.
 func (s *sim) fault() {
+	if s.quiet {
+		return
+	}
 	interval := 2 * lease
 	if s.sharp {
 		interval = 8 * lease
--- a/core/log/lead.go
+++ b/core/log/lead.go
@@ -153,6 +153,9 @@
 	}
 	if q := members.Quorum(); q <= len(acked) {
 		slices.SortFunc(acked, func(a, b time.Time) int { return b.Compare(a) })
+		if n.weak&leaseFromReply != 0 && acked[q-1].After(n.lead.confirmed) {
+			acked[q-1] = n.now
+		}
 		n.lead.confirmed = later(n.lead.confirmed, acked[q-1])
 	}
 }
@@ -225,9 +228,6 @@
 		if r.sequence != m.Sequence {
 			continue
 		}
-		if n.weak&leaseFromReply != 0 {
-			r.at = n.now
-		}
 		p.acked = later(p.acked, r.at)
 		n.confirm()
 	}
@@ -307,7 +307,9 @@
 		n.sendChunk(p, h)
 		return
 	}
-	if late && (p.probing || p.inflight > 0) {
+	// The window is no measure of what is missing: a duplicated answer opens it
+	// for an append that was lost.
+	if late && (p.probing || p.match+1 < p.next) {
 		p.next, p.inflight, p.probing, p.heard = n.guess(p), 0, true, n.now
 		if p.next <= n.log.base {
 			n.sendChunk(p, h)
--- a/core/log/node.go
+++ b/core/log/node.go
@@ -149,16 +149,23 @@
 		return
 	}
 	n.resetCampaign()
-	if n.log.members().Voter(n.o.Self) && n.identified() && (!n.now.Before(n.promise) || n.weak&breakPromise != 0) {
+	if n.electable() && (!n.now.Before(n.promise) || n.weak&breakPromise != 0) {
 		n.startPreVote()
 	}
 }
 
-// identified reports whether the membership names this data directory, or no
-// directory yet.
-func (n *Node) identified() bool {
-	m, ok := n.log.members().Find(n.o.Self)
-	return ok && (m.Identity == 0 || m.Identity == n.o.Identity)
+// electable reports whether this node may become leader: the newest or the
+// committed membership has it as a voter with this data directory. A voter whose
+// removal is not committed may be the only one that holds the removal, and the
+// group cannot go on without it.
+func (n *Node) electable() bool {
+	for _, members := range []Membership{n.log.members(), n.log.membersAt(n.commit)} {
+		x, ok := members.Find(n.o.Self)
+		if ok && !x.Learner && (x.Identity == 0 || x.Identity == n.o.Identity) {
+			return true
+		}
+	}
+	return false
 }
 
 // Wake returns the time at which the next Tick is due.
--- a/core/log/propose.go
+++ b/core/log/propose.go
@@ -84,6 +84,9 @@
 	if n.changing() {
 		reason = ChangePending
 	}
+	if reason == "" && !identified(members) {
+		reason = Unidentified
+	}
 	if reason != "" {
 		n.out = append(n.out, Decided{ID: c.ID, Outcome: NotCommitted, Reason: reason})
 		return
@@ -91,6 +94,13 @@
 	n.track(c.ID, n.appendOwn(Entry{Kind: Members, Members: members}), 0)
 }
 
+// identified reports whether the directories of all voters are recorded. A first
+// voter without entries whose directory is not recorded does not help to elect
+// candidates with entries, so no quorum may come to depend on one.
+func identified(m Membership) bool {
+	return !slices.ContainsFunc(m, func(x Member) bool { return !x.Learner && x.Identity == 0 })
+}
+
 // changing reports whether another change must wait. Until an entry of the own
 // term is committed, a change of an earlier leader may still compete.
 func (n *Node) changing() bool {
