docs: examples for papayarock measure

Cause: measure was merged without examples in its help and in docs/operations.md, so TestExamplesOfCommands failed. Before: 1 failing case. Conclusion: the check passes unchanged.

--- a/cmd/papayarock/measure.go
+++ b/cmd/papayarock/measure.go
@@ -12,6 +12,12 @@
 	return &cli.Command{
 		Name:  "measure",
 		Usage: "compare the routing, admission and planning decisions with simpler policies on simulated engines",
+		Description: `Runs in simulated time on one machine and prints the raw figures and a table for
+each fleet size. The same seed gives the same figures.
+
+Examples:
+  papayarock measure
+  papayarock measure --seed 7 --scenario swing`,
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "random `SEED` of load and decisions"},
 			&cli.StringSliceFlag{Name: "size", Usage: "fleet `NAME`, repeatable; default all"},
