core/state: commit what the planner decides as commands of its own

An automatic role change or release as an operator's Change would move the base of operators and refuse them, and could undo a drain.

Adapt starts a role change or a release of a serving target that nobody wants otherwise; a repeated or late one changes nothing. A start order whose id begins with 'plan ' is refused beyond the hourly cap or the pool's maximum, so the cap holds whatever a new leader remembers. PlannedStarts gives the number from which the id of the next start follows.

--- /dev/null
+++ b/core/state/adapt_test.go
@@ -0,0 +1,91 @@
+package state
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+)
+
+// Guards against an automatic action that undoes what an operator wants, runs
+// under an old term, or repeats itself.
+func TestAdaptGivesWay(t *testing.T) {
+	role := Adapt{Term: 2, Target: "e1", Incarnation: 1, Role: fleet.Decode, Until: start.Add(time.Minute), Time: start}
+	release := role
+	release.Kind = AdaptRelease
+	operator := func(a Action) func(r *rig) {
+		return func(r *rig) { r.change("c1", r.Config().Revision, a) }
+	}
+	tests := map[string]struct {
+		before  func(r *rig)
+		command Adapt
+		outcome TargetOutcome
+	}{
+		"serving":           {command: role, outcome: TargetUpdated},
+		"same role":         {command: func() Adapt { c := role; c.Role = fleet.Mixed; return c }(), outcome: TargetUnchanged},
+		"no deadline":       {command: func() Adapt { c := role; c.Until = time.Time{}; return c }(), outcome: TargetNotAllowed},
+		"drained":           {operator(DrainTarget{Target: "e1", Until: start.Add(time.Hour)}), role, TargetNotAllowed},
+		"drained, release":  {operator(DrainTarget{Target: "e1", Until: start.Add(time.Hour)}), release, TargetNotAllowed},
+		"leaving":           {operator(DrainTarget{Target: "e1", Until: start.Add(time.Hour), Leave: true}), role, TargetNotAllowed},
+		"role by operator":  {operator(SetRole{Target: "e1", Role: fleet.Prefill, Until: start.Add(time.Hour)}), role, TargetNotAllowed},
+		"being replaced":    {operator(ReplaceTarget{Target: "e1", DrainFor: 1, Deadline: start.Add(time.Hour)}), release, TargetNotAllowed},
+		"older term":        {func(r *rig) { r.EnterTerm(3) }, role, TargetStale},
+		"older incarnation": {func(r *rig) { r.ready("e1", 2) }, role, TargetStale},
+		"repeated":          {func(r *rig) { apply[TargetResult](r, role) }, role, TargetNotAllowed},
+		"last of its pool":  {operator(DrainTarget{Target: "e2", Until: start.Add(time.Hour)}), release, TargetNotAllowed},
+		"release":           {command: release, outcome: TargetUpdated},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig()
+			r.ready("e1", 1)
+			r.ready("e2", 1)
+			if tt.before != nil {
+				tt.before(r)
+			}
+			is.Equal(apply[TargetResult](r, tt.command).Outcome, tt.outcome)
+		})
+	}
+}
+
+// Guards against an operator who is refused because the planner acted since the
+// operator read the state, and against an automatic change in the audit list.
+func TestAdaptKeepsOperatorBase(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.ready("e1", 1)
+	r.ready("e2", 1)
+	base := r.Config().Revision
+	is.Equal(apply[TargetResult](r, Adapt{Term: 1, Target: "e1", Incarnation: 1, Role: fleet.Decode, Until: start.Add(time.Minute), Time: start}).Outcome, TargetUpdated)
+	is.Equal(r.change("c1", base, CancelDrain{Target: "e1"}).Outcome, ChangeAccepted)
+	is.Equal(len(r.Image().Audit), 1)
+	e, _ := r.Config().Target("e1")
+	is.Equal(e.Phase, fleet.Announced) // the operator's wish counts
+}
+
+// Guards against a spending cap or a pool's maximum that each new leader may
+// use up again.
+func TestPlannedStartKeepsBudget(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	d := document("a")
+	d.Budget = config.Budget{HourlyCap: 6, PricePerHour: map[string]float64{"p": 2}, MaximumPerPool: map[string]int{"q": 1}}
+	r.change("c1", 0, ReplaceDocument{d})
+	r.ready("e1", 1)
+	r.ready("e2", 1)
+	start := func(term uint64, id, pool string) OrderOutcome {
+		return apply[PlatformResult](r, PlacePlatformOrder{ID: id, Term: term, DataCentre: "dc", Pool: pool, Deadline: start.Add(time.Hour), Time: start}).Outcome
+	}
+	is.Equal(start(1, "plan a", "p"), OrderPlaced)
+	is.Equal(start(1, "plan a", "p"), OrderPlaced) // the same order
+	is.Equal(start(2, "plan b", "p"), OrderNotAllowed)
+	is.Equal(start(2, "plan c", "q"), OrderPlaced)
+	is.Equal(start(3, "plan d", "q"), OrderNotAllowed)
+	is.Equal(start(3, "change x", "p"), OrderPlaced) // an operator may go beyond
+	is.Equal(len(r.OpenPlatform()), 3)
+	is.Equal(len(r.PlannedStarts()), 2)
+}
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -178,6 +178,28 @@
 	Time   time.Time
 }
 
+// AdaptKind says what the planner wants of a target.
+type AdaptKind uint8
+
+// Kinds of Adapt.
+const (
+	AdaptRole    AdaptKind = iota // drain, then take Role
+	AdaptRelease                  // drain, then leave
+)
+
+// Adapt is a change that the leader's planner decided. It is no operator's
+// Change: it has no base, leaves the base of operators as it is, and applies
+// only to a serving target that no operator wants otherwise.
+type Adapt struct {
+	Term        uint64 // of the proposer
+	Target      fleet.TargetName
+	Incarnation fleet.Incarnation
+	Kind        AdaptKind
+	Role        fleet.Role // with AdaptRole
+	Until       time.Time  // deadline of the drain
+	Time        time.Time
+}
+
 // ReportUsage counts usage records.
 type ReportUsage struct{ Records []UsageRecord }
 
@@ -207,6 +229,7 @@
 func (AbandonOrder) command()        {}
 func (PlacePlatformOrder) command()  {}
 func (AcknowledgePlatform) command() {}
+func (Adapt) command()               {}
 func (Claim) command()               {}
 func (Settle) command()              {}
 func (ReportUsage) command()         {}
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -98,6 +98,8 @@
 		return m.placePlatform(c)
 	case AcknowledgePlatform:
 		return m.acknowledgePlatform(c)
+	case Adapt:
+		return m.adapt(c)
 	case Claim:
 		return m.claims.claim(index, m.now, c, m.limits)
 	case Settle:
--- a/core/state/platform.go
+++ b/core/state/platform.go
@@ -73,6 +73,9 @@
 	}
 	m.EnterTerm(c.Term)
 	if c.Kind == PlatformStart {
+		if m.overBudget(c) {
+			return PlatformResult{Outcome: OrderNotAllowed}
+		}
 		res := m.start(c)
 		m.publish()
 		return res
--- a/core/state/search_check_test.go
+++ b/core/state/search_check_test.go
@@ -9,11 +9,12 @@
 
 // checks is what an observer of every message and log entry remembers.
 type checks struct {
-	counts struct{ effects, reads, grants, windows, starts, changes int }
+	counts struct{ effects, reads, grants, windows, starts, changes, adapts int }
 
 	contents    map[fleet.OrderNumber]Order
 	open        map[fleet.TargetName]fleet.OrderNumber
 	unread      map[fleet.TargetName]bool
+	wanted      map[fleet.TargetName]Wanted // by operators
 	incarnation map[fleet.TargetName]fleet.Incarnation
 	starts      map[string]fleet.TargetName
 	answers     map[string]ChangeResult // by change id and content
@@ -24,8 +25,9 @@
 func newChecks() checks {
 	return checks{
 		contents: make(map[fleet.OrderNumber]Order), open: make(map[fleet.TargetName]fleet.OrderNumber),
-		unread: make(map[fleet.TargetName]bool), incarnation: make(map[fleet.TargetName]fleet.Incarnation),
-		starts: make(map[string]fleet.TargetName), answers: make(map[string]ChangeResult), bases: make(map[uint64]string),
+		unread: make(map[fleet.TargetName]bool), wanted: make(map[fleet.TargetName]Wanted),
+		incarnation: make(map[fleet.TargetName]fleet.Incarnation),
+		starts:      make(map[string]fleet.TargetName), answers: make(map[string]ChangeResult), bases: make(map[uint64]string),
 	}
 }
 
@@ -36,6 +38,7 @@
 	c.counts.windows += o.counts.windows
 	c.counts.starts += o.counts.starts
 	c.counts.changes += o.counts.changes
+	c.counts.adapts += o.counts.adapts
 }
 
 // content checks that a number means one order, wherever it is seen.
@@ -83,6 +86,8 @@
 			delete(w.checks.open, c.Target)
 			w.checks.unread[c.Target] = true
 		}
+	case Adapt:
+		w.checkAdapt(c, r.(TargetResult))
 	case Claim:
 		if a := w.entries.requests[c.Request]; r.(ClaimResult).Outcome == ClaimGranted {
 			w.checks.counts.grants++
@@ -91,6 +96,24 @@
 			}
 		}
 	}
+	for name, t := range w.m.targets {
+		w.checks.wanted[name] = t.Wanted
+	}
+}
+
+// checkAdapt checks that the planner leaves alone what an operator wants, and
+// the base of operators.
+func (w *world) checkAdapt(c Adapt, r TargetResult) {
+	if w.m.changes.revision != w.checks.revision {
+		w.failf("the planner moves the base of operators to %d", w.m.changes.revision)
+	}
+	if r.Outcome != TargetUpdated {
+		return
+	}
+	w.checks.counts.adapts++
+	if w.checks.wanted[c.Target] != WantedServing {
+		w.failf("the planner changes target %s, which an operator drains", c.Target)
+	}
 }
 
 func (w *world) checkTarget(name fleet.TargetName, r TargetResult) {
--- a/core/state/search_leader_test.go
+++ b/core/state/search_leader_test.go
@@ -39,6 +39,9 @@
 	case r.Unread:
 		n := r.Read
 		l.todo = append(l.todo, func() { w.act(l, func() { a.read(i, n) }) })
+	case r.Target.Phase == fleet.Ready && w.chance(50), w.chance(25):
+		c := Adapt{Term: w.term, Target: a.name, Incarnation: i, Kind: AdaptKind(w.IntN(8) / 7), Role: fleet.Role(w.IntN(3)), Until: w.now.Add(10 * time.Second), Time: w.now}
+		w.propose(w.term, c, nil)
 	case w.chance(30):
 		p := []fleet.Phase{fleet.Ready, fleet.Draining, fleet.Lost, fleet.Unknown}[w.IntN(4)]
 		w.propose(w.term, TargetPhase{Target: a.name, Incarnation: i, Phase: p, Until: w.now.Add(10 * time.Second), Time: w.now}, nil)
--- a/core/state/search_test.go
+++ b/core/state/search_test.go
@@ -246,6 +246,7 @@
 	for name, n := range map[string]int{
 		"orders": total.counts.effects, "reads": total.counts.reads, "grants": total.counts.grants,
 		"windows": total.counts.windows, "starts": total.counts.starts, "changes": total.counts.changes,
+		"adaptations": total.counts.adapts,
 	} {
 		if n < *searchSchedules/20 {
 			t.Errorf("the schedules reach too few %s to mean anything: %d", name, n)
--- a/core/state/search_variants_test.go
+++ b/core/state/search_variants_test.go
@@ -1,6 +1,10 @@
 package state
 
-import "papayarock/core/fleet"
+import (
+	"time"
+
+	"papayarock/core/fleet"
+)
 
 // variant breaks one rule.
 type variant struct {
@@ -41,6 +45,7 @@
 }
 
 func placed(c PlaceOrder) fleet.TargetName  { return c.Target }
+func adapted(c Adapt) fleet.TargetName      { return c.Target }
 func announced(c Announce) fleet.TargetName { return c.Target.Name }
 func claimed(c Claim) ClaimKey              { return c.Key }
 
@@ -82,6 +87,11 @@
 	"role of a repeated announcement is taken": onTarget("while its state is", announced, func(r *TargetRecord, c Announce) {
 		r.Target.Role = c.Target.Role
 	}),
+	"drain by an operator is forgotten": onTarget("which an operator drains", adapted, func(r *TargetRecord, _ Adapt) {
+		r.Wanted = WantedServing
+		r.enter(fleet.Ready, time.Time{})
+	}),
+	"adaptation moves the base":  on("moves the base", func(m *Machine, _ Adapt) { m.changes.revision++ }),
 	"platform ids are forgotten": on("started", func(m *Machine, _ PlacePlatformOrder) { clear(m.platform.byID) }),
 	"claims are forgotten":       on("may both run", func(m *Machine, _ Claim) { clear(m.claims.byKey) }),
 	"unknown claims are granted again": onClaim("may both run", claimed, func(r *ClaimRecord, _ Claim) {
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -69,9 +69,11 @@
 type Sign struct {
 	Name        fleet.TargetName // empty for a node that is not an agent
 	Incarnation fleet.Incarnation
-	Ready       bool   // the target answers
-	Running     uint32 // requests not yet ended
-	Refusing    bool   // the agent accepts no new requests
+	Ready       bool    // the target answers
+	Running     uint32  // requests not yet ended
+	Refusing    bool    // the agent accepts no new requests
+	Prefill     float64 // prompt tokens/s of the engine while busy; 0 if unknown
+	Decode      float64 // output tokens/s of the engine while busy; 0 if unknown
 }
 
 // expired is the time after which a subscriber that has not polled surely
--- a/io/wire/codec_command.go
+++ b/io/wire/codec_command.go
@@ -59,6 +59,11 @@
 			Target: string(c.Target), Incarnation: uint64(c.Incarnation), Number: encodeNumber(c.Number),
 			Role: uint32(c.Role), Loaded: encodeContent(c.Loaded), Until: nanos(c.Until), Time: nanos(c.Time),
 		}}
+	case state.Adapt:
+		m.Command = &StateCommand_Adapt{Adapt: &StateAdapt{
+			Term: c.Term, Target: string(c.Target), Incarnation: uint64(c.Incarnation), Kind: uint32(c.Kind),
+			Role: uint32(c.Role), Until: nanos(c.Until), Time: nanos(c.Time),
+		}}
 	default:
 		return false
 	}
@@ -222,6 +227,13 @@
 			Number: decodeNumber(o.GetNumber()), Role: enum(r, "role", o.GetRole(), fleet.Decode),
 			Loaded: r.content(o.GetLoaded()), Until: fromNanos(o.GetUntil()), Time: fromNanos(o.GetTime()),
 		}
+	case *StateCommand_Adapt:
+		a := c.Adapt
+		return state.Adapt{
+			Term: a.GetTerm(), Target: targetName(a.GetTarget()), Incarnation: fleet.Incarnation(a.GetIncarnation()),
+			Kind: enum(r, "kind of adaptation", a.GetKind(), state.AdaptRelease),
+			Role: enum(r, "role", a.GetRole(), fleet.Decode), Until: fromNanos(a.GetUntil()), Time: fromNanos(a.GetTime()),
+		}
 	}
 	return nil
 }
--- a/io/wire/codec_control.go
+++ b/io/wire/codec_control.go
@@ -16,6 +16,7 @@
 		m.Target = &ControlTarget{
 			Name: string(t.Name), Incarnation: uint64(t.Incarnation),
 			Ready: t.Ready, Running: t.Running, Refusing: t.Refusing,
+			PrefillSpeed: t.Prefill, DecodeSpeed: t.Decode,
 		}
 	}
 	return m
@@ -29,6 +30,7 @@
 		s.Target = watch.Sign{
 			Name: fleet.TargetName(t.GetName()), Incarnation: fleet.Incarnation(t.GetIncarnation()),
 			Ready: t.GetReady(), Running: t.GetRunning(), Refusing: t.GetRefusing(),
+			Prefill: t.GetPrefillSpeed(), Decode: t.GetDecodeSpeed(),
 		}
 	}
 	return s
--- a/io/wire/property_test.go
+++ b/io/wire/property_test.go
@@ -108,7 +108,7 @@
 
 func (g *generator) target() state.Command {
 	r := g.record()
-	switch g.pick(4, "target command") {
+	switch g.pick(5, "target command") {
 	case 0:
 		return state.Announce{Target: fleet.Target{
 			Name: fleet.TargetName(g.name("e", 4)), Incarnation: g.incarnation(), Kind: fleet.Engine, Pool: "p", DataCentre: "dc",
@@ -118,6 +118,11 @@
 			Target: r.Target.Name, Incarnation: r.Target.Incarnation, Number: r.Read,
 			Role: fleet.Role(g.pick(3, "role")), Until: g.soon(), Time: g.now,
 		}
+	case 3:
+		return state.Adapt{
+			Term: uint64(1 + g.pick(4, "term")), Target: r.Target.Name, Incarnation: r.Target.Incarnation,
+			Kind: state.AdaptKind(g.pick(2, "kind")), Role: fleet.Role(g.pick(3, "role")), Until: g.soon(), Time: g.now,
+		}
 	case 2:
 		return state.RegisterEntry{Entry: fleet.Host(g.name("entry", 4)), Time: g.now, Until: g.soon()}
 	}
--- a/io/wire/state_test.go
+++ b/io/wire/state_test.go
@@ -64,6 +64,7 @@
 		"abandon order":        state.AbandonOrder{Term: 2, Number: number, Target: "e1", Time: at},
 		"place platform order": state.PlacePlatformOrder{ID: "p", Term: 2, Kind: state.PlatformStop, DataCentre: "dc", Region: "r", Pool: "notes", Target: "e1", Deadline: at, Time: at},
 		"acknowledge platform": state.AcknowledgePlatform{Number: number, Done: true, Detail: "d", Time: at},
+		"adapt":                state.Adapt{Term: 2, Target: "e1", Incarnation: 4, Kind: state.AdaptRelease, Role: fleet.Prefill, Until: at, Time: at},
 		"claim":                state.Claim{Key: key, Request: fleet.RequestID{1}, Body: [32]byte{2}, Target: "e1", Expires: at},
 		"settle": state.Settle{Key: key, Request: fleet.RequestID{1}, Settlement: state.SettledUnknown, Answer: &state.KeptAnswer{
 			Status: 200, Headers: []state.Header{{Name: "A", Value: "b"}}, Body: []byte("x"),
