core/plan: take silence for no news and count targets on order

A group whose entries could not report looked idle and lost its targets after 15 minutes, and a new leader did not know what its predecessor had ordered.

A group without a rate keeps its estimate and gets no orders. Demand names the targets on order and the engines whose state is unknown: the latter are away and paid for, but no capacity.

Without the rule, 20 minutes of silence released targets; with it none.

--- a/core/plan/event.go
+++ b/core/plan/event.go
@@ -8,10 +8,20 @@
 )
 
 // Demand is what the leader measured since the last step.
+//
+// A group of engines without a rate keeps its estimate and gets no orders: that
+// nobody reported is not to say that there is no load.
 type Demand struct {
-	Rates   []Rate
-	Engines []Engine
-	Speeds  []Speed
+	Rates    []Rate
+	Engines  []Engine
+	Starting []Starting
+	Speeds   []Speed
+}
+
+// Starting is a target that was ordered and does not serve yet.
+type Starting struct {
+	Pool       string
+	DataCentre fleet.DataCentre
 }
 
 // Rate is the offered load of one class in one data centre. Requests refused
@@ -33,6 +43,7 @@
 	DataCentre fleet.DataCentre
 	Role       fleet.Role
 	Ready      bool    // false while it starts, drains or changes its role
+	Unknown    bool    // its state is not known: it is away and no capacity, but paid for
 	Load       float64 // seconds of work it has accepted
 }
 
@@ -74,4 +85,23 @@
 	First   time.Duration // promise of the first token of urgent requests; 0 means 330 ms
 	Prefill float64       // prompt tokens/s of a prefill engine until learned
 	Decode  float64       // output tokens/s of a decode engine until learned
+	Fixed   bool          // targets are neither ordered nor released
+}
+
+// Estimate is the load that the planner sees in one group of engines.
+type Estimate struct {
+	Pool       string
+	DataCentre fleet.DataCentre
+	Engines    [3]int // by fleet.Role, with the role they are changing to
+	Starting   int
+	Fast, Slow Rate // over about 10 s and 3 min; the class is not set
+	Urgent     float64
+}
+
+// Learned are the speeds that the planner reckons with for a pool.
+type Learned struct {
+	Pool    string
+	Prefill float64 // prompt tokens/s of a prefill engine
+	Decode  float64 // output tokens/s of a decode engine
+	Mixed   float64 // efficiency of a mixed engine against those
 }
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -175,3 +175,43 @@
 		}
 	})
 }
+
+// Guards against a planner that takes a silent data centre for an idle one, or
+// orders again what an earlier leader has ordered.
+func TestDemandWithGaps(t *testing.T) {
+	engines := make([]plan.Engine, 4)
+	for i := range engines {
+		engines[i] = plan.Engine{Name: fleet.TargetName(fmt.Sprint("t", i)), Pool: "m", DataCentre: "dc", Ready: true}
+	}
+	overload := []plan.Rate{{Pool: "m", DataCentre: "dc", Class: fleet.Urgent, Requests: 60, Prefill: 60000, Decode: 4000}}
+	idle := []plan.Rate{{Pool: "m", DataCentre: "dc"}}
+	starting := make([]plan.Starting, 20)
+	for i := range starting {
+		starting[i] = plan.Starting{Pool: "m", DataCentre: "dc"}
+	}
+	unknown := append([]plan.Engine{{Name: "t9", Pool: "m", DataCentre: "dc", Unknown: true}}, engines...)
+	for name, c := range map[string]struct {
+		d    plan.Demand
+		kind plan.Kind
+		acts bool
+	}{
+		"overload":                 {plan.Demand{Engines: engines, Rates: overload}, plan.OrderTarget, true},
+		"overload, targets coming": {plan.Demand{Engines: engines, Rates: overload, Starting: starting}, plan.OrderTarget, false},
+		"idle":                     {plan.Demand{Engines: engines, Rates: idle}, plan.ReleaseTarget, true},
+		"silent":                   {plan.Demand{Engines: engines}, plan.ReleaseTarget, false},
+		"an engine is unknown":     {plan.Demand{Engines: unknown, Rates: overload}, plan.ChangeRole, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := budget()
+			b.HourlyCap = 0
+			p := plan.New(plan.Options{Budget: b})
+			found := false
+			for d := time.Duration(0); d < 20*time.Minute; d += step {
+				for _, a := range p.Step(start.Add(d), c.d) {
+					found = found || a.Kind == c.kind
+				}
+			}
+			is.New(t).Equal(found, c.acts)
+		})
+	}
+}
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -42,6 +42,9 @@
 	key       groupKey
 	estimate  estimate
 	engines   []Engine
+	unknown   int  // engines whose state is not known
+	starting  int  // targets that were ordered and do not serve yet
+	reported  bool // the present demand has a rate
 	changed   time.Time
 	changes   map[fleet.TargetName]time.Time
 	ordered   []time.Time // when each open target order is expected to be ready
@@ -78,21 +81,11 @@
 
 // Step takes in the demand and returns the orders to give now.
 func (p *Planner) Step(now time.Time, d Demand) []Act {
-	p.learn(now, d)
-	keys := make([]groupKey, 0, len(p.groups))
-	for k := range p.groups {
-		keys = append(keys, k)
-	}
-	sort.Slice(keys, func(i, j int) bool {
-		if keys[i].pool != keys[j].pool {
-			return keys[i].pool < keys[j].pool
-		}
-		return keys[i].dataCentre < keys[j].dataCentre
-	})
+	p.Learn(now, d)
 	var acts []Act
-	for _, k := range keys {
+	for _, k := range p.keys() {
 		g := p.groups[k]
-		if len(g.engines) == 0 {
+		if len(g.engines) == 0 || !g.reported {
 			continue
 		}
 		if a, ok := p.size(now, g); ok {
@@ -104,15 +97,9 @@
 	return acts
 }
 
-func (p *Planner) learn(now time.Time, d Demand) {
-	for _, g := range p.groups {
-		g.engines = g.engines[:0]
-	}
-	for _, e := range d.Engines {
-		g := p.group(groupKey{e.Pool, e.DataCentre})
-		g.engines = append(g.engines, e)
-		p.speed(e.Pool)
-	}
+// Learn takes in the demand without giving orders.
+func (p *Planner) Learn(now time.Time, d Demand) {
+	p.arrange(d)
 	p.learnSpeeds(d)
 	loads := make(map[groupKey]load)
 	for _, r := range d.Rates {
@@ -127,7 +114,11 @@
 		loads[k] = l
 	}
 	for k, g := range p.groups {
-		l, s := loads[k], p.speed(k.pool)
+		l, ok := loads[k]
+		if g.reported = ok; !ok {
+			continue
+		}
+		s := p.speed(k.pool)
 		if total := l.prefill/s.prefill + l.decode/s.decode; total > 0 {
 			l.urgent /= total
 		}
@@ -136,6 +127,25 @@
 	}
 }
 
+// arrange sorts the engines into their groups.
+func (p *Planner) arrange(d Demand) {
+	for _, g := range p.groups {
+		g.engines, g.unknown, g.starting = g.engines[:0], 0, 0
+	}
+	for _, e := range d.Engines {
+		g := p.group(groupKey{e.Pool, e.DataCentre})
+		if e.Unknown {
+			g.unknown++
+		} else {
+			g.engines = append(g.engines, e)
+		}
+		p.speed(e.Pool)
+	}
+	for _, s := range d.Starting {
+		p.group(groupKey{s.Pool, s.DataCentre}).starting++
+	}
+}
+
 // learnSpeeds takes the median over the engines of a role, and only when at
 // least half of them report: a single slow engine says nothing about the pool.
 func (p *Planner) learnSpeeds(d Demand) {
@@ -307,7 +317,8 @@
 		if k.pool != pool {
 			continue
 		}
-		engines += len(g.engines)
+		engines += len(g.engines) + g.unknown
+		away += g.unknown
 		for _, e := range g.engines {
 			// An engine ordered in this step still looks ready.
 			if !e.Ready || g.changes[e.Name].Equal(now) {
--- a/core/plan/size.go
+++ b/core/plan/size.go
@@ -9,6 +9,9 @@
 
 // size orders or releases a target.
 func (p *Planner) size(now time.Time, g *group) (Act, bool) {
+	if p.o.Fixed {
+		return Act{}, false
+	}
 	open := g.ordered[:0]
 	for _, t := range g.ordered {
 		if now.Before(t) {
@@ -20,7 +23,7 @@
 	if l, ok := p.windowWithin(now, g); ok {
 		need = math.Max(need, p.need(g, l))
 	}
-	have := float64(len(g.engines) + len(g.ordered))
+	have := float64(len(g.engines) + g.due())
 	if have >= need {
 		g.shortFrom = time.Time{}
 		return p.release(now, g)
@@ -36,6 +39,10 @@
 	return Act{Kind: OrderTarget, Pool: g.key.pool, DataCentre: g.key.dataCentre, Role: fleet.Mixed}, true
 }
 
+// due is the number of targets on order: those that this planner ordered within
+// the start delay, or those reported, which an earlier leader may have ordered.
+func (g *group) due() int { return max(len(g.ordered), g.starting) }
+
 // need is the number of mixed engines that a load needs with headroom.
 func (p *Planner) need(g *group, l load) float64 {
 	s := p.speed(g.key.pool)
@@ -62,7 +69,7 @@
 	b := &p.o.Budget
 	n, spent := 0, 0.0
 	for k, g := range p.groups {
-		c := len(g.engines) + len(g.ordered)
+		c := len(g.engines) + g.unknown + g.due()
 		spent += float64(c) * b.PricePerHour[k.pool]
 		if k.pool == pool {
 			n += c
@@ -84,7 +91,7 @@
 			n += len(other.engines)
 		}
 	}
-	if e.n < historySize || len(g.engines) < 2 || len(g.ordered) > 0 || n <= p.o.Budget.MinimumPerPool[g.key.pool] {
+	if e.n < historySize || len(g.engines) < 2 || g.due() > 0 || n <= p.o.Budget.MinimumPerPool[g.key.pool] {
 		return Act{}, false
 	}
 	highest := p.need(g, e.fast)
