internal/measure: hide output lengths from the decisions

Cause: router, load reports and planner were given the true number of output tokens at arrival, which no process knows. Change: they see the estimate of core/admit, or the mean of served requests.

--- a/internal/measure/control.go
+++ b/internal/measure/control.go
@@ -122,7 +122,7 @@
 	}
 	x.Requests += part / planInterval.Seconds()
 	x.Prefill += part * r.prompt / planInterval.Seconds()
-	x.Decode += part * float64(r.output) / planInterval.Seconds()
+	x.Decode += part * c.w.outputs / planInterval.Seconds()
 }
 
 // measured returns the demand since the last call.
--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -261,12 +261,12 @@
 	for _, a := range e.prompts {
 		prefill += a.left
 		if !a.prompt {
-			decode += float64(a.r.output)
+			decode += a.r.estimate
 		}
 	}
 	for _, l := range [2][]*attempt{e.wait, e.running} {
 		for _, a := range l {
-			decode += float64(a.r.output - a.out)
+			decode += max(a.r.estimate-float64(a.out), a.r.estimate/4)
 		}
 	}
 	return prefill, decode
--- a/internal/measure/entry.go
+++ b/internal/measure/entry.go
@@ -52,11 +52,12 @@
 		n.w.lost(r)
 		return
 	}
+	r.estimate = n.w.outputs
 	if !n.w.policy.admit || r.service {
 		n.start(r)
 		return
 	}
-	n.demand[r.customer] += r.prompt*promptPrice + float64(r.output)*outputPrice
+	n.demand[r.customer] += r.prompt*promptPrice + n.w.outputs*outputPrice
 	first, _ := r.promise()
 	n.waiting[r.id] = r
 	back := n.w.clientDelay()
@@ -80,6 +81,7 @@
 		r := n.waiting[a.ID]
 		delete(n.waiting, a.ID)
 		if a.Reason == admit.Dispatch {
+			r.estimate = a.Output
 			n.start(r)
 		} else {
 			n.w.refused(r)
@@ -153,7 +155,7 @@
 	first, _ := r.promise()
 	q := route.Request{
 		Pool: pool, Customer: customer(r.customer), Stage: stage, Near: near,
-		PromptTokens: r.prompt, OutputTokens: float64(r.output), Prefix: r.prefix, Tried: r.tried,
+		PromptTokens: r.prompt, OutputTokens: r.estimate, Prefix: r.prefix, Tried: r.tried,
 		FirstTokenBy: epoch.Add(r.arrived + first - n.w.clientDelay()),
 	}
 	if stage == route.Decode {
--- a/internal/measure/load.go
+++ b/internal/measure/load.go
@@ -42,6 +42,7 @@
 	arrived  time.Duration
 	service  bool
 
+	estimate float64 // of output tokens; no decision sees output before the end
 	attempts int
 	tried    []fleet.TargetName
 	first    time.Duration // 0 until the first token reached the caller
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -21,6 +21,7 @@
 	lossDetection  = 3 * time.Second // until control marks targets as lost
 	callersMove    = time.Second     // until the load balancer avoids a lost site
 	configDelay    = 100 * time.Millisecond
+	outputWeight   = 0.01   // of one answer in the average of output tokens
 	promptPrice    = 60e-6  // seconds of an engine per prompt token
 	outputPrice    = 500e-6 // seconds of an engine per output token
 )
@@ -40,12 +41,13 @@
 	res      *result
 	faults   *rand.Rand
 	lostSite int
+	outputs  float64 // moving average of output tokens per served request
 }
 
 func newWorld(seed uint64, sc scenario, p policy, sz size) *world {
 	w := &world{
 		seed: seed, scenario: sc, policy: p, size: sz, byName: make(map[fleet.TargetName]int),
-		res: newResult(sz), faults: rand.New(rand.NewPCG(seed, 7)), lostSite: -1,
+		res: newResult(sz), faults: rand.New(rand.NewPCG(seed, 7)), lostSite: -1, outputs: outputFloor + outputMean,
 	}
 	for site := range sz.engines {
 		for i := range sz.engines[site] {
@@ -284,6 +286,9 @@
 // served ends a request whose answer is complete at the entry.
 func (w *world) served(r *request) {
 	r.ended = true
+	if !r.service {
+		w.outputs += outputWeight * (float64(r.output) - w.outputs)
+	}
 	end := w.clock.now + w.clientDelay()/2
 	first, interval := r.promise()
 	kept := r.first > 0 && r.first-r.arrived <= first && (r.output <= 1 || end-r.first <= time.Duration(r.output)*interval)
