core/route: use summaries in the expected wait

Cause: a data centre known by its summary only was compared by it, but its targets were then expected to be idle. Change: the mean that old or missing reports approach includes the summary. Conclusion: kept; TestSummary guards it.

--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -165,7 +165,7 @@
 // trust is the weight of the last report against the mean of the data centre.
 func (t *target) trust(now time.Time) float64 {
 	if t.taken.IsZero() {
-		return 1
+		return 0
 	}
 	return math.Exp(-float64(now.Sub(t.taken)) / float64(trustReport))
 }
@@ -175,7 +175,9 @@
 // its age; this node's own work is known exactly.
 func (t *target) queue(now time.Time, g *group) work {
 	trust := t.trust(now)
-	return t.own.plus(t.others, trust).plus(g.others, (1-trust)/float64(len(g.members)))
+	mean := work{}.plus(g.others, 1/float64(len(g.members)))
+	mean.prefill = math.Max(mean.prefill, g.summary)
+	return t.own.plus(t.others, trust).plus(mean, 1-trust)
 }
 
 // cost is the target time of a request.
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -64,6 +64,21 @@
 	}
 }
 
+// Guards against traffic to a data centre that is known only by its summary and
+// is overloaded by it.
+func TestSummary(t *testing.T) {
+	is := is.New(t)
+	r := newRouter()
+	r.Step(start, route.Configure{Targets: engines(5, 5)})
+	r.Step(start, route.Load{Target: "t0", Taken: start, PrefillTokens: 80000})
+	for _, d := range []fleet.DataCentre{"dc1", "dc2", "dc4"} {
+		r.Step(start, route.Summary{Pool: "m", DataCentre: d, Taken: start, Work: 10})
+	}
+	c, err := r.Pick(start, request(500, 330*time.Millisecond))
+	is.NoErr(err)
+	is.Equal(c.Target, fleet.TargetName("t3"))
+}
+
 // Guards against prompts processed where no engine can decode them, which moves
 // their KV cache to another data centre, and against a decode phase far from
 // its prompt.
