io/agent, io/serving: test orders and the decisions of an entry

Cause: the fence, the read after a crash, and the adapter of the decision packages had no tests of their own. Change: orders against an engine that does not check numbers, a second order during the first, a crash halfway, orders against running requests; limits, retries, demand and choices of io/serving.

--- /dev/null
+++ b/io/agent/orders_test.go
@@ -0,0 +1,168 @@
+package agent_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+	"papayarock/internal/fake"
+	"papayarock/io/agent"
+	"papayarock/io/link"
+	"papayarock/io/wire"
+)
+
+// commanded is an agent beside a stand-in engine, with the leader's links.
+type commanded struct {
+	is      *is.I
+	engine  *fake.Engine
+	agent   *agent.Agent
+	links   *link.Pool
+	address link.Address
+}
+
+func newCommanded(t *testing.T, engine *fake.Engine) *commanded {
+	c := &commanded{is: is.New(t), engine: engine, links: &link.Pool{}}
+	target := httptest.NewServer(engine)
+	u, err := url.Parse(target.URL)
+	c.is.NoErr(err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.is.NoErr(err)
+	c.agent = &agent.Agent{
+		Listener: l, Target: u,
+		Announcement: fleet.Target{Name: "t1", Host: "a1", Incarnation: incarnation, Kind: fleet.Engine},
+	}
+	c.address = link.Address{AddrPort: netip.MustParseAddrPort(l.Addr().String())}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- c.agent.Serve(ctx) }()
+	t.Cleanup(func() {
+		c.links.Close()
+		cancel()
+		c.is.NoErr(<-done)
+		engine.Crash() // ends what it still runs
+		target.Close()
+	})
+	return c
+}
+
+func load(sequence uint64, version string) state.Order {
+	return state.Order{
+		Number: fleet.OrderNumber{Term: 1, Sequence: sequence}, Target: "t1", Incarnation: incarnation,
+		Kind: state.OrderLoad, Content: state.Content{Model: "notes", Version: version}, Deadline: time.Now().Add(time.Minute),
+	}
+}
+
+func (c *commanded) send(o state.Order) *wire.ControlOrderAnswer {
+	a, err := link.Call[wire.ControlOrderAnswer](context.Background(), c.links, c.address, &wire.ControlOrder{Order: wire.EncodeOrder(o)})
+	c.is.NoErr(err)
+	return a
+}
+
+// finish repeats an order until it has ended, as the leader does.
+func (c *commanded) finish(o state.Order) wire.ControlOrderAnswer_Outcome {
+	for range 1000 {
+		if a := c.send(o); a.GetOutcome() != wire.ControlOrderAnswer_RUNNING {
+			return a.GetOutcome()
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.is.Fail() // the order does not end
+	return 0
+}
+
+func (c *commanded) read(sequence uint64) *wire.ControlReadAnswer {
+	a, err := link.Call[wire.ControlReadAnswer](context.Background(), c.links, c.address, &wire.ControlRead{
+		Number: wire.EncodeNumber(fleet.OrderNumber{Term: 1, Sequence: sequence}), Target: "t1", Incarnation: incarnation,
+	})
+	c.is.NoErr(err)
+	return a
+}
+
+// Guards against an engine that does not check order numbers and receives an
+// order again, an older one, or one meant for another run of the agent.
+func TestOrdersAreFencedForEngineThatDoesNotCheck(t *testing.T) {
+	c := newCommanded(t, &fake.Engine{LoadTime: 20 * time.Millisecond})
+	c.is.Equal(c.finish(load(5, "v2")), wire.ControlOrderAnswer_DONE)
+	c.is.Equal(c.finish(load(5, "v2")), wire.ControlOrderAnswer_DONE)   // resent
+	c.is.Equal(c.finish(load(4, "v1")), wire.ControlOrderAnswer_FAILED) // older
+	c.is.Equal(c.finish(load(5, "v3")), wire.ControlOrderAnswer_FAILED) // other content
+	other := load(9, "v9")
+	other.Incarnation++
+	c.is.Equal(c.finish(other), wire.ControlOrderAnswer_FAILED)
+	c.is.Equal(c.engine.State().Version, "v2")
+	c.is.Equal(c.engine.Counts().OrdersRun, 1)
+}
+
+// Guards against two orders at an engine at one time.
+func TestSecondOrderWaitsForFirst(t *testing.T) {
+	fetched := make(chan struct{}) // the first order ends once it is closed
+	c := newCommanded(t, &fake.Engine{Fetch: func(string, string) error { <-fetched; return nil }})
+	c.is.Equal(c.send(load(1, "v1")).GetOutcome(), wire.ControlOrderAnswer_RUNNING)
+	c.is.Equal(c.send(load(2, "v2")).GetOutcome(), wire.ControlOrderAnswer_FAILED) // busy
+	close(fetched)
+	c.is.Equal(c.finish(load(1, "v1")), wire.ControlOrderAnswer_DONE)
+	c.is.Equal(c.engine.Counts().OrderConflicts, 0)
+}
+
+// Guards against an order reported as failed, or done, when the engine crashed
+// halfway: only a read tells.
+func TestCrashInOrderLeavesTargetUnknown(t *testing.T) {
+	tests := map[string]struct {
+		kept    bool
+		version string
+	}{
+		"change lost": {false, ""},
+		"change kept": {true, "v2"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCommanded(t, &fake.Engine{LoadTime: 20 * time.Millisecond})
+			c.engine.Set(func(f *fake.EngineFaults) { f.CrashInOrder, f.CrashKeepsChange = true, tt.kept })
+			c.is.Equal(c.finish(load(1, "v2")), wire.ControlOrderAnswer_LOST)
+			c.is.True(!c.read(2).GetKnown()) // the engine is down
+			c.engine.Restart()
+			a := c.read(3)
+			c.is.True(a.GetKnown())
+			c.is.Equal(a.GetLoaded().GetVersion(), tt.version)
+			c.is.Equal(c.finish(load(1, "v2")), wire.ControlOrderAnswer_FAILED) // shut out by the read
+		})
+	}
+}
+
+// Guards against an order that interrupts requests, and against a request that
+// starts while the target is drained.
+func TestOrderAndRequestsExcludeEachOther(t *testing.T) {
+	// 60 tokens take so long that the request runs until the caller leaves.
+	c := newCommanded(t, &fake.Engine{DecodeTokensPerSecond: 0.5})
+	q := request(1, "/v1/completions")
+	s, err := c.links.Open(context.Background(), c.address, &wire.Open{Call: &wire.Open_Run{Run: wire.EncodeRun(q)}})
+	c.is.NoErr(err)
+	c.is.NoErr(s.Send(&wire.BodyPart{Data: []byte(`{"model": "notes", "prompt": "stone", "max_tokens": 60, "stream": true}`), Last: true}))
+	for c.agent.Sign().Running == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.is.Equal(c.finish(load(1, "v1")), wire.ControlOrderAnswer_FAILED)
+	c.is.Equal(c.engine.Counts().Interrupted, 0)
+	_ = s.Close()
+
+	c.agent.Configured(config.NewIndex(config.Snapshot{Revision: 1, Targets: []fleet.Target{
+		{Name: "t1", Incarnation: incarnation, Phase: fleet.Draining},
+	}}))
+	c.is.True(c.agent.Sign().Refusing)
+	s, err = c.links.Open(context.Background(), c.address, &wire.Open{Call: &wire.Open_Run{Run: wire.EncodeRun(request(2, "/v1/completions"))}})
+	c.is.NoErr(err)
+	c.is.NoErr(s.Send(&wire.BodyPart{Last: true}))
+	var f wire.Frame
+	c.is.NoErr(s.Receive(&f))
+	c.is.Equal(f.GetFailed().GetRan(), wire.Ran_RAN_NO)
+	_ = s.Close()
+}
--- /dev/null
+++ b/io/serving/policy_test.go
@@ -0,0 +1,196 @@
+package serving_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+	"papayarock/io/entry"
+	"papayarock/io/link"
+	"papayarock/io/serving"
+)
+
+// shares grants a fixed part of the limits, or fails.
+type shares struct {
+	parts uint32
+	fail  bool
+	mu    sync.Mutex
+	held  []uint32 // as told with each renewal
+}
+
+func (s *shares) told() []uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]uint32(nil), s.held...)
+}
+
+func (s *shares) Share(_ context.Context, _, until time.Time, held uint32) (state.ShareResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = append(s.held, held)
+	if s.fail {
+		return state.ShareResult{}, errors.New("control is away")
+	}
+	return state.ShareResult{Granted: s.parts > 0, Share: state.Share{Entry: "e1", Parts: s.parts, Expires: until}}, nil
+}
+
+func configuration(targets ...fleet.Target) *config.Index {
+	return config.NewIndex(config.Snapshot{
+		Revision: 1,
+		Document: config.Document{Customers: []config.Customer{
+			{Name: "klang-port", Weight: 4, Large: true},
+			{Name: "marang", Weight: 1, TokensPerSecond: 100},
+		}},
+		Targets: targets,
+	})
+}
+
+func ready(name fleet.TargetName) fleet.Target {
+	return fleet.Target{Name: name, Pool: "language", Kind: fleet.Engine, Phase: fleet.Ready, Slots: 4, Incarnation: 1}
+}
+
+func request(id byte, customer fleet.Customer, bytes int) entry.Request {
+	now := time.Now()
+	return entry.Request{
+		ID: fleet.RequestID{id}, Customer: customer, Idempotent: true, BodyBytes: bytes, MaxOutput: 4,
+		Route:   config.Route{Name: "grades", Pool: "language", Protocol: config.Language, Class: fleet.Urgent},
+		Arrived: now, Deadline: now.Add(time.Minute),
+	}
+}
+
+func newPolicy(s serving.Shares, x *config.Index) *serving.Policy {
+	links := &link.Pool{Dial: func(context.Context, link.Address) (net.Conn, error) { return nil, errors.New("no agents") }}
+	p := serving.New(serving.Options{Links: links, Random: rand.New(rand.NewPCG(1, 1)), Log: hclog.NewNullLogger()})
+	p.Shares = s
+	p.Configured(x)
+	return p
+}
+
+// serve runs p in the background until the returned function is called.
+func serve(p *serving.Policy) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = p.Serve(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// Guards against a limit that one customer spends for another, and against a
+// customer without a limit of one kind being refused for it.
+func TestLimitsAreSpentLocally(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &shares{parts: state.ShareUnit / 2}
+		p := newPolicy(s, configuration())
+		defer serve(p)()
+		time.Sleep(10 * time.Millisecond) // the share has been granted
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := p.Admit(ctx, request(1, "marang", 4000)) // 1,000 tokens of 150 granted
+		var refusal *entry.Refusal
+		is.True(errors.As(err, &refusal))
+		is.Equal(refusal.Status, http.StatusTooManyRequests)
+		is.True(refusal.RetryAfter > 0)
+		time.Sleep(time.Second)
+		is.Equal(s.told(), []uint32{0, state.ShareUnit / 2}) // told at once
+	})
+}
+
+// Guards against a request that waits for ever where no target can take it, and
+// against a caller that leaves being dispatched later.
+func TestAdmitEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPolicy(nil, configuration())
+		defer serve(p)()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := p.Admit(ctx, request(1, "klang-port", 40))
+		is.True(err != nil)
+		d, ok := p.Dump().(serving.Dump)
+		is.True(ok)
+		is.Equal(d.Flights, 0)
+	})
+}
+
+// Guards against choosing a target that the request was at, or one that the
+// caller's configuration does not hold.
+func TestPickFollowsConfiguration(t *testing.T) {
+	is := is.New(t)
+	p := newPolicy(nil, configuration(ready("t1"), ready("t2")))
+	targets := []fleet.Target{ready("t1"), ready("t2")}
+	r := request(1, "klang-port", 40)
+	first, ok := p.Pick(r, targets)
+	is.True(ok)
+	p.Ended(r, first.Name, entry.Outcome{Ending: entry.Failed})
+	r.Tried = append(r.Tried, first.Name)
+	second, ok := p.Pick(r, targets)
+	is.True(ok)
+	is.True(second.Name != first.Name)
+	p.Ended(r, second.Name, entry.Outcome{Ending: entry.Answered, Status: http.StatusOK})
+	_, ok = p.Pick(request(2, "klang-port", 40), nil)
+	is.True(!ok)
+}
+
+// Guards against retries of a request that may have run and may not run twice.
+func TestRetryOnlyWhatMayRunAgain(t *testing.T) {
+	tests := map[string]struct {
+		idempotent bool
+		ending     entry.Ending
+		want       bool
+	}{
+		"idempotent and failed":         {true, entry.Failed, true},
+		"not idempotent and not run":    {false, entry.NotRun, true},
+		"not idempotent and failed":     {false, entry.Failed, false},
+		"not idempotent and agent lost": {false, entry.Lost, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPolicy(nil, configuration(ready("t1"), ready("t2")))
+			for i := range 100 { // fills the retry budget
+				r := request(byte(i), "klang-port", 40)
+				target, _ := p.Pick(r, []fleet.Target{ready("t1"), ready("t2")})
+				p.Ended(r, target.Name, entry.Outcome{Ending: entry.Answered, Status: http.StatusOK})
+			}
+			r := request(200, "klang-port", 40)
+			r.Idempotent, r.Tried = tt.idempotent, []fleet.TargetName{"t1"}
+			is.Equal(p.Retry(r, entry.Outcome{Ending: tt.ending}), tt.want)
+		})
+	}
+}
+
+// Guards against demand that is counted twice or lost between two polls.
+func TestDemandIsHandedOutOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPolicy(nil, configuration(ready("t1")))
+		defer serve(p)()
+		r := request(1, "klang-port", 400)
+		release, err := p.Admit(context.Background(), r)
+		is.NoErr(err)
+		release(entry.Outcome{Ending: entry.Answered, OutputTokens: 7})
+		got := p.Demand()
+		is.Equal(len(got), 1)
+		is.Equal(got[0].PromptTokens, 100.0)
+		is.Equal(got[0].OutputTokens, 7.0)
+		is.Equal(len(p.Demand()), 0)
+	})
+}
