internal/measure: measure slopes of cost over size

Cause: docs/CAPACITY.md needs figures of how costs grow, and only some benchmarks existed, each at one size. Change: papayarock measure slopes measures subscribers, changes until in force, the log, claims, usage, configuration, the request path, routing, waiting requests, sessions and claims at three sizes or more over loopback links with mutual TLS, and fits a line to each.

--- /dev/null
+++ b/internal/measure/slopes/configuration.go
@@ -0,0 +1,173 @@
+package slopes
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"time"
+
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+	"papayarock/io/wire"
+)
+
+const (
+	keysPerCustomer     = 2
+	customersPerTarget  = 10
+	models              = 5
+	regions             = 4
+	dataCentres         = 11
+	repetitions         = 5 // of a single operation, of which the mean is taken
+	slotsPerTarget      = 32
+	incarnation         = 1
+	agentPort           = 7002
+	tokensPerSecond     = 1000
+	promise             = 30 * time.Second
+	firstToken          = 330 * time.Millisecond
+	targetNameFormat    = "language-%04d"
+	customerFormat      = "customer-%05d"
+	dataCentreFormat    = "data-centre-%02d"
+	regionFormat        = "region-%d"
+	millisecondsInNanos = 1e6
+)
+
+func customer(i int) fleet.Customer { return fleet.Customer(fmt.Sprintf(customerFormat, i)) }
+func pool(i int) string             { return fmt.Sprintf("model-%d", i%models) }
+
+// document is a configuration with that many customers.
+func document(customers int) config.Document {
+	d := config.Document{Team: "measure"}
+	for i := range customers {
+		d.Customers = append(d.Customers, config.Customer{Name: customer(i), Weight: 1, TokensPerSecond: tokensPerSecond})
+	}
+	for i := range models {
+		d.Models = append(d.Models, config.Model{Name: pool(i), Version: "1", Bytes: 1 << 30})
+		d.Routes = append(d.Routes, config.Route{
+			Name: fmt.Sprintf("route-%d", i), Prefix: fmt.Sprintf("/%s/", pool(i)), Protocol: config.Language, Pool: pool(i),
+			Class: fleet.Urgent, Idempotent: true, Promise: promise, FirstToken: firstToken,
+		})
+	}
+	return d
+}
+
+// target is the i-th of a fleet over all data centres and models.
+func target(i int) fleet.Target {
+	dc := i % dataCentres
+	return fleet.Target{
+		Name: fleet.TargetName(fmt.Sprintf(targetNameFormat, i)), Host: fleet.Host(fmt.Sprintf("host-%04d", i)),
+		Region: fleet.Region(fmt.Sprintf(regionFormat, dc%regions)), DataCentre: fleet.DataCentre(fmt.Sprintf(dataCentreFormat, dc)),
+		Agent:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}), agentPort),
+		Incarnation: incarnation, Kind: fleet.Engine, Pool: pool(i / dataCentres), Phase: fleet.Ready, Slots: slotsPerTarget,
+	}
+}
+
+// snapshot is a configuration with two keys a customer and a target for ten
+// customers.
+func snapshot(customers int) config.Snapshot {
+	s := config.Snapshot{Revision: 1, Document: document(customers)}
+	for i := range customers * keysPerCustomer {
+		id := fmt.Sprintf("key-%05d", i)
+		s.Keys = append(s.Keys, config.Key{ID: id, Digest: sha256.Sum256([]byte(id)), Customer: customer(i / keysPerCustomer)})
+	}
+	for i := range max(customersToday, customers/customersPerTarget) {
+		s.Targets = append(s.Targets, target(i))
+	}
+	return s
+}
+
+// mean returns the mean time of f in ms.
+func mean(f func() error) (float64, error) {
+	start := time.Now()
+	for range repetitions {
+		if err := f(); err != nil {
+			return 0, err
+		}
+	}
+	return float64(time.Since(start).Nanoseconds()) / repetitions / millisecondsInNanos, nil
+}
+
+func measureConfiguration(_ context.Context, p plan) (Table, error) {
+	t := Table{
+		Title:   "configuration: two keys a customer, a target for ten customers",
+		Columns: []string{"customers", "whole B", "largest piece B", "document in log B", "memory at node B", "encode ms", "decode and index ms"},
+	}
+	for _, n := range p.sizes {
+		s := snapshot(n)
+		whole, err := wire.EncodeConfig(s)
+		if err != nil {
+			return t, err
+		}
+		largest := 0
+		for _, piece := range s.Pieces() {
+			b, err := wire.EncodeConfig(piece)
+			if err != nil {
+				return t, err
+			}
+			largest = max(largest, len(b))
+		}
+		command, err := wire.EncodeCommand(state.Change{ID: "change", Operator: "measure", Action: state.ReplaceDocument{Document: s.Document}})
+		if err != nil {
+			return t, err
+		}
+		encode, err := mean(func() error { _, err := wire.EncodeConfig(s); return err })
+		if err != nil {
+			return t, err
+		}
+		decode, err := mean(func() error { _, err := indexOf(whole); return err })
+		if err != nil {
+			return t, err
+		}
+		before := memory()
+		x, err := indexOf(whole)
+		if err != nil {
+			return t, err
+		}
+		size := memory() - before
+		runtime.KeepAlive(x)
+		t.add(float64(n), float64(len(whole)), float64(largest), float64(len(command)), size, encode, decode)
+	}
+	return t, nil
+}
+
+func indexOf(whole []byte) (*config.Index, error) {
+	s, err := wire.DecodeConfig(whole)
+	if err != nil {
+		return nil, err
+	}
+	return config.NewIndex(s), nil
+}
+
+// measureDelta measures one changed key at control and at a node.
+func measureDelta(_ context.Context, p plan) (Table, error) {
+	t := Table{
+		Title:   "delta of one key",
+		Columns: []string{"customers", "bytes", "encode µs", "decode and apply µs"},
+	}
+	for _, n := range p.sizes {
+		x := config.NewIndex(snapshot(n))
+		d := config.Delta{From: 1, To: 2, PutKeys: []config.Key{{ID: "new", Digest: sha256.Sum256([]byte("new")), Customer: customer(0)}}}
+		b, err := wire.EncodeDelta(d)
+		if err != nil {
+			return t, err
+		}
+		encode, err := mean(func() error { _, err := wire.EncodeDelta(d); return err })
+		if err != nil {
+			return t, err
+		}
+		apply, err := mean(func() error {
+			d, err := wire.DecodeDelta(b)
+			if err == nil {
+				_, err = x.Apply(d)
+			}
+			return err
+		})
+		if err != nil {
+			return t, err
+		}
+		t.add(float64(n), float64(len(b)), encode*1000, apply*1000)
+	}
+	return t, nil
+}
--- /dev/null
+++ b/internal/measure/slopes/log.go
@@ -0,0 +1,196 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+)
+
+const (
+	commitsPerCaller = 300
+	maxCommits       = 20_000
+	claimTime        = time.Hour
+	usageRecords     = 500 // of one report, as the agent sends at most
+	usageReports     = 20
+	reporters        = 16
+)
+
+// measureReplicas measures what another control replica costs the leader while
+// nothing changes.
+func measureReplicas(ctx context.Context, p plan) (Table, error) {
+	t := Table{
+		Title:   "control replicas without subscribers, nothing changing; CPU of all replicas",
+		Columns: []string{"replicas", "leader B/s", "cores", "MiB"},
+	}
+	for _, n := range p.replicas {
+		before := memory()
+		c, err := startCluster(ctx, n)
+		if err != nil {
+			return t, err
+		}
+		time.Sleep(p.settle)
+		size := memory() - before
+		bytes, start := c.leaderBytes(), used()
+		time.Sleep(p.window)
+		cores, seconds := start.cores(), time.Since(start.wall).Seconds()
+		t.add(float64(n), (c.leaderBytes()-bytes)/seconds, cores, size/(1<<20))
+		c.stop()
+	}
+	return t, nil
+}
+
+// claimOf is the i-th claim of a caller in a series. Customers differ, since one
+// alone may hold half of the claims.
+func claimOf(series, caller, i int) state.Claim {
+	return state.Claim{
+		Key: state.ClaimKey{
+			Customer: customer(i % customersToday), IdempotencyKey: fmt.Sprintf("order-%03d-%04d-%08d", series, caller, i),
+		},
+		Request: fleet.RequestID{byte(caller), byte(caller >> 8), byte(i), byte(i >> 8), byte(i >> 16), byte(series)},
+		Target:  target(0).Name, Expires: time.Now().Add(claimTime),
+	}
+}
+
+// flood runs call from that many callers, n times each.
+func flood(callers, n int, call func(caller, i int) error) (samples, float64, error) {
+	var wg sync.WaitGroup
+	var failed atomic.Pointer[error]
+	each := make([]samples, callers)
+	start := time.Now()
+	for caller := range callers {
+		wg.Go(func() {
+			for i := range n {
+				began := time.Now()
+				if err := call(caller, i); err != nil {
+					failed.Store(&err)
+					return
+				}
+				each[caller].add(time.Since(began))
+			}
+		})
+	}
+	wg.Wait()
+	seconds := time.Since(start).Seconds()
+	var all samples
+	for _, s := range each {
+		all.merge(s)
+	}
+	if err := failed.Load(); err != nil {
+		return all, 0, *err
+	}
+	return all, float64(callers*n) / seconds, nil
+}
+
+// measureCommits measures claims and settles at the leader of three voters with
+// synced files.
+func (c *cluster) measureCommits(ctx context.Context, p plan) (Table, error) {
+	t := Table{
+		Title:   "claims, then their settles, at the leader of three voters; CPU of all three",
+		Columns: []string{"callers", "claims/s", "p50 ms", "p99 ms", "settles/s", "CPU µs/commit", "leader B/commit"},
+	}
+	for _, callers := range p.callers {
+		if err := c.commitRow(ctx, &t, float64(callers), callers); err != nil {
+			return t, err
+		}
+	}
+	return t, nil
+}
+
+func (c *cluster) commitRow(ctx context.Context, t *Table, size float64, callers int) error {
+	leader := c.replicas[c.leader()]
+	if leader == nil {
+		return errNoLeader
+	}
+	c.series++
+	series := c.series
+	n := min(commitsPerCaller, maxCommits/callers)
+	bytes, start := c.leaderBytes(), used()
+	latency, claims, err := flood(callers, n, func(caller, i int) error {
+		_, err := leader.Propose(ctx, claimOf(series, caller, i))
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	_, settles, err := flood(callers, n, func(caller, i int) error {
+		q := claimOf(series, caller, i)
+		_, err := leader.Propose(ctx, state.Settle{Key: q.Key, Request: q.Request, Settlement: state.SettledRan})
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	commits := float64(2 * callers * n)
+	cpu := (used().cpu - start.cpu).Seconds()
+	t.add(size, claims, latency.millis(50), latency.millis(99), settles, cpu*1e6/commits, (c.leaderBytes()-bytes)/commits)
+	return nil
+}
+
+// measureTargets measures commits while the leader keeps a fleet of targets.
+func (c *cluster) measureTargets(ctx context.Context, p plan) (Table, error) {
+	t := Table{
+		Title:   "16 callers of claims and settles, by targets in the state; CPU of all three voters",
+		Columns: []string{"targets", "claims/s", "p50 ms", "p99 ms", "settles/s", "CPU µs/commit", "leader B/commit"},
+	}
+	for _, targets := range p.targets {
+		each := (targets + reporters - 1) / reporters
+		_, _, err := flood(reporters, each, func(caller, i int) error {
+			x := target(caller*each + i)
+			x.Phase = fleet.Announced
+			_, err := c.propose(ctx, state.Announce{Target: x, Until: time.Now().Add(claimTime), Time: time.Now()})
+			return err
+		})
+		if err != nil {
+			return t, err
+		}
+		if err := c.commitRow(ctx, &t, float64(targets), reporters); err != nil {
+			return t, err
+		}
+	}
+	return t, nil
+}
+
+// measureUsage measures usage records by the size of a report.
+func (c *cluster) measureUsage(ctx context.Context, _ plan) (Table, error) {
+	t := Table{
+		Title:   "usage records at the leader of three voters, 16 reporters; CPU of all three",
+		Columns: []string{"records/report", "records/s", "reports/s", "p50 ms", "CPU µs/record", "leader B/record"},
+	}
+	for _, records := range []int{8, 64, usageRecords} {
+		if err := c.usageRow(ctx, &t, records); err != nil {
+			return t, err
+		}
+	}
+	return t, nil
+}
+
+func (c *cluster) usageRow(ctx context.Context, t *Table, records int) error {
+	leader := c.replicas[c.leader()]
+	if leader == nil {
+		return errNoLeader
+	}
+	bytes, start := c.leaderBytes(), used()
+	latency, reports, err := flood(reporters, usageReports, func(caller, i int) error {
+		report := state.ReportUsage{}
+		for k := range records {
+			report.Records = append(report.Records, state.UsageRecord{
+				ID:       state.UsageID{Node: fleet.Host(fmt.Sprintf("agent-%d-%d", records, caller)), Incarnation: incarnation, Sequence: uint64(i*records + k + 1)},
+				Customer: customer(k), Route: "route-1", PromptTokens: 900, OutputTokens: 337, Ended: time.Now(),
+			})
+		}
+		_, err := leader.Propose(ctx, report)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	total := float64(reporters * usageReports * records)
+	cpu := (used().cpu - start.cpu).Seconds()
+	t.add(float64(records), reports*float64(records), reports, latency.millis(50), cpu*1e6/total, (c.leaderBytes()-bytes)/total)
+	return nil
+}
--- /dev/null
+++ b/internal/measure/slopes/path.go
@@ -0,0 +1,270 @@
+package slopes
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+	"papayarock/io/agent"
+	"papayarock/io/entry"
+	"papayarock/io/identity"
+	"papayarock/io/link"
+	"papayarock/io/wire"
+)
+
+const (
+	pathCallers = 64
+	secret      = "pk-measure"
+	prompt      = `{"model":"model-0","prompt":"stone 7 is loose at the waterline","max_tokens":50}`
+)
+
+// path is caller, entry, agent and a stand-in for a target on loopback.
+type path struct {
+	authority       *identity.Authority
+	direct, through string
+	client          *http.Client
+	agent           link.Address
+	stops           []func()
+}
+
+// standIn streams as many tokens as the last element of the path says.
+func standIn(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	n, err := strconv.Atoi(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:])
+	if err != nil {
+		http.Error(w, "no number of tokens", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(w)
+	for i := range n {
+		_, _ = fmt.Fprintf(w, "data: {\"choices\":[{\"text\":\"token %d\"}]}\n\n", i)
+		_ = rc.Flush()
+	}
+	_, _ = fmt.Fprintf(w, "data: {\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", n)
+}
+
+func startPath(ctx context.Context) (*path, error) {
+	x := &path{}
+	backend := httptest.NewServer(http.HandlerFunc(standIn))
+	x.stops = append(x.stops, backend.Close)
+	now := time.Now()
+	var err error
+	if x.authority, err = identity.NewAuthority(now, now.Add(certificateTime)); err != nil {
+		return x, err
+	}
+	if err := x.startAgent(ctx, backend.URL); err != nil {
+		return x, err
+	}
+	id, err := x.authority.Issue("entry", []identity.Role{identity.Entry}, now, now.Add(certificateTime))
+	if err != nil {
+		return x, err
+	}
+	var index atomic.Pointer[config.Index]
+	s := config.Snapshot{Revision: 1, Document: document(customersToday)}
+	s.Keys = []config.Key{{ID: "key", Digest: sha256.Sum256([]byte(secret)), Customer: customer(0)}}
+	s.Targets = []fleet.Target{{Name: "target", Host: "agent", Agent: x.agent.AddrPort, Pool: pool(0), Phase: fleet.Ready}}
+	index.Store(config.NewIndex(s))
+	links := &link.Pool{Identity: id, Roles: []identity.Role{identity.Agent}}
+	front := httptest.NewUnstartedServer(&entry.Entry{Config: &index, Links: links})
+	entry.Limit(front.Config)
+	front.Start()
+	tr := &http.Transport{MaxIdleConnsPerHost: pathCallers, DisableCompression: true}
+	x.direct, x.through, x.client = backend.URL, front.URL, &http.Client{Transport: tr}
+	x.stops = append(x.stops, links.Close, front.Close, tr.CloseIdleConnections)
+	return x, nil
+}
+
+func (x *path) startAgent(ctx context.Context, target string) error {
+	now := time.Now()
+	id, err := x.authority.Issue("agent", []identity.Role{identity.Agent}, now, now.Add(certificateTime))
+	if err != nil {
+		return err
+	}
+	l, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	u, err := url.Parse(target)
+	if err != nil {
+		return errors.Wrap(err, "address of the stand-in")
+	}
+	x.agent = link.Address{Host: "agent", AddrPort: netip.MustParseAddrPort(l.Addr().String())}
+	a := &agent.Agent{Listener: l, Identity: id, Target: u, StopTimeout: stopTimeout}
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = a.Serve(ctx) })
+	x.stops = append(x.stops, func() { cancel(); wg.Wait() })
+	return nil
+}
+
+func (x *path) stop() {
+	for i := len(x.stops) - 1; i >= 0; i-- {
+		x.stops[i]()
+	}
+}
+
+func (x *path) call(ctx context.Context, base string, tokens int) error {
+	address := fmt.Sprintf("%s/%s/%d", base, pool(0), tokens)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address, strings.NewReader(prompt))
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	req.Header.Set("Authorization", "Bearer "+secret)
+	resp, err := x.client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = errors.Errorf("status %d", resp.StatusCode)
+	}
+	return errors.Wrap(err, "answer")
+}
+
+// measureEntry measures what entry and agent add to a streamed answer, by its
+// tokens, each flushed by the target on its own.
+func measureEntry(ctx context.Context, p plan) (Table, error) {
+	t := Table{
+		Title: "answers streamed through entry and agent, less the same straight from the stand-in, 64 callers",
+		Columns: []string{"tokens/answer", "added CPU µs/answer", "answers/s", "p50 ms", "p95 ms",
+			"straight p50 ms", "straight p95 ms"},
+	}
+	x, err := startPath(ctx)
+	defer x.stop()
+	if err != nil {
+		return t, err
+	}
+	for _, base := range []string{x.direct, x.through} { // opens the connections
+		if _, _, err := flood(pathCallers, 1, func(int, int) error { return x.call(ctx, base, 1) }); err != nil {
+			return t, err
+		}
+	}
+	for _, tokens := range p.tokens {
+		var cpu, rate [2]float64
+		var latency [2]samples
+		for i, base := range []string{x.direct, x.through} {
+			start := used()
+			each := (p.requests + pathCallers - 1) / pathCallers
+			latency[i], rate[i], err = flood(pathCallers, each, func(int, int) error { return x.call(ctx, base, tokens) })
+			if err != nil {
+				return t, err
+			}
+			cpu[i] = (used().cpu - start.cpu).Seconds() * 1e6 / float64(each*pathCallers)
+		}
+		t.add(float64(tokens), cpu[1]-cpu[0], rate[1], latency[1].millis(50), latency[1].millis(95),
+			latency[0].millis(50), latency[0].millis(95))
+	}
+	return t, nil
+}
+
+// measureLoadPolls measures polls of one agent for the load of its target.
+func measureLoadPolls(ctx context.Context, p plan) (Table, error) {
+	t := Table{
+		Title:   "load polls of one agent, by polling entries; CPU of both ends",
+		Columns: []string{"entries", "polls/s", "CPU µs/poll", "B/poll"},
+	}
+	x, err := startPath(ctx)
+	defer x.stop()
+	if err != nil {
+		return t, err
+	}
+	for _, n := range []int{1, 4, 16} {
+		var count traffic
+		pools := make([]*link.Pool, n)
+		for i := range pools {
+			now := time.Now()
+			id, err := x.authority.Issue(fleet.Host(fmt.Sprintf("entry-%d", i)), []identity.Role{identity.Entry}, now, now.Add(certificateTime))
+			if err != nil {
+				return t, err
+			}
+			pools[i] = &link.Pool{Identity: id, Roles: []identity.Role{identity.Agent}, Dial: dialCounted(func(link.Address) *traffic { return &count })}
+			defer pools[i].Close()
+		}
+		poll := func(i, _ int) error {
+			open := &wire.Open{Call: &wire.Open_LoadPoll{LoadPoll: &wire.LoadPoll{}}}
+			_, err := link.Call[wire.Frame](ctx, pools[i], x.agent, open)
+			return err
+		}
+		if _, _, err := flood(n, 1, poll); err != nil { // dials
+			return t, err
+		}
+		bytes, start := count.bytes(), used()
+		_, rate, err := flood(n, p.polls/n+1, poll)
+		if err != nil {
+			return t, err
+		}
+		total := float64(n * (p.polls/n + 1))
+		t.add(float64(n), rate, (used().cpu-start.cpu).Seconds()*1e6/total, (count.bytes()-bytes)/total)
+	}
+	return t, nil
+}
+
+// measureSessions measures idle sessions of many entries with one agent.
+func measureSessions(ctx context.Context, p plan) (Table, error) {
+	t := Table{
+		Title:   "idle link sessions with heartbeats and mutual TLS; both ends; bytes both ways, above TCP",
+		Columns: []string{"sessions", "memory B", "cores", "B/s", "set-up CPU ms/session"},
+	}
+	for _, n := range p.sessions {
+		row, err := sessionRow(ctx, p, n)
+		if err != nil {
+			return t, err
+		}
+		t.add(row...)
+	}
+	return t, nil
+}
+
+func sessionRow(ctx context.Context, p plan, n int) ([]float64, error) {
+	x, err := startPath(ctx)
+	defer x.stop()
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	id, err := x.authority.Issue("entry", []identity.Role{identity.Entry}, now, now.Add(certificateTime))
+	if err != nil {
+		return nil, err
+	}
+	var count traffic
+	pools := make([]*link.Pool, n)
+	defer func() {
+		for _, l := range pools {
+			if l != nil {
+				l.Close()
+			}
+		}
+	}()
+	before, start := memory(), used()
+	for i := range pools {
+		pools[i] = &link.Pool{Identity: id, Roles: []identity.Role{identity.Agent}, Dial: dialCounted(func(link.Address) *traffic { return &count })}
+		open := &wire.Open{Call: &wire.Open_LoadPoll{LoadPoll: &wire.LoadPoll{}}}
+		if _, err := link.Call[wire.Frame](ctx, pools[i], x.agent, open); err != nil {
+			return nil, err
+		}
+	}
+	setUp := (used().cpu - start.cpu).Seconds() * 1000 / float64(n)
+	time.Sleep(p.settle)
+	size := memory() - before
+	bytes, idle := count.bytes(), used()
+	time.Sleep(p.window)
+	cores, seconds := idle.cores(), time.Since(idle.wall).Seconds()
+	return []float64{float64(n), size, cores, (count.bytes() - bytes) / seconds, setUp}, nil
+}
--- /dev/null
+++ b/internal/measure/slopes/slopes_test.go
@@ -0,0 +1,48 @@
+package slopes
+
+import (
+	"context"
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a measurement that fails, hangs, or divides by nothing. It
+// asserts no speed.
+func TestQuick(t *testing.T) {
+	tables := 0
+	err := Measure(context.Background(), Options{Quick: true}, func(x Table) error {
+		tables++
+		if len(x.Rows) < 3 {
+			t.Errorf("%s: %d sizes", x.Title, len(x.Rows))
+		}
+		for _, r := range x.Rows {
+			if len(r) != len(x.Columns) {
+				t.Errorf("%s: %d figures in %d columns", x.Title, len(r), len(x.Columns))
+			}
+			for i, v := range r {
+				if math.IsNaN(v) || math.IsInf(v, 0) {
+					t.Errorf("%s: %s is %v at %v", x.Title, x.Columns[i], v, r[0])
+				}
+			}
+		}
+		return x.Print(t.Output())
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if tables == 0 {
+		t.Error("nothing was measured")
+	}
+}
+
+// Guards against a fitted line that is off a set of points on a line.
+func TestFit(t *testing.T) {
+	is := is.New(t)
+	x := Table{Columns: []string{"size", "cost"}, Rows: [][]float64{{1, 5}, {3, 9}, {10, 23}}}
+	line := x.Fit(1)
+	is.True(math.Abs(line.Base-3) < 1e-9)
+	is.True(math.Abs(line.Slope-2) < 1e-9)
+	is.True(math.Abs(line.At(100)-203) < 1e-6)
+}
