core/capacity: run the planner from demand reports and replicated targets

The planner's acts had no way to become commands, and a planner that knows only its own memory orders again and reverses roles after each leader change.

--- /dev/null
+++ b/core/capacity/view.go
@@ -0,0 +1,98 @@
+package capacity
+
+import (
+	"time"
+
+	"papayarock/core/fleet"
+	"papayarock/core/plan"
+	"papayarock/core/state"
+	"papayarock/core/watch"
+)
+
+// Recent is an act with what became of it.
+type Recent struct {
+	plan.Act
+	At      time.Time
+	Outcome string // empty while it is not known
+}
+
+func (r Recent) place() state.Place { return state.Place{Pool: r.Pool, DataCentre: r.DataCentre} }
+
+// Shown is the planner's view for operators.
+type Shown struct {
+	Waiting   string // why nothing is proposed; empty if the planner acts
+	Stepped   time.Time
+	Rates     []plan.Rate
+	Estimates []plan.Estimate
+	Speeds    []plan.Learned
+	Recent    []Recent // last acts, oldest first
+}
+
+// Shown returns a copy of the planner's view.
+func (t *Term) Shown() Shown {
+	s := Shown{Waiting: t.waiting, Stepped: t.stepped, Rates: t.rates, Recent: append([]Recent(nil), t.recent...)}
+	if t.planner != nil {
+		s.Estimates, s.Speeds = t.planner.Estimates(), t.planner.Learned()
+	}
+	return s
+}
+
+func (t *Term) note(now time.Time, a plan.Act) {
+	if len(t.recent) >= maxRecent {
+		t.recent = append(t.recent[:0], t.recent[1:]...)
+	}
+	t.recent = append(t.recent, Recent{Act: a, At: now})
+}
+
+// demand describes the targets to the planner.
+func demand(now time.Time, v View) plan.Demand {
+	d := plan.Demand{Rates: v.Rates}
+	replaced := make(map[fleet.TargetName]bool)
+	for _, r := range v.Targets {
+		if r.Replaces != "" {
+			replaced[r.Replaces] = true
+		}
+	}
+	models := make(map[string]bool)
+	for _, m := range v.Config.General.Models {
+		models[m.Name] = true
+	}
+	for _, r := range v.Targets {
+		t := r.Target
+		if t.Incarnation == 0 && t.Phase == fleet.Announced && (t.Kind == fleet.Engine || models[t.Pool]) {
+			d.Starting = append(d.Starting, plan.Starting{Pool: t.Pool, DataCentre: t.DataCentre})
+		}
+		if t.Kind != fleet.Engine || t.Incarnation == 0 {
+			continue
+		}
+		describe(&d, now, r, v.Signs[t.Name], replaced[t.Name])
+	}
+	return d
+}
+
+// describe adds an engine. One that an operator drains, or that leaves or is
+// lost, is neither capacity nor expected back.
+func describe(d *plan.Demand, now time.Time, r state.TargetRecord, sign watch.Sign, replaced bool) {
+	t := r.Target
+	e := plan.Engine{
+		Name: t.Name, Pool: t.Pool, DataCentre: t.DataCentre, Role: t.Role, Load: float64(sign.Running),
+	}
+	serving := r.Wanted == state.WantedServing
+	switch {
+	case t.Phase == fleet.Ready && serving && !r.Unread:
+		e.Ready = r.Adaptable() && !replaced
+		if sign.Incarnation == t.Incarnation && (sign.Prefill > 0 || sign.Decode > 0) {
+			d.Speeds = append(d.Speeds, plan.Speed{Pool: t.Pool, Role: t.Role, Prefill: sign.Prefill, Decode: sign.Decode})
+		}
+	case t.Phase == fleet.Draining && serving && r.RoleWanted && now.Before(r.WantedUntil):
+		e.Role = r.Role // it comes back with this role
+	case t.Phase == fleet.Announced && serving:
+		d.Starting = append(d.Starting, plan.Starting{Pool: t.Pool, DataCentre: t.DataCentre})
+		return
+	case serving && (t.Phase == fleet.Unknown || t.Phase == fleet.Draining):
+		e.Unknown = true
+	default:
+		return
+	}
+	d.Engines = append(d.Engines, e)
+}
