io/agent: end the running request of a test before its agent stops

Cause: the test left a request that is not idempotent, which a stopping agent waits for; it ran into the test's deadline. Change: the request is idempotent and cancelled.

--- a/io/agent/orders_test.go
+++ b/io/agent/orders_test.go
@@ -45,10 +45,10 @@
 	done := make(chan error, 1)
 	go func() { done <- c.agent.Serve(ctx) }()
 	t.Cleanup(func() {
+		engine.Crash() // ends what it still runs
 		c.links.Close()
 		cancel()
 		c.is.NoErr(<-done)
-		engine.Crash() // ends what it still runs
 		target.Close()
 	})
 	return c
@@ -144,6 +144,7 @@
 	// 60 tokens take so long that the request runs until the caller leaves.
 	c := newCommanded(t, &fake.Engine{DecodeTokensPerSecond: 0.5})
 	q := request(1, "/v1/completions")
+	q.Idempotent = true // cancelled when its caller leaves
 	s, err := c.links.Open(context.Background(), c.address, &wire.Open{Call: &wire.Open_Run{Run: wire.EncodeRun(q)}})
 	c.is.NoErr(err)
 	c.is.NoErr(s.Send(&wire.BodyPart{Data: []byte(`{"model": "notes", "prompt": "stone", "max_tokens": 60, "stream": true}`), Last: true}))
@@ -152,6 +153,7 @@
 	}
 	c.is.Equal(c.finish(load(1, "v1")), wire.ControlOrderAnswer_FAILED)
 	c.is.Equal(c.engine.Counts().Interrupted, 0)
+	c.is.NoErr(s.Send(&wire.Open{Call: &wire.Open_Cancel{Cancel: &wire.Cancel{RequestId: q.ID[:]}}}))
 	_ = s.Close()
 
 	c.agent.Configured(config.NewIndex(config.Snapshot{Revision: 1, Targets: []fleet.Target{
