io/daemon, io/entry: metrics, latencies and state dumps of a process

Cause: operators could not see what a process does. Change: expvar variables of each role, latency histograms by class at the entry, a dump of each part and a log level that changes at run time, on a loopback address; a test runs a process with two roles and reads them. Conclusion: neither dump nor metrics nor log hold the key.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -30,11 +30,12 @@
 	tree        *suture.Supervisor
 	servers     []server // started in order, stopped in reverse
 	dumps       map[string]func() any
+	metrics     metrics
 }
 
 // Run runs the roles that s names until ctx ends.
 func Run(ctx context.Context, s settings.Settings, log hclog.Logger) error {
-	p := &process{s: s, log: log, dumps: make(map[string]func() any)}
+	p := &process{s: s, log: log, dumps: make(map[string]func() any), metrics: newMetrics()}
 	p.tree = suture.New("papayarock", suture.Spec{
 		EventHook: func(e suture.Event) { log.Warn("supervisor event", "event", e.String()) },
 		Timeout:   s.Shutdown,
--- /dev/null
+++ b/io/daemon/daemon_test.go
@@ -0,0 +1,152 @@
+package daemon_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+	"papayarock/internal/fake"
+	"papayarock/io/daemon"
+	"papayarock/io/settings"
+)
+
+const secret = "secret-of-inspector"
+
+// freePort finds a loopback port that nobody listens on.
+func freePort(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// oneProcess returns the settings of a process with an entry and an agent and a
+// fixed configuration.
+func oneProcess(t *testing.T, target *url.URL) settings.Settings {
+	agent := freePort(t)
+	file := filepath.Join(t.TempDir(), "configuration.toml")
+	text := `team = "test"
+
+[[customer]]
+name = "klang"
+weight = 1
+
+[[route]]
+name = "orders"
+prefix = "/orders"
+pool = "repair-log"
+promise = "30s"
+
+[[pool]]
+name = "repair-log"
+minimum = 1
+maximum = 1
+`
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return settings.Settings{
+		Host: "h1", Region: "west", DataCentre: "klang", Addresses: []netip.Addr{agent.Addr()},
+		Links: settings.Links{Plain: true}, Shutdown: 10 * time.Second, Status: freePort(t),
+		Agent: &settings.Agent{Listen: agent, Target: target, Name: "t1", Pool: "repair-log", Slots: 4},
+		Entry: &settings.Entry{Listen: freePort(t), Static: &settings.Static{
+			Configuration: file,
+			Keys:          []config.Key{{ID: "k1", Digest: sha256.Sum256([]byte(secret)), Customer: "klang"}},
+			Targets: []fleet.Target{{
+				Name: "t1", Host: "h1", Region: "west", DataCentre: "klang", Agent: agent, Pool: "repair-log",
+				Phase: fleet.Ready, Slots: 4, Incarnation: 1,
+			}},
+		}},
+	}
+}
+
+func get(t *testing.T, method, address, key string) (int, string) {
+	for range 500 {
+		req, err := http.NewRequest(method, address, strings.NewReader("stone"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+key)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil { // the process has not started yet
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.StatusCode, string(body)
+	}
+	t.Fatalf("%s does not answer", address)
+	return 0, ""
+}
+
+// Guards against a process whose dump or metrics are missing or reveal a key,
+// and against one that does not stop.
+func TestProcessServesAndShowsItsState(t *testing.T) {
+	is := is.New(t)
+	backend := httptest.NewServer(&fake.Service{})
+	defer backend.Close()
+	target, err := url.Parse(backend.URL)
+	is.NoErr(err)
+	s := oneProcess(t, target)
+	var log strings.Builder
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		err := daemon.Run(ctx, s, hclog.New(&hclog.LoggerOptions{Output: &log}))
+		if err != nil {
+			t.Log("process ended:", err)
+		}
+		done <- err
+	}()
+
+	status, body := get(t, http.MethodPost, "http://"+s.Entry.Listen.String()+"/orders", secret)
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "stone ran 1\n")
+
+	base := "http://" + s.Status.String()
+	_, dump := get(t, http.MethodGet, base+"/dump", "")
+	var parts map[string]json.RawMessage
+	is.NoErr(json.Unmarshal([]byte(dump), &parts))
+	for _, part := range []string{"agent", "entry", "serving"} {
+		is.True(len(parts[part]) > 0)
+	}
+	status, _ = get(t, http.MethodGet, base+"/dump?part=none", "")
+	is.Equal(status, http.StatusNotFound)
+
+	_, vars := get(t, http.MethodGet, base+"/vars", "")
+	var numbers map[string]float64
+	is.NoErr(json.Unmarshal([]byte(vars), &numbers))
+	is.Equal(numbers["entry-served-total"], 1.0)
+	is.Equal(numbers["agent-usage-total"], 1.0)
+
+	status, _ = get(t, http.MethodPut, base+"/log-level?level=debug", "")
+	is.Equal(status, http.StatusOK)
+	status, _ = get(t, http.MethodPut, base+"/log-level?level=loud", "")
+	is.Equal(status, http.StatusBadRequest)
+
+	cancel()
+	is.NoErr(<-done)
+	is.True(!strings.Contains(dump+vars+log.String(), secret))
+}
--- a/io/daemon/roles.go
+++ b/io/daemon/roles.go
@@ -54,6 +54,7 @@
 	p.add("control", c)
 	p.add("control links", links)
 	p.dumps["control"] = c.Dump
+	p.metrics.control(c)
 	p.servers = append(p.servers, p.operators(c))
 	return nil
 }
@@ -93,6 +94,7 @@
 		},
 	}
 	p.dumps["agent"] = a.Dump
+	p.metrics.agent(a)
 	p.add("agent", a)
 	if len(p.s.ControlHosts) == 0 {
 		return nil
@@ -100,6 +102,7 @@
 	client := p.client(subscribe.Options{Sign: a.Sign, Log: p.log.Named("subscribe"), Changed: a.Configured})
 	a.Control = client
 	p.dumps["agent-subscription"] = client.Dump
+	p.metrics.subscription(client)
 	p.add("agent subscription", client)
 	return nil
 }
@@ -129,11 +132,13 @@
 		e.Config, e.FreshUntil, e.Control = &client.Index, &client.FreshNanos, client
 		policy.Shares = client
 		p.dumps["entry-subscription"] = client.Dump
+		p.metrics.subscription(client)
 		p.add("entry subscription", client)
 	}
 	p.add("serving", policy)
 	p.add("entry", e)
 	p.dumps["entry"], p.dumps["serving"] = e.Dump, policy.Dump
+	p.metrics.entry(e, policy)
 	h := khttp.NewServer(khttp.Address(s.Listen.String()), khttp.Timeout(0))
 	entry.Limit(h.Server)
 	h.Handler = e
--- a/io/daemon/status.go
+++ b/io/daemon/status.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"expvar"
 	"maps"
 	"net/http"
 	"slices"
@@ -19,7 +18,7 @@
 func (p *process) addStatus(context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /dump", p.serveDump)
-	mux.Handle("GET /vars", expvar.Handler())
+	mux.Handle("GET /vars", p.metrics)
 	mux.HandleFunc("GET /live", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("PUT /log-level", p.serveLogLevel)
 	h := khttp.NewServer(khttp.Address(p.s.Status.String()), khttp.Timeout(0))
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -209,6 +209,7 @@
 	c.assembly.Stray = 0
 	if end == Answered {
 		c.e.counts.served.Add(1)
+		c.e.latencies.record(c.request.Route.Class, c.request.Arrived, *out)
 		out.PromptTokens, out.OutputTokens = c.usage.PromptTokens, c.usage.OutputTokens
 		return nil
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -55,11 +55,12 @@
 	Retrier    Retrier  // MaxAttempts(3) if nil
 	Log        hclog.Logger
 
-	once     sync.Once
-	asking   *semaphore.Weighted // claims that only make a refusal sure
-	usage    reporter
-	counts   counts
-	settling atomic.Int64 // claims whose end is being recorded
+	once      sync.Once
+	asking    *semaphore.Weighted // claims that only make a refusal sure
+	usage     reporter
+	counts    counts
+	latencies latencies
+	settling  atomic.Int64 // claims whose end is being recorded
 
 	mu       sync.Mutex
 	stopping bool // not ready; requests are still served
--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -136,7 +136,8 @@
 	StrayFrames   uint64
 	Revision      uint64
 	FreshUntil    time.Time
-	RunningByKeys map[string]int // by key id, at most maxDumped
+	RunningByKeys map[string]int     // by key id, at most maxDumped
+	Latencies     map[string]Latency // by class
 }
 
 const maxDumped = 100
@@ -149,7 +150,7 @@
 		Ready: !e.stopping, Running: len(e.running), BodyBytes: e.bodies,
 		Served: e.counts.served.Load(), Refused: e.counts.refused.Load(), Aborted: e.counts.aborted.Load(),
 		Resumed: e.counts.resumed.Load(), Retried: e.counts.retried.Load(), StrayFrames: e.counts.stray.Load(),
-		RunningByKeys: make(map[string]int),
+		RunningByKeys: make(map[string]int), Latencies: e.latencies.describe(),
 	}
 	for f := range e.running {
 		if _, ok := d.RunningByKeys[f.keyID]; ok || len(d.RunningByKeys) < maxDumped {
