io/controller: run the planner on the leader

Demand and signs reached the leader and were not used.

The lead loop takes in demand reports, its own and those of relays, and every 2 s steps the planner under the lease; each decision is committed as a command of its own. A new term begins with a new planner. Relays pass reports on with their age, entries report once a second. The planner's view is in the dump and, at the leader, in GET /v1/plan; operator.Client has Plan.

In a cluster of three in virtual time a lasting shift of the mix leads to a role change by way of a relay; the operator's base stays as it was and a new leader proposes nothing within its first minute.

--- /dev/null
+++ b/core/capacity/bench_test.go
@@ -0,0 +1,119 @@
+package capacity_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"papayarock/core/authority"
+	"papayarock/core/capacity"
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+	"papayarock/core/watch"
+)
+
+// scale is a fleet whose entries report each second.
+type scale struct{ targets, pools, dataCentres, entries int }
+
+func (s scale) place(i int) (string, fleet.DataCentre) {
+	return fmt.Sprint("m", i%s.pools), fleet.DataCentre(fmt.Sprint("dc", i/s.pools%s.dataCentres))
+}
+
+func (s scale) machine() *state.Machine {
+	m := state.New()
+	b := budget()
+	b.HourlyCap = 0
+	m.Apply(1, state.Change{ID: "c", Operator: "op", Time: start, Action: state.ReplaceDocument{Document: config.Document{Budget: b}}})
+	for i := range s.targets {
+		pool, dc := s.place(i)
+		name := fleet.TargetName(fmt.Sprint("t", i))
+		m.Apply(uint64(2*i+2), state.Announce{Target: fleet.Target{
+			Name: name, Pool: pool, DataCentre: dc, Kind: fleet.Engine, Incarnation: 1,
+		}, Until: start.Add(time.Hour), Time: start})
+		m.Apply(uint64(2*i+3), state.TargetPhase{Target: name, Incarnation: 1, Phase: fleet.Ready, Time: start})
+	}
+	return m
+}
+
+// report is the demand of all entries in a second, 60% of what the engines do.
+func (s scale) report(d *capacity.Demand, now time.Time) {
+	share := 0.6 * float64(s.targets) / float64(s.entries*s.pools*2)
+	for e := range s.entries {
+		_, dc := s.place(e * s.pools)
+		for p := range s.pools {
+			for _, class := range []fleet.Class{fleet.Patient, fleet.Urgent} {
+				d.Add(now, capacity.Report{
+					Entry: fleet.Host(fmt.Sprint("n", e)), Pool: fmt.Sprint("m", p), DataCentre: dc, Class: class,
+					Requests: 4 * share, Prompt: 4000 * share, Output: 800 * share, Period: time.Second, At: now,
+				})
+			}
+		}
+	}
+}
+
+// Measures one step of the leader with all that belongs to it: the copy of the
+// replicated targets, the rates, and the planner's decision.
+func BenchmarkStep(b *testing.B) {
+	for _, s := range []scale{{8, 1, 3, 3}, {100, 2, 4, 40}, {1100, 5, 11, 420}} {
+		b.Run(fmt.Sprintf("%d-targets", s.targets), func(b *testing.B) {
+			m, now := s.machine(), start
+			var d capacity.Demand
+			t := capacity.New(capacity.Options{Platform: true})
+			step := func() {
+				v := capacity.View{
+					Config: m.Config(), Targets: m.Targets(), Starts: m.PlannedStarts(),
+					Signs: make(map[fleet.TargetName]watch.Sign), Since: start, Rates: d.Rates(now),
+				}
+				for _, r := range v.Targets {
+					v.Signs[r.Target.Name] = watch.Sign{Name: r.Target.Name, Incarnation: 1, Prefill: 10000, Decode: 2000}
+				}
+				t.Step(now, authorityAt(now), v)
+			}
+			for range 460 { // a full history of the planner
+				now = now.Add(capacity.Period)
+				s.report(&d, now)
+				step()
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				step()
+				now = now.Add(capacity.Period)
+				b.StopTimer()
+				s.report(&d, now)
+				b.StartTimer()
+			}
+			held(b, t, &d)
+		})
+	}
+}
+
+// Measures taking in the reports of all entries for one second.
+func BenchmarkDemandAdd(b *testing.B) {
+	s := scale{1100, 5, 11, 420}
+	var d capacity.Demand
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Second)
+		s.report(&d, now)
+	}
+}
+
+func authorityAt(now time.Time) authority.Gate {
+	return authority.Gate{Held: true, Term: 1, Expires: now.Add(time.Second)}
+}
+
+// held reports the heap that the planner and the demand keep between steps.
+func held(b *testing.B, t *capacity.Term, d *capacity.Demand) {
+	var with, without runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&with)
+	runtime.KeepAlive(t)
+	runtime.KeepAlive(d)
+	*t, *d = capacity.Term{}, capacity.Demand{}
+	runtime.GC()
+	runtime.ReadMemStats(&without)
+	b.ReportMetric(float64(with.HeapAlloc)-float64(without.HeapAlloc), "held-B")
+}
--- a/core/capacity/capacity_test.go
+++ b/core/capacity/capacity_test.go
@@ -99,7 +99,7 @@
 			t.Run(fmt.Sprintf("arrives=%t,elected=%t", arrives, elected), func(t *testing.T) {
 				is := is.New(t)
 				b := budget()
-				b.HourlyCap, b.MaximumPerPool = 0, map[string]int{"m": 9}
+				b.HourlyCap, b.StartDelay = 0, 10*time.Minute
 				w := newWorld(b, nil, fleet.Mixed, fleet.Mixed, fleet.Mixed, fleet.Mixed)
 				w.rates = steady(20000, 3000) // needs 4.8 engines: one more
 				lost := 0
@@ -117,10 +117,7 @@
 				if elected {
 					w.elect()
 				}
-				w.play(110 * time.Second) // the observation of a new leader, and less than the start delay
-				if !arrives && elected {
-					w.play(3 * time.Minute)
-				}
+				w.play(8 * time.Minute) // less than the start delay
 				is.Equal(w.planned(), 1)
 				for _, o := range orders(w.proposals) {
 					is.Equal(o.ID, orders(w.proposals)[0].ID)
--- a/core/capacity/demand.go
+++ b/core/capacity/demand.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// demandWindow is the time over which rates are computed. It spans ten polls
-	// of an entry, so that a lost report changes a rate little.
+	// demandWindow is the time over which rates are computed. It spans five
+	// reports of an entry, so that a lost one takes away little.
 	demandWindow = 5 * time.Second
 	// slots of a second each hold the window and the second under way.
 	slots = int64(demandWindow/time.Second) + 1
--- a/core/capacity/world_test.go
+++ b/core/capacity/world_test.go
@@ -174,7 +174,7 @@
 		if _, ok := w.until[t.Name]; !ok {
 			w.until[t.Name] = w.now.Add(8 * time.Second)
 			if starts {
-				w.until[t.Name] = w.now.Add(budget().StartDelay)
+				w.until[t.Name] = w.now.Add(w.machine.Config().General.Budget.StartDelay)
 			}
 		}
 		if w.now.Before(w.until[t.Name]) {
--- a/io/agent/agent_test.go
+++ b/io/agent/agent_test.go
@@ -229,3 +229,47 @@
 	r.is.Equal(c.records, map[state.UsageID]int{{Node: "a1", Incarnation: incarnation, Sequence: 1}: 2})
 	r.is.Equal(r.agent.Dump().(agent.Dump).UsageWaiting, 0)
 }
+
+// Guards against speeds of the engine that do not leave the agent: the planner
+// would reckon with its defaults for ever.
+func TestSignCarriesSpeeds(t *testing.T) {
+	for name, c := range map[string]struct {
+		load            string
+		prefill, decode float64
+	}{
+		"both":        {`{"prefill-speed": 9000, "decode-speed": 2200}`, 9000, 2200},
+		"one":         {`{"decode-speed": 2200}`, 0, 2200},
+		"none":        {`{}`, 0, 0},
+		"not a speed": {`{"prefill-speed": -1, "decode-speed": 2200}`, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var reads atomic.Int32
+			engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+				_, _ = io.WriteString(w, c.load)
+				if q.URL.Path == "/load" {
+					reads.Add(1)
+				}
+			}))
+			defer engine.Close()
+			u, err := url.Parse(engine.URL)
+			is.NoErr(err)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			a := &agent.Agent{
+				Listener: l, Target: u, Control: &control{},
+				Announcement: fleet.Target{Name: "t1", Host: "a1", Incarnation: incarnation, Kind: fleet.Engine},
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- a.Serve(ctx) }()
+			for reads.Load() < 2 { // the first one has been taken in
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(a.Sign().Prefill, c.prefill)
+			is.Equal(a.Sign().Decode, c.decode)
+			cancel()
+			is.NoErr(<-done)
+		})
+	}
+}
--- a/io/controller/cluster_test.go
+++ b/io/controller/cluster_test.go
@@ -150,8 +150,12 @@
 
 // client returns a node that polls the given replicas, nearest first.
 func (c *cluster) client(host fleet.Host, control ...fleet.Host) (*subscribe.Client, func()) {
-	pool := c.pool(host)
-	o := subscribe.Options{Links: pool, Host: host, Log: hclog.NewNullLogger()}
+	return c.node(subscribe.Options{Host: host}, control...)
+}
+
+func (c *cluster) node(o subscribe.Options, control ...fleet.Host) (*subscribe.Client, func()) {
+	pool := c.pool(o.Host)
+	o.Links, o.Log = pool, hclog.NewNullLogger()
 	for _, h := range control {
 		o.Addresses = append(o.Addresses, link.Address{Host: h, AddrPort: c.addresses[h]})
 	}
@@ -200,6 +204,7 @@
 		"operators race under an equal base":                  operatorsRace,
 		"a change that is too large":                          changeIsTooLarge,
 		"the configuration is read back":                      configurationIsReadBack,
+		"the planner acts on demand":                          plannerActsOnDemand,
 		"hosts join and leave":                                hostsJoinAndLeave,
 		"a lost voter is replaced":                            lostVoterIsReplaced,
 	}
--- a/io/controller/confirm.go
+++ b/io/controller/confirm.go
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	sent := time.Now()
-	answer, err := link.Call[wire.ControlConfirmAnswer](ctx, c.links, addr, c.report(sent))
+	answer, err := link.Call[wire.ControlConfirmAnswer](ctx, c.links, addr, c.confirmation(sent))
 	if err != nil {
 		return err
 	}
@@ -87,8 +87,8 @@
 	return nil
 }
 
-// report lists the subscribers of this replica.
-func (c *Controller) report(now time.Time) *wire.ControlConfirm {
+// confirmation lists the subscribers of this replica.
+func (c *Controller) confirmation(now time.Time) *wire.ControlConfirm {
 	index, _ := c.machine.config()
 	m := &wire.ControlConfirm{
 		Self: wire.EncodeSubscriber(watch.Subscriber{Host: c.self, Revision: index.Revision, Seen: now}, now),
@@ -100,7 +100,10 @@
 			m.Subscribers = append(m.Subscribers, wire.EncodeSubscriber(s, now))
 		}
 	}
-	m.Demand, c.demand = c.demand, nil
+	for _, r := range c.reports {
+		m.Demand = append(m.Demand, wire.EncodeDemand(r, now))
+	}
+	c.reports = nil
 	return m
 }
 
@@ -146,5 +149,7 @@
 		s.Via = host
 		c.tracker.Record(s)
 	}
-	c.demand = append(c.demand, m.GetDemand()...)
+	for _, d := range m.GetDemand() {
+		c.report(wire.DecodeDemand(d, now))
+	}
 }
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"papayarock/core/capacity"
 	"papayarock/core/dispatch"
 	"papayarock/core/fleet"
 	"papayarock/core/state"
@@ -67,9 +68,13 @@
 
 	mu      sync.Mutex
 	tracker watch.Tracker
-	copy    watch.Copy // of a replica that does not lead
-	leading uint64     // term this replica leads, as far as the tracker goes
-	demand  []*wire.ControlDemand
+	copy    watch.Copy        // of a replica that does not lead
+	leading uint64            // term this replica leads, as far as the tracker goes
+	reports []capacity.Report // of demand, not yet passed on or taken in
+
+	planning sync.Mutex // guards term and demand; never taken with mu held
+	term     *capacity.Term
+	demand   capacity.Demand
 }
 
 // New opens the data directory. Serve runs the replica.
@@ -213,12 +218,16 @@
 	Log         any
 	State       any
 	Subscribers []watch.Subscriber
+	Plan        *capacity.Shown // of the leader; nil on another replica
 }
 
 // Dump returns a copy of the state, of type Dump.
 func (c *Controller) Dump() any {
 	d := Dump{Status: c.Status(), Log: c.group.Dump()}
 	c.machine.read(func(s *state.Machine) { d.State = s.Dump() })
+	if shown, ok := c.shown(); ok {
+		d.Plan = &shown
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	d.Subscribers = c.tracker.Subscribers()
--- a/io/controller/lead.go
+++ b/io/controller/lead.go
@@ -29,6 +29,7 @@
 		lease := c.lease()
 		if lease.Held && lease.Term != term {
 			term = lease.Term
+			c.newTerm()
 			d = dispatch.New(dispatch.Options{UsageWindow: c.o.UsageWindow, Platform: c.platform != nil})
 		}
 		if lease.Held {
@@ -37,6 +38,7 @@
 			for _, a := range d.Step(time.Now(), lease, c.view()) {
 				c.actions.Go(func() { c.begin(ctx, a) })
 			}
+			c.plan(ctx, lease)
 		}
 		select {
 		case <-ctx.Done():
--- a/io/controller/operator.go
+++ b/io/controller/operator.go
@@ -44,6 +44,7 @@
 	mux.HandleFunc("GET /v1/orders", serveList(c, listOrders))
 	mux.HandleFunc("GET /v1/audit", serveList(c, listAudit))
 	mux.HandleFunc("GET /v1/hosts", serveList(c, listHosts))
+	mux.HandleFunc("GET /v1/plan", c.servePlan)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { respond(w, http.StatusOK, c.Status()) })
 	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, _ *http.Request) { respond(w, http.StatusOK, c.Dump()) })
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/io/controller/plan_test.go
@@ -0,0 +1,105 @@
+package controller_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"papayarock/core/capacity"
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+	"papayarock/core/plan"
+	"papayarock/core/state"
+	"papayarock/core/watch"
+	"papayarock/io/controller"
+	"papayarock/io/subscribe"
+)
+
+// planner returns the planner's view at the leader.
+func (c *cluster) planner() (s capacity.Shown) {
+	if r := c.replicas[c.leader()]; r != nil {
+		if p := r.Dump().(controller.Dump).Plan; p != nil {
+			s = *p
+		}
+	}
+	return s
+}
+
+// engines announces engines and has their agents poll.
+func (c *cluster) engines(control []fleet.Host, roles ...fleet.Role) (stop func()) {
+	is := is.New(c.t)
+	stops := make([]func(), len(roles))
+	leader := c.replicas[c.leader()]
+	for i, role := range roles {
+		host := fleet.Host(fmt.Sprint("a", i))
+		t := fleet.Target{
+			Name: fleet.TargetName(fmt.Sprint("t", i)), Incarnation: 1, Kind: fleet.Engine, Pool: "m", DataCentre: "dc", Role: role, Host: host,
+		}
+		_, stops[i] = c.node(subscribe.Options{Host: host, Sign: func() watch.Sign {
+			return watch.Sign{Name: t.Name, Incarnation: 1, Ready: true, Running: 1, Prefill: 9000, Decode: 2200}
+		}}, control...)
+		_, err := leader.Propose(c.t.Context(), state.Announce{Target: t, Until: time.Now().Add(time.Hour), Time: time.Now()})
+		is.NoErr(err)
+	}
+	return func() {
+		for _, s := range stops {
+			s()
+		}
+	}
+}
+
+// Guards against demand or speeds that do not reach the planner by way of a
+// relay, acts that are not committed, and a new leader that acts at once.
+func plannerActsOnDemand(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	defer c.stop()
+	await(t, "no leader", func() bool { return c.leader() != "" })
+	relay := follower(c)
+	defer c.engines(relay, fleet.Prefill, fleet.Decode, fleet.Decode, fleet.Decode)()
+	last := time.Now()
+	entry, stop := c.node(subscribe.Options{Host: "e1", Demand: func() []subscribe.Demand {
+		d := time.Since(last)
+		last = time.Now()
+		return []subscribe.Demand{{
+			Pool: "m", DataCentre: "dc", Class: fleet.Urgent, Requests: 14 * d.Seconds(),
+			PromptTokens: 14000 * d.Seconds(), OutputTokens: 1500 * d.Seconds(), Period: d,
+		}}
+	}}, relay...)
+	defer stop()
+	await(t, "the entry is not fresh", func() bool { return entry.Fresh(time.Now()) })
+	base := entry.Index.Load().Revision
+
+	time.Sleep(80 * time.Second)
+	is.Equal(c.planner().Waiting, "the leader is new and observes")
+	is.Equal(len(c.planner().Recent), 0)
+	for range 5 {
+		if len(c.planner().Recent) == 0 {
+			time.Sleep(time.Minute)
+		}
+	}
+	p := c.planner()
+	is.True(len(p.Recent) > 0)
+	is.Equal(p.Recent[0].Kind, plan.ChangeRole)
+	is.Equal(p.Recent[0].Outcome, "begun")
+	is.Equal(len(p.Rates), 1)
+	is.True(p.Rates[0].Prefill > 13900 && p.Rates[0].Prefill < 14100)
+	is.True(p.Speeds[0].Decode > 2150) // 2,000 until learned
+	e, _ := entry.Index.Load().Target(p.Recent[0].Target)
+	is.Equal(e.Phase, fleet.Draining)
+	r, err := submit(entry, state.Change{
+		ID: "change-1", Base: base, Operator: "ana",
+		Action: state.ReplaceDocument{Document: config.Document{Customers: []config.Customer{{Name: "klang", Weight: 1}}}},
+	})
+	is.NoErr(err)
+	is.Equal(r.Outcome, state.ChangeAccepted) // the planner does not move the base
+
+	old := c.leader()
+	c.isolate(old)
+	await(t, "no new leader", func() bool { return c.leader() != "" && c.leader() != old })
+	time.Sleep(time.Minute)
+	is.Equal(c.planner().Waiting, "the leader is new and observes")
+	is.Equal(len(c.planner().Recent), 0)
+}
--- a/io/controller/poll.go
+++ b/io/controller/poll.go
@@ -85,9 +85,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tracker.Record(s)
-	c.demand = append(c.demand, m.GetDemand()...)
-	if len(c.demand) > maxDemand {
-		c.demand = c.demand[len(c.demand)-maxDemand:]
+	for _, d := range m.GetDemand() {
+		r := wire.DecodeDemand(d, s.Seen)
+		r.Entry = host
+		c.report(r)
 	}
 }
 
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -144,6 +144,12 @@
 // Hosts lists the members of the log and the nodes that poll.
 func (c *Client) Hosts(ctx context.Context) (List[Host], error) { return list[Host](ctx, c, "hosts") }
 
+// Plan returns the planner's view of the leader.
+func (c *Client) Plan(ctx context.Context) (Plan, error) {
+	var p Plan
+	return p, c.get(ctx, "/v1/plan", &p)
+}
+
 // Status returns the status of the first replica that answers.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	var s Status
--- a/io/operator/types.go
+++ b/io/operator/types.go
@@ -130,6 +130,46 @@
 	Revision uint64    `json:"revision"`
 }
 
+// Plan is the planner's view at the leader.
+type Plan struct {
+	Revision uint64      `json:"revision"`
+	Waiting  string      `json:"waiting,omitempty"` // why the planner does not act
+	Stepped  time.Time   `json:"stepped,omitzero"`  // time of the last step
+	Groups   []PlanGroup `json:"groups"`
+	Acts     []PlanAct   `json:"acts"` // last ones, oldest first
+}
+
+// PlanGroup is the engines of a pool in a data centre with the demand there.
+// Rates are per second; the slow ones are estimates over minutes.
+type PlanGroup struct {
+	Pool             string  `json:"pool"`
+	DataCentre       string  `json:"data-centre"`
+	Mixed            int     `json:"mixed"` // engines by the role they have or are changing to
+	Prefill          int     `json:"prefill"`
+	Decode           int     `json:"decode"`
+	Starting         int     `json:"starting"` // targets on order
+	Requests         float64 `json:"requests"`
+	PromptTokens     float64 `json:"prompt-tokens"`
+	OutputTokens     float64 `json:"output-tokens"`
+	Urgent           float64 `json:"urgent"` // share of the work, 0 to 1
+	SlowPromptTokens float64 `json:"slow-prompt-tokens"`
+	SlowOutputTokens float64 `json:"slow-output-tokens"`
+	PrefillSpeed     float64 `json:"prefill-speed"` // tokens/s of an engine with that one role
+	DecodeSpeed      float64 `json:"decode-speed"`
+}
+
+// PlanAct is a decision of the planner.
+type PlanAct struct {
+	Time       time.Time `json:"time"`
+	Kind       string    `json:"kind"` // change-role, order-target, release-target
+	Pool       string    `json:"pool"`
+	DataCentre string    `json:"data-centre"`
+	Target     string    `json:"target,omitempty"`
+	Role       string    `json:"role,omitempty"`
+	Gain       float64   `json:"gain"` // expected, in seconds of engine work within the promise
+	Outcome    string    `json:"outcome,omitempty"`
+}
+
 // Host is a host that takes part in control or polls it.
 type Host struct {
 	Name     string    `json:"name"`
--- a/io/subscribe/client.go
+++ b/io/subscribe/client.go
@@ -30,6 +30,8 @@
 	// pollTimeout bounds one poll. It is above watch.PollHold and leaves time
 	// for a second replica before the copy is stale.
 	pollTimeout = watch.PollHold + 600*time.Millisecond
+	// demandPeriod is the least time between two reports of demand.
+	demandPeriod = time.Second
 	// retryDelay is the pause after a poll that failed.
 	retryDelay = 100 * time.Millisecond
 )
@@ -65,8 +67,9 @@
 	// are refused.
 	FreshNanos atomic.Int64
 
-	o  Options
-	mu sync.Mutex
+	o        Options
+	demanded time.Time // of the last report of demand; used by Serve alone
+	mu       sync.Mutex
 	// guarded by mu
 	copy    watch.Copy
 	changed chan struct{} // closed and replaced with each new revision
@@ -163,9 +166,10 @@
 		s.Target = c.o.Sign()
 	}
 	m := &wire.ControlPoll{Self: wire.EncodeSubscriber(s, now)}
-	if c.o.Demand == nil {
+	if c.o.Demand == nil || now.Sub(c.demanded) < demandPeriod {
 		return m
 	}
+	c.demanded = now
 	for _, d := range c.o.Demand() {
 		m.Demand = append(m.Demand, &wire.ControlDemand{
 			Pool: d.Pool, DataCentre: string(d.DataCentre), Class: uint32(d.Class),
