internal/scenario: run a whole deployment from a script

Cause: scripts could run single processes and one control replica, so no script could show a promise of docs/design.md for the system as a whole.

Change: the deployment of internal/demo moves to internal/deploy; it can run with plain links, behind proxies that go silent, and stops entries before agents before control. Scripts start it with deploy, and get commands for keys, leaders, phases, isolation, requests in the background and headers that the stand-ins saw. Scripts for promises 4, 8 and 9; promise 4 runs with certificates.

--- a/cmd/papayarock/scenario_test.go
+++ b/cmd/papayarock/scenario_test.go
@@ -17,3 +17,9 @@
 func TestScenarios(t *testing.T) {
 	scenario.Run(t, "../../internal/scenario/testdata", nil)
 }
+
+// Guards against a promise of docs/design.md that the whole system breaks
+// although its parts keep it; docs/promises.md lists the scripts.
+func TestPromises(t *testing.T) {
+	scenario.Run(t, "../../internal/scenario/testdata/promises", nil)
+}
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"papayarock/examples"
+	"papayarock/internal/deploy"
 	"papayarock/io/answers"
 	"papayarock/io/operator"
 )
@@ -39,7 +40,7 @@
 // run is one demo.
 type run struct {
 	o       Options
-	d       *deployment
+	d       *deploy.Deployment
 	client  *operator.Client
 	keys    map[string]string
 	traffic *traffic
@@ -59,18 +60,18 @@
 func Run(ctx context.Context, o Options) error {
 	dir, err := os.MkdirTemp("", "papayarock-demo-")
 	if err != nil {
-		return errors.Wrap(ErrDemo, err.Error())
+		return errors.Wrap(deploy.ErrDeploy, err.Error())
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	text := examples.Terengganu
 	if o.Association {
 		text = examples.Association
 	}
-	d, err := newDeployment(dir, text, o.Log)
+	d, err := deploy.New(deploy.Options{Dir: dir, Answers: text, Entries: 2, Log: o.Log})
 	if err != nil {
 		return err
 	}
-	defer d.stop()
+	defer d.Stop()
 	r := &run{o: o, d: d, keys: make(map[string]string), began: time.Now()}
 	if err := r.stages(ctx, r.setUp()); err != nil {
 		return err
@@ -100,33 +101,33 @@
 
 func (r *run) setUp() []stage {
 	return []stage{
-		{"start control replicas, entries, agents and stand-ins", func(context.Context) error { return r.d.start() }},
+		{"start control replicas, entries, agents and stand-ins", func(context.Context) error { return r.d.Start() }},
 		{"wait for a leader", func(ctx context.Context) (err error) {
-			if r.client, err = r.d.connect(); err != nil {
+			if r.client, err = r.d.Connect(); err != nil {
 				return err
 			}
-			return await(ctx, "no leader", func() bool {
+			return deploy.Await(ctx, "no leader", func() bool {
 				s, err := r.client.Status(ctx)
 				return err == nil && s.Leader != ""
 			})
 		}},
-		{"apply the answers of " + r.d.answers.Team, func(ctx context.Context) error {
+		{"apply the answers of " + r.d.Answers.Team, func(ctx context.Context) error {
 			text := examples.Terengganu
 			if r.o.Association {
 				text = examples.Association
 			}
-			return r.d.change(ctx, r.client, operator.Change{Action: operator.ApplyAnswers, Answers: string(text)})
+			return r.d.Change(ctx, r.client, operator.Change{Action: operator.ApplyAnswers, Answers: string(text)})
 		}},
 		{"issue a key to each customer", r.issueKeys},
 		{"wait until all targets are ready", func(ctx context.Context) error {
-			return r.d.ready(ctx, r.client, len(r.d.targets))
+			return r.d.Ready(ctx, r.client, len(r.d.Targets()))
 		}},
 	}
 }
 
 func (r *run) issueKeys(ctx context.Context) error {
-	for _, c := range r.d.answers.Customers {
-		key, err := r.d.issue(ctx, r.client, string(c.Name))
+	for _, c := range r.d.Answers.Customers {
+		key, err := r.d.Issue(ctx, r.client, string(c.Name))
 		if err != nil {
 			return err
 		}
@@ -141,14 +142,14 @@
 	random := rand.New(rand.NewPCG(r.o.Seed, 0))
 	r.say("send requests of %d customers, seed %d", len(r.keys), r.o.Seed)
 	var wg sync.WaitGroup
-	withdrawn := string(r.d.answers.Customers[len(r.d.answers.Customers)-1].Name)
-	for i, c := range r.d.answers.Customers {
+	withdrawn := string(r.d.Answers.Customers[len(r.d.Answers.Customers)-1].Name)
+	for i, c := range r.d.Answers.Customers {
 		if string(c.Name) == withdrawn {
 			continue
 		}
 		for j := range 2 {
 			own := rand.New(rand.NewPCG(random.Uint64(), 0))
-			entry := r.d.entryURLs[(i+j)%len(r.d.entryURLs)]
+			entry := r.d.Entries[(i+j)%len(r.d.Entries)]
 			name := string(c.Name)
 			wg.Go(func() { r.traffic.run(ctx, name, entry, own) })
 		}
@@ -187,7 +188,7 @@
 
 // enginePool returns the first pool of engines.
 func (r *run) enginePool() answers.Pool {
-	for _, p := range r.d.answers.Pools {
+	for _, p := range r.d.Answers.Pools {
 		if p.Model != "" {
 			return p
 		}
@@ -196,22 +197,22 @@
 }
 
 func (r *run) engine(i int) string {
-	place := r.d.answers.DataCentres[i%len(r.d.answers.DataCentres)].Name
+	place := r.d.Answers.DataCentres[i%len(r.d.Answers.DataCentres)].Name
 	return fmt.Sprintf("%s-%s-1", r.enginePool().Name, place)
 }
 
 func (r *run) drain(ctx context.Context) error {
-	return r.d.change(ctx, r.client, operator.Change{Action: operator.DrainTarget, Target: r.engine(0), ForSeconds: 60})
+	return r.d.Change(ctx, r.client, operator.Change{Action: operator.DrainTarget, Target: r.engine(0), ForSeconds: 60})
 }
 
 // replace orders a new engine and waits until the old one is gone.
 func (r *run) replace(ctx context.Context) error {
 	name := r.engine(1)
-	err := r.d.change(ctx, r.client, operator.Change{Action: operator.ReplaceTarget, Target: name, ForSeconds: 60})
+	err := r.d.Change(ctx, r.client, operator.Change{Action: operator.ReplaceTarget, Target: name, ForSeconds: 60})
 	if err != nil {
 		return err
 	}
-	return await(ctx, "target "+name+" is not replaced", func() bool {
+	return deploy.Await(ctx, "target "+name+" is not replaced", func() bool {
 		list, err := r.client.Targets(ctx)
 		if err != nil {
 			return false
@@ -230,7 +231,7 @@
 	client := &http.Client{}
 	defer client.CloseIdleConnections()
 	read := func() int {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.d.entryURLs[0]+r.keyedRead(), http.NoBody)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.d.Entries[0]+r.keyedRead(), http.NoBody)
 		if err != nil {
 			return 0
 		}
@@ -250,7 +251,7 @@
 	}
 	before := read()
 	began := time.Now()
-	if err := r.d.change(ctx, r.client, operator.Change{Action: operator.WithdrawKey, Key: "key-" + customer}); err != nil {
+	if err := r.d.Change(ctx, r.client, operator.Change{Action: operator.WithdrawKey, Key: "key-" + customer}); err != nil {
 		return err
 	}
 	after := read()
@@ -261,7 +262,7 @@
 
 // keyedRead is a path that is read with a key.
 func (r *run) keyedRead() string {
-	for _, w := range r.d.answers.Work {
+	for _, w := range r.d.Answers.Work {
 		if !w.Open && w.Idempotent != answers.Never && !isEngine(w) {
 			return w.Path + "/1"
 		}
@@ -275,13 +276,13 @@
 	if err != nil {
 		return errors.Wrap(err, "read status")
 	}
-	for _, h := range r.d.control {
+	for _, h := range r.d.Control {
 		if string(h.Host) == s.Leader {
-			r.d.end(h.Host)
+			r.d.End(h.Host)
 		}
 	}
 	began := time.Now()
-	err = await(ctx, "no new leader", func() bool {
+	err = deploy.Await(ctx, "no new leader", func() bool {
 		n, err := r.client.Status(ctx)
 		return err == nil && n.Leader != "" && n.Leader != s.Leader && n.Current
 	})
--- a/internal/demo/traffic.go
+++ b/internal/demo/traffic.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"papayarock/core/config"
+	"papayarock/internal/deploy"
 	"papayarock/io/answers"
 )
 
@@ -33,7 +34,7 @@
 
 // traffic sends requests until it is stopped.
 type traffic struct {
-	d       *deployment
+	d       *deploy.Deployment
 	keys    map[string]string // by customer
 	long    atomic.Bool       // long prompts and short answers instead of the reverse
 	stopped atomic.Bool
@@ -45,7 +46,7 @@
 	faults   []string
 }
 
-func newTraffic(d *deployment, keys map[string]string) *traffic {
+func newTraffic(d *deploy.Deployment, keys map[string]string) *traffic {
 	return &traffic{d: d, keys: keys, tallies: make(map[[2]string]*tally)}
 }
 
@@ -54,7 +55,7 @@
 	client := &http.Client{}
 	defer client.CloseIdleConnections()
 	for i := 0; !t.stopped.Load(); i++ {
-		work := t.d.answers.Work[random.IntN(len(t.d.answers.Work))]
+		work := t.d.Answers.Work[random.IntN(len(t.d.Answers.Work))]
 		t.one(ctx, client, customer, entry, work, fmt.Sprintf("%s-%s-%d", customer, work.Name, i))
 		time.Sleep(pauseBetween)
 	}
@@ -115,7 +116,7 @@
 }
 
 func (t *traffic) model(work answers.Work) string {
-	for _, p := range t.d.answers.Pools {
+	for _, p := range t.d.Answers.Pools {
 		if p.Name == work.Pool {
 			return p.Model
 		}
--- a/internal/demo/verdict.go
+++ b/internal/demo/verdict.go
@@ -12,6 +12,7 @@
 	"text/tabwriter"
 	"time"
 
+	"papayarock/internal/deploy"
 	"papayarock/internal/fake"
 	"papayarock/io/answers"
 )
@@ -20,25 +21,25 @@
 // it has run, and sends it again under its key.
 func (r *run) repeatLost(ctx context.Context) error {
 	var work answers.Work
-	for _, w := range r.d.answers.Work {
+	for _, w := range r.d.Answers.Work {
 		if w.Idempotent == answers.Never && !isEngine(w) {
 			work = w
 		}
 	}
 	var services []*fake.Service
-	for _, t := range r.d.targets {
-		if t.service != nil {
-			services = append(services, t.service)
+	for _, t := range r.d.Targets() {
+		if t.Service != nil {
+			services = append(services, t.Service)
 		}
 	}
-	customer := string(r.d.answers.Customers[0].Name)
+	customer := string(r.d.Answers.Customers[0].Name)
 	id := fmt.Sprintf("lost-%d", r.o.Seed)
 	for _, s := range services {
 		s.LoseAnswerOf(id)
 	}
-	r.traffic.one(ctx, &http.Client{}, customer, r.d.entryURLs[0], work, id)
+	r.traffic.one(ctx, &http.Client{}, customer, r.d.Entries[0], work, id)
 	first := r.last(id)
-	r.traffic.one(ctx, &http.Client{}, customer, r.d.entryURLs[1], work, id)
+	r.traffic.one(ctx, &http.Client{}, customer, r.d.Entries[1], work, id)
 	second := r.last(id)
 	runs := 0
 	for _, s := range services {
@@ -67,7 +68,7 @@
 
 // settleUsage waits until as many requests are reported as were answered.
 func (r *run) settleUsage(ctx context.Context) {
-	until := time.Now().Add(4 * usageWindow)
+	until := time.Now().Add(4 * deploy.UsageWindow)
 	for time.Now().Before(until) && ctx.Err() == nil {
 		if r.reported() >= r.traffic.answered {
 			return
@@ -79,7 +80,7 @@
 // reported sums the requests of customers in the reports, each window once.
 func (r *run) reported() int {
 	once := make(map[[2]string]uint64)
-	for _, u := range r.d.platform.Usage() {
+	for _, u := range r.d.Platform.Usage() {
 		if u.Customer != "" {
 			once[[2]string{u.Customer, u.Window}] = u.Requests
 		}
@@ -96,9 +97,9 @@
 	doubled, untrue := 0, 0
 	for _, o := range r.traffic.orders {
 		runs := 0
-		for _, t := range r.d.targets {
-			if t.service != nil {
-				runs += t.service.Runs(o.body)
+		for _, t := range r.d.Targets() {
+			if t.Service != nil {
+				runs += t.Service.Runs(o.body)
 			}
 		}
 		if runs > 1 {
@@ -115,16 +116,16 @@
 	r.judge("no order or booking ran twice", doubled == 0, "%d of %d ran twice", doubled, len(r.traffic.orders))
 	r.judge("each refusal that says not run is true", untrue == 0, "%d untrue", untrue)
 	r.judge("no answer was cut by a planned change", cut == 0, "%d cut", cut)
-	conflicts := r.d.platform.ConflictingUsage()
+	conflicts := r.d.Platform.ConflictingUsage()
 	r.judge("no usage window has two figures", len(conflicts) == 0, "%d conflicts", len(conflicts))
 	reported := r.reported()
 	r.judge("answered requests are billed once", reported == r.traffic.answered, "%d answered, %d billed", r.traffic.answered, reported)
-	starts := r.d.platform.DuplicateStarts()
+	starts := r.d.Platform.DuplicateStarts()
 	r.judge("no order started two targets", starts == 0, "%d targets too many", starts)
 	conflicting := 0
-	for _, t := range r.d.targets {
-		if t.engine != nil {
-			c := t.engine.Counts()
+	for _, t := range r.d.Targets() {
+		if t.Engine != nil {
+			c := t.Engine.Counts()
 			conflicting += c.OrderConflicts + c.ContentConflict + c.OldOrdersRun
 		}
 	}
@@ -150,9 +151,7 @@
 	for _, f := range r.traffic.faults[:min(len(r.traffic.faults), 10)] {
 		_, _ = fmt.Fprintln(r.o.Out, "fault:", f)
 	}
-	r.d.mu.Lock()
-	failed := r.d.failed
-	r.d.mu.Unlock()
+	failed := r.d.Failed()
 	for _, err := range failed {
 		_, _ = fmt.Fprintln(r.o.Out, "fault:", err)
 	}
@@ -174,29 +173,29 @@
 	}
 	_ = w.Flush()
 	roles := 0
-	for _, t := range r.d.targets {
-		if t.engine != nil {
-			roles += t.engine.Counts().RoleChanges
+	for _, t := range r.d.Targets() {
+		if t.Engine != nil {
+			roles += t.Engine.Counts().RoleChanges
 		}
 	}
 	_, _ = fmt.Fprintf(r.o.Out, "\nrole changes: %d; target orders: %d; target spending: %.2f; requests billed: %d of %d answered\n",
-		roles, len(r.d.platform.Orders()), math.Round(r.d.platform.Cost(time.Now())*100)/100, r.reported(), r.traffic.answered)
+		roles, len(r.d.Platform.Orders()), math.Round(r.d.Platform.Cost(time.Now())*100)/100, r.reported(), r.traffic.answered)
 }
 
 // stay prints requests to try and waits until ctx ends.
 func (r *run) stay(ctx context.Context) {
-	customer := string(r.d.answers.Customers[0].Name)
+	customer := string(r.d.Answers.Customers[0].Name)
 	p := func(format string, args ...any) { _, _ = io.WriteString(r.o.Out, fmt.Sprintf(format, args...)+"\n") }
 	p("\nThe deployment stays up until interrupted. Try:\n")
-	for _, w := range r.d.answers.Work {
+	for _, w := range r.d.Answers.Work {
 		switch {
 		case isEngine(w):
 			p(`curl -N -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{"model": "%s", "prompt": "summarise the log", "max_tokens": 8, "stream": true}' %s%s/v1/completions`,
-				r.keys[customer], r.traffic.model(w), r.d.entryURLs[0], w.Path)
+				r.keys[customer], r.traffic.model(w), r.d.Entries[0], w.Path)
 		case w.Idempotent == answers.Never:
-			p(`curl -H 'Authorization: Bearer %s' -H 'Idempotency-Key: order-1' -d 'order 1' %s%s`, r.keys[customer], r.d.entryURLs[0], w.Path)
+			p(`curl -H 'Authorization: Bearer %s' -H 'Idempotency-Key: order-1' -d 'order 1' %s%s`, r.keys[customer], r.d.Entries[0], w.Path)
 		case w.Open:
-			p(`curl %s%s`, r.d.entryURLs[0], w.Path)
+			p(`curl %s%s`, r.d.Entries[0], w.Path)
 		}
 	}
 	<-ctx.Done()
--- a/internal/demo/operate.go
+++ b/internal/deploy/operate.go
@@ -1,4 +1,4 @@
-package demo
+package deploy
 
 import (
 	"context"
@@ -11,33 +11,41 @@
 
 	"github.com/pkg/errors"
 
+	"papayarock/core/fleet"
 	"papayarock/io/identity"
 	"papayarock/io/operator"
+	"papayarock/io/settings"
 )
 
 // patience bounds the wait for any one state of the deployment.
 const patience = 20 * time.Second
 
-// connect makes the operator's client.
-func (d *deployment) connect() (*operator.Client, error) {
-	l, err := d.links("operator-ana", identity.Operator)
+// OperatorFiles issues the certificate of an operator with this name.
+func (d *Deployment) OperatorFiles(name fleet.Host) (settings.Links, error) {
+	return d.links(name, identity.Operator)
+}
+
+// Connect makes the operator's client.
+func (d *Deployment) Connect() (*operator.Client, error) {
+	l, err := d.OperatorFiles("operator-ana")
 	if err != nil {
 		return nil, err
 	}
-	c, err := identity.LoadFiles(l.Certificate, l.Key, l.Authority)
-	if err != nil {
-		return nil, errors.Wrap(ErrDemo, err.Error())
+	o := operator.Options{}
+	if !l.Plain {
+		if o.Credentials, err = identity.LoadFiles(l.Certificate, l.Key, l.Authority); err != nil {
+			return nil, errors.Wrap(ErrDeploy, err.Error())
+		}
 	}
-	o := operator.Options{Credentials: c}
-	for _, a := range d.operators {
+	for _, a := range d.Operators {
 		o.Addresses = append(o.Addresses, a.String())
 	}
 	client, err := operator.New(o)
-	return client, errors.Wrap(err, "demo")
+	return client, errors.Wrap(err, "deploy")
 }
 
-// await polls until ok holds.
-func await(ctx context.Context, what string, ok func() bool) error {
+// Await polls until ok holds.
+func Await(ctx context.Context, what string, ok func() bool) error {
 	for until := time.Now().Add(patience); time.Now().Before(until); {
 		if ok() {
 			return nil
@@ -48,12 +56,12 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
-	return errors.Wrapf(ErrDemo, "after %s: %s", patience, what)
+	return errors.Wrapf(ErrDeploy, "after %s: %s", patience, what)
 }
 
-// change commits an operator's change on the newest revision and waits until it
+// Change commits an operator's change on the newest revision and waits until it
 // is in force.
-func (d *deployment) change(ctx context.Context, c *operator.Client, change operator.Change) error {
+func (d *Deployment) Change(ctx context.Context, c *operator.Client, change operator.Change) error {
 	status, err := c.Configuration(ctx)
 	if err != nil {
 		return errors.Wrap(err, "read revision")
@@ -63,27 +71,27 @@
 	if err != nil {
 		return errors.Wrapf(err, "change %s", change.Action)
 	}
-	return await(ctx, fmt.Sprintf("revision %d is not in force", a.Revision), func() bool {
+	return Await(ctx, fmt.Sprintf("revision %d is not in force", a.Revision), func() bool {
 		p, err := c.Progress(ctx, a.Revision)
 		return err == nil && p.InForce
 	})
 }
 
-// issue gives a customer a key.
-func (d *deployment) issue(ctx context.Context, c *operator.Client, customer string) (string, error) {
+// Issue gives a customer a key.
+func (d *Deployment) Issue(ctx context.Context, c *operator.Client, customer string) (string, error) {
 	var b [32]byte
 	_, _ = rand.Read(b[:]) // crypto/rand.Read never fails
 	secret := base64.RawURLEncoding.EncodeToString(b[:])
 	digest := sha256.Sum256([]byte(secret))
-	err := d.change(ctx, c, operator.Change{
+	err := d.Change(ctx, c, operator.Change{
 		Action: operator.IssueKey, Key: "key-" + customer, Customer: customer, Digest: hex.EncodeToString(digest[:]),
 	})
 	return secret, err
 }
 
-// ready waits until n targets are in service.
-func (d *deployment) ready(ctx context.Context, c *operator.Client, n int) error {
-	return await(ctx, fmt.Sprintf("not %d targets are ready", n), func() bool {
+// Ready waits until n targets are in service.
+func (d *Deployment) Ready(ctx context.Context, c *operator.Client, n int) error {
+	return Await(ctx, fmt.Sprintf("not %d targets are ready", n), func() bool {
 		list, err := c.Targets(ctx)
 		if err != nil {
 			return false
--- /dev/null
+++ b/internal/deploy/target.go
@@ -0,0 +1,50 @@
+package deploy
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"papayarock/core/fleet"
+)
+
+// Targets returns all targets that were started, by name.
+func (d *Deployment) Targets() []*Target {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make([]*Target, 0, len(d.targets))
+	for _, t := range d.targets {
+		all = append(all, t)
+	}
+	slices.SortFunc(all, func(a, b *Target) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	return all
+}
+
+// Failed returns the errors that processes ended with.
+func (d *Deployment) Failed() []error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.failed)
+}
+
+// Again starts a process that was ended, with the same settings and data.
+func (d *Deployment) Again(host fleet.Host) error {
+	d.mu.Lock()
+	s, known := d.settings[host]
+	_, runs := d.stops[host]
+	d.mu.Unlock()
+	if !known || runs {
+		return errors.Wrapf(ErrDeploy, "host %q: known %v, running %v", host, known, runs)
+	}
+	d.run(s)
+	return nil
+}
+
+// Has tells whether the deployment has a host.
+func (d *Deployment) Has(host fleet.Host) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, ok := d.settings[host]
+	return ok
+}
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -29,8 +29,32 @@
 //	log NAME                   print the log of a process, all its runs, to stdout
 //	control NAME               run a control replica inside the test; set $NAME to
 //	                           its operator address, which speaks plain HTTP
+//	keep NAME EXPRESSION FILE  set a variable to the group of an expression in a file
 //	exits CODE COMMAND...      run a command and assert its exit code
 //
+// One script can run a whole deployment inside the test: three control replicas,
+// entries, and an agent with a stand-in for each target of the answers. Its
+// hosts are control-N, entry-N and host-TARGET; $entry-N is the URL of an entry.
+// The stand-ins go by the names of their targets, by "services" and "engines"
+// for all of a kind, and by "platform"; link-TARGET is the proxy before an
+// agent. PAPAYAROCK_OPERATOR is set, so that "exec papayarock" reaches control.
+// The commands are:
+//
+//	deploy [-certificates] [-entries N] ANSWERS
+//	                           start it; returns when all targets are ready
+//	key NAME CUSTOMER          issue the key NAME, set $NAME to it
+//	leader NAME [NOT]          wait for a leader, not the host NOT; set $NAME to it
+//	phase TARGET PHASE...      wait until a target is in one of the phases
+//	stop HOST, again HOST, restart HOST
+//	                           end a process gracefully, start it again, both
+//	isolate HOST, rejoin HOST  make all links of a control replica silent, undo it
+//	pause DURATION             let a fault last
+//	lose-answer NAME BODY      run the next request with a body without an answer
+//	seen NAME HEADER [VALUE]   assert that a stand-in was sent a header
+//	send NAME ARGS             send a request in the background
+//	answer NAME                wait for its answer, judge it as request does
+//	log deployment             print the log of all processes to stdout
+//
 // Fields F are the fields of the fake, its faults and its counts in kebab
 // case. "! start" and "! spawn" assert that a process does not start, "! request" that an
 // answer is cut off or the connection refused, "! count" that counts differ.
--- a/internal/scenario/fakes.go
+++ b/internal/scenario/fakes.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -58,6 +59,14 @@
 func fault(ts *testscript.TestScript, neg bool, args []string) {
 	positive(ts, neg, args, 2, "fault NAME FIELD=VALUE...")
 	var err error
+	if g, ok := of(ts).fakes[args[0]].handler.(group); ok {
+		for _, t := range deployed(ts).Targets() {
+			if slices.Contains(g, of(ts).fakes[string(t.Name)].handler) {
+				fault(ts, neg, append([]string{string(t.Name)}, args[1:]...))
+			}
+		}
+		return
+	}
 	if p, ok := of(ts).proxies[args[0]]; ok {
 		p.Set(func(faults *fake.ProxyFaults) { err = assign(reflect.ValueOf(faults).Elem(), args[1:]) })
 		ts.Check(err)
@@ -121,7 +130,7 @@
 type serviceCounts struct{ Runs, Repeated int }
 
 type platformCounts struct {
-	Orders, Starting, Running, Stopped, DuplicateStarts, UsageReports, ConflictingUsage int
+	Orders, Starting, Running, Stopped, DuplicateStarts, UsageReports, ConflictingUsage, Billed int
 }
 
 type weightCounts struct {
@@ -138,6 +147,8 @@
 		return serviceCounts{Runs: runs, Repeated: repeated}
 	case *fake.Platform:
 		return countPlatform(f)
+	case group:
+		return f.counts()
 	case *fake.WeightStore:
 		c := f.Counts()
 		n := 0
@@ -153,6 +164,7 @@
 	c := platformCounts{
 		Orders: len(p.Orders()), DuplicateStarts: p.DuplicateStarts(),
 		UsageReports: len(p.Usage()), ConflictingUsage: len(p.ConflictingUsage()),
+		Billed: billed(p),
 	}
 	for _, t := range p.Targets() {
 		switch t.State {
--- a/internal/scenario/process.go
+++ b/internal/scenario/process.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"papayarock/core/fleet"
 	"papayarock/io/daemon"
 	"papayarock/io/settings"
 )
@@ -175,6 +176,9 @@
 func showLog(ts *testscript.TestScript, neg bool, args []string) {
 	positive(ts, neg, args, 1, "log NAME")
 	r, ok := of(ts).logs[args[0]]
+	if d := of(ts).deployment; d != nil && args[0] == "deployment" {
+		r, ok = d.log, true
+	}
 	if !ok {
 		ts.Fatalf("process %q was not started", args[0])
 	}
@@ -218,6 +222,10 @@
 func stop(ts *testscript.TestScript, neg bool, args []string) {
 	positive(ts, neg, args, 1, "stop NAME")
 	w := of(ts)
+	if d := w.deployment; d != nil && d.Has(fleet.Host(args[0])) {
+		d.stopHost(ts, args[0])
+		return
+	}
 	p, ok := w.processes[args[0]]
 	if !ok {
 		ts.Fatalf("process %q does not run", args[0])
@@ -232,6 +240,11 @@
 
 func restart(ts *testscript.TestScript, neg bool, args []string) {
 	positive(ts, neg, args, 1, "restart NAME")
+	if d := of(ts).deployment; d != nil && d.Has(fleet.Host(args[0])) {
+		d.stopHost(ts, args[0])
+		restartHost(ts, false, args)
+		return
+	}
 	p, ok := of(ts).processes[args[0]]
 	if !ok {
 		ts.Fatalf("process %q does not run", args[0])
--- a/internal/scenario/request.go
+++ b/internal/scenario/request.go
@@ -13,7 +13,7 @@
 
 // call is one request of a script.
 type call struct {
-	status int
+	status int // below 10, the first digit of the status
 	header http.Header
 	method string
 	url    string
@@ -22,7 +22,7 @@
 }
 
 func readCall(ts *testscript.TestScript, args []string) call {
-	const usage = "request [-key K] [-header H:V] [-status N] [-retry] METHOD URL [BODY | @FILE]"
+	const usage = "request [-key K] [-header H:V] [-status N | -status Nxx] [-retry] METHOD URL [BODY | @FILE]"
 	c := call{status: http.StatusOK, header: make(http.Header)}
 	for len(args) >= 2 && strings.HasPrefix(args[0], "-") {
 		switch args[0] {
@@ -36,7 +36,7 @@
 			name, value, _ := strings.Cut(args[1], ":")
 			c.header.Add(name, strings.TrimSpace(value))
 		case "-status":
-			n, err := strconv.Atoi(args[1])
+			n, err := strconv.Atoi(strings.TrimSuffix(args[1], "xx"))
 			ts.Check(err)
 			c.status = n
 		default:
@@ -57,21 +57,77 @@
 
 func request(ts *testscript.TestScript, neg bool, args []string) {
 	c := readCall(ts, args)
-	status, body, err := c.send(of(ts).client)
-	for end := time.Now().Add(awaitLimit); c.retry && (err != nil || status != c.status) && time.Now().Before(end); {
-		time.Sleep(awaitInterval)
-		status, body, err = c.send(of(ts).client)
+	c.judge(ts, neg, c.do(of(ts).client))
+}
+
+// outcome is what became of a call.
+type outcome struct {
+	status int
+	body   []byte
+	err    error
+}
+
+// do sends a call, with retry until its status is right.
+func (c call) do(client *http.Client) outcome {
+	for end := time.Now().Add(awaitLimit); ; time.Sleep(awaitInterval) {
+		var o outcome
+		o.status, o.body, o.err = c.send(client)
+		if !c.retry || o.err == nil && c.right(o.status) || time.Now().After(end) {
+			return o
+		}
 	}
-	_, _ = ts.Stdout().Write(body)
+}
+
+func (c call) right(status int) bool {
+	return status == c.status || status/100 == c.status
+}
+
+func (c call) judge(ts *testscript.TestScript, neg bool, o outcome) {
+	_, _ = ts.Stdout().Write(o.body)
 	switch {
-	case neg && err == nil:
-		ts.Fatalf("%s %s: whole answer with status %d", c.method, c.url, status)
+	case neg && o.err == nil:
+		ts.Fatalf("%s %s: whole answer with status %d", c.method, c.url, o.status)
 	case neg:
-	case err != nil:
-		ts.Fatalf("%s %s: %v", c.method, c.url, err)
-	case status != c.status:
-		ts.Fatalf("%s %s: status %d, want %d: %s", c.method, c.url, status, c.status, body)
+	case o.err != nil:
+		ts.Fatalf("%s %s: %v", c.method, c.url, o.err)
+	case !c.right(o.status):
+		ts.Fatalf("%s %s: status %d, want %d: %s", c.method, c.url, o.status, c.status, o.body)
+	}
+}
+
+// sent is a request under way.
+type sent struct {
+	call
+	outcome
+	done chan struct{}
+}
+
+// send is the command "send NAME ARGS", request in the background.
+func send(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 3, "send NAME [flags of request] METHOD URL [BODY]")
+	w := of(ts)
+	if _, ok := w.sent[args[0]]; ok {
+		ts.Fatalf("request %q was sent", args[0])
+	}
+	s := &sent{call: readCall(ts, args[1:]), done: make(chan struct{})}
+	w.sent[args[0]] = s
+	go func() {
+		defer close(s.done)
+		s.outcome = s.do(w.client)
+	}()
+}
+
+// answer is the command "answer NAME": it waits for the answer to a request
+// under way and judges it as request does.
+func answer(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, false, args, 1, "answer NAME")
+	s, ok := of(ts).sent[args[0]]
+	if !ok {
+		ts.Fatalf("request %q was not sent", args[0])
 	}
+	delete(of(ts).sent, args[0])
+	<-s.done
+	s.judge(ts, neg, s.outcome)
 }
 
 func (c call) send(client *http.Client) (int, []byte, error) {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -3,10 +3,13 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"io/fs"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"regexp"
 	"strconv"
 	"testing"
 
@@ -19,14 +22,17 @@
 type Command = func(ts *testscript.TestScript, neg bool, args []string)
 
 // Run runs the scripts in a directory. More adds commands to those of the
-// package; it may be nil.
+// package; it may be nil. A file answers.toml in the directory is in the working
+// directory of each script.
 func Run(t *testing.T, dir string, more map[string]Command) {
 	commands := map[string]Command{
 		"ports": ports, "digest": digest, "expand": expand, "exits": exits,
 		"fake": startFake, "fault": fault, "crash": crash, "recover": recoverEngine, "count": count, "await": await,
 		"start": start, "spawn": spawn, "stop": stop, "restart": restart, "signal": sendSignal,
 		"request": request, "log": showLog, "proxy": startProxy, "drop": drop, "hold-open": holdOpen,
-		"control": startControl,
+		"control": startControl, "deploy": startDeployment, "key": issueKey, "leader": leader, "phase": phase,
+		"isolate": isolate, "rejoin": rejoin, "again": restartHost, "pause": pause, "lose-answer": loseAnswer, "seen": seen,
+		"send": send, "answer": answer, "keep": keep,
 	}
 	for name, c := range more {
 		commands[name] = c
@@ -36,18 +42,37 @@
 		Cmds:                commands,
 		RequireExplicitExec: true,
 		RequireUniqueNames:  true,
-		Setup:               setup,
+		Setup: func(env *testscript.Env) error {
+			if err := common(dir, env.WorkDir); err != nil {
+				return err
+			}
+			return setup(env)
+		},
 	})
 }
 
+// common gives a script the answers that all scripts of its directory share.
+func common(dir, work string) error {
+	text, err := os.ReadFile(filepath.Join(dir, "answers.toml"))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(work, "answers.toml"), text, 0o600)
+}
+
 // world holds what one script started.
 type world struct {
-	fakes     map[string]fakeServer
-	processes map[string]*process
-	logs      map[string]*record
-	proxies   map[string]*proxy
-	vars      []string // environment of spawned processes
-	client    *http.Client
+	fakes      map[string]fakeServer
+	processes  map[string]*process
+	logs       map[string]*record
+	proxies    map[string]*proxy
+	vars       []string // environment of spawned processes
+	client     *http.Client
+	sent       map[string]*sent // requests under way
+	deployment *deployment
 }
 
 type worldKey struct{}
@@ -57,6 +82,7 @@
 	w := &world{
 		fakes: make(map[string]fakeServer), processes: make(map[string]*process), logs: make(map[string]*record),
 		proxies: make(map[string]*proxy), client: &http.Client{Transport: transport},
+		sent: make(map[string]*sent),
 	}
 	env.Values[worldKey{}] = w
 	// A process built with -race sleeps for 1 s at its end by default, which
@@ -64,6 +90,9 @@
 	env.Setenv("GORACE", "atexit_sleep_ms=50")
 	w.vars = env.Vars
 	env.Defer(func() {
+		if w.deployment != nil {
+			w.deployment.stop()
+		}
 		for _, p := range w.processes {
 			p.kill()
 			<-p.done
@@ -73,8 +102,10 @@
 			<-p.done
 		}
 		for _, f := range w.fakes {
-			f.server.CloseClientConnections()
-			f.server.Close()
+			if f.server != nil {
+				f.server.CloseClientConnections()
+				f.server.Close()
+			}
 		}
 		transport.CloseIdleConnections()
 	})
@@ -132,3 +163,16 @@
 		ts.Fatalf("exit code %d, want %d", code, want)
 	}
 }
+
+// keep sets a variable to what a regular expression's group finds in a file,
+// such as stdout.
+func keep(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 3, "keep NAME EXPRESSION FILE")
+	re, err := regexp.Compile("(?m)" + args[1])
+	ts.Check(err)
+	found := re.FindStringSubmatch(ts.ReadFile(args[2]))
+	if len(found) < 2 {
+		ts.Fatalf("no match for %q in %s", args[1], args[2])
+	}
+	ts.Setenv(args[0], found[1])
+}
