--- /dev/null
+++ b/internal/faulttest/load_test.go
@@ -0,0 +1,278 @@
+package faulttest_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"papayarock/core/config"
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+	"papayarock/io/subscribe"
+)
+
+// submitLimit bounds one submission with all its attempts.
+const submitLimit = 40 * time.Second
+
+// claimers is how many pairs of requests claim keys at the same time.
+const claimers = 3
+
+// load sends changes, claims and usage reports and keeps what it was told.
+type load struct {
+	r       *rig
+	a, b    *subscribe.Client // two nodes that repeat each other's submissions
+	stop    chan struct{}
+	done    sync.WaitGroup
+	answers atomic.Int64 // submissions that were answered
+
+	revision uint64 // of the last change; used by the one loop that makes changes
+
+	mu      sync.Mutex
+	keys    map[string]bool // expected keys
+	changes map[string]state.ChangeResult
+	holders map[string]state.ClaimResult
+	records uint64
+	tokens  uint64
+}
+
+// newLoad commits a first configuration.
+func newLoad(r *rig, hosts ...fleet.Host) *load {
+	r.t.Helper()
+	l := &load{
+		r: r, a: r.client("e1", 0, hosts...), b: r.client("e2", 1, hosts...), stop: make(chan struct{}),
+		keys: make(map[string]bool), changes: make(map[string]state.ChangeResult), holders: make(map[string]state.ClaimResult),
+	}
+	ok := l.change("first", state.ReplaceDocument{Document: config.Document{
+		Customers: []config.Customer{{Name: "klang", Weight: 1}},
+	}})
+	if !ok {
+		r.t.FailNow()
+	}
+	return l
+}
+
+// startLoad sends changes, claims and usage reports until end.
+func startLoad(r *rig, hosts ...fleet.Host) *load {
+	r.t.Helper()
+	l := newLoad(r, hosts...)
+	l.repeat(l.issue)
+	for n := range claimers {
+		l.repeat(func(i int) bool { return l.claim(i*claimers + n) })
+	}
+	l.repeat(l.report)
+	return l
+}
+
+// issue issues a key and withdraws each third one.
+func (l *load) issue(i int) bool {
+	key := fmt.Sprintf("k%d", i)
+	ok := l.change("issue-"+key, state.IssueKey{ID: key, Digest: sha256.Sum256([]byte(key)), Customer: "klang"})
+	if ok && i%3 == 0 {
+		return l.change("withdraw-"+key, state.WithdrawKey{ID: key})
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.keys[key] = ok
+	return ok
+}
+
+// repeat calls f with rising numbers until the load is stopped or f fails.
+func (l *load) repeat(f func(i int) bool) {
+	l.done.Go(func() {
+		for i := 1; f(i); i++ {
+			select {
+			case <-l.stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	})
+}
+
+// end stops the load after its open submissions.
+func (l *load) end() {
+	close(l.stop)
+	l.done.Wait()
+}
+
+// change submits a change by one node and again by the other. Both must get
+// the same answer.
+func (l *load) change(id string, a state.Action) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), submitLimit)
+	defer cancel()
+	c := state.Change{ID: id, Base: l.revision, Operator: "ana", Time: time.Now(), Action: a}
+	first, err := l.a.Change(ctx, c)
+	if err != nil || first.Outcome != state.ChangeAccepted {
+		l.r.t.Errorf("change %q: %+v, %v", id, first, err)
+		return false
+	}
+	l.answers.Add(1)
+	l.mu.Lock()
+	l.changes[id] = first
+	l.mu.Unlock()
+	again, err := l.b.Change(ctx, c)
+	if err != nil || again != first {
+		l.r.t.Errorf("change %q again: %+v, %v, not %+v", id, again, err, first)
+		return false
+	}
+	l.revision = first.Revision
+	return true
+}
+
+// claim lets two requests claim one key at the same time.
+func (l *load) claim(i int) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), submitLimit)
+	defer cancel()
+	key := fmt.Sprintf("claim-%d", i)
+	var results [2]state.ClaimResult
+	var errs [2]error
+	requests := [2]fleet.RequestID{requestID(uint64(2 * i)), requestID(uint64(2*i + 1))}
+	var wg sync.WaitGroup
+	for n, c := range []*subscribe.Client{l.a, l.b} {
+		wg.Go(func() {
+			results[n], errs[n] = c.Claim(ctx, state.Claim{
+				Key: state.ClaimKey{Customer: "klang", IdempotencyKey: key}, Request: requests[n], Body: sha256.Sum256([]byte(key)),
+				Target: "t1", Expires: time.Now().Add(time.Hour),
+			})
+		})
+	}
+	wg.Wait()
+	granted := 0
+	for n, x := range results {
+		if errs[n] != nil {
+			l.r.t.Errorf("claim %q: %v", key, errs[n])
+			return false
+		}
+		if x.Outcome == state.ClaimGranted {
+			granted++
+			l.mu.Lock()
+			l.holders[key] = state.ClaimResult{Index: x.Index, Holder: requests[n]}
+			l.mu.Unlock()
+		}
+	}
+	if granted != 1 {
+		l.r.t.Errorf("claim %q was granted %d times: %+v", key, granted, results)
+		return false
+	}
+	l.answers.Add(1)
+	return true
+}
+
+func requestID(n uint64) fleet.RequestID {
+	var id fleet.RequestID
+	binary.BigEndian.PutUint64(id[8:], n+1)
+	return id
+}
+
+// report sends usage records by both nodes, as an agent and an entry do.
+func (l *load) report(i int) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), submitLimit)
+	defer cancel()
+	const batch = 5
+	var records []state.UsageRecord
+	var tokens uint64
+	for n := range uint64(batch) {
+		sequence := uint64(i-1)*batch + n + 1
+		tokens += sequence
+		records = append(records, state.UsageRecord{
+			ID: state.UsageID{Node: "a1", Incarnation: 1, Sequence: sequence}, Customer: "klang", Route: "chat",
+			PromptTokens: sequence, Ended: time.Now(),
+		})
+	}
+	errs := make(chan error, 2)
+	go func() { errs <- l.a.ReportUsage(ctx, records) }()
+	go func() { errs <- l.b.ReportUsage(ctx, records) }()
+	for range 2 {
+		if err := <-errs; err != nil {
+			l.r.t.Errorf("usage batch %d: %v", i, err)
+			return false
+		}
+	}
+	l.answers.Add(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records += batch
+	l.tokens += tokens
+	return true
+}
+
+// check compares what the clients were told with the state of the replicas and
+// the reports that reached the platform.
+func (l *load) check(image *state.Image) {
+	l.r.t.Helper()
+	l.checkChanges(image)
+	held := make(map[string]state.ClaimRecord)
+	for _, c := range image.Claims {
+		held[c.Claim.Key.IdempotencyKey] = c
+	}
+	for key, want := range l.holders {
+		if c := held[key]; c.Claim.Request != want.Holder || c.Index != want.Index {
+			l.r.t.Errorf("claim %q is held by %x since %d, granted to %x at %d", key, c.Claim.Request, c.Index, want.Holder, want.Index)
+		}
+	}
+	l.checkUsage(image)
+	l.r.t.Logf("%d changes, %d claims, %d usage records, %d usage reports",
+		len(l.changes), len(l.holders), l.records, len(l.r.platform.Usage()))
+}
+
+func (l *load) checkChanges(image *state.Image) {
+	kept := make(map[string]state.ChangeResult)
+	for _, c := range image.Changes {
+		kept[c.ID] = c.Result
+	}
+	for id, want := range l.changes {
+		if kept[id] != want {
+			l.r.t.Errorf("change %q: answer %+v, kept %+v", id, want, kept[id])
+		}
+	}
+	present := make(map[string]bool)
+	for _, k := range image.Config.Keys {
+		present[k.ID] = true
+		if !l.keys[k.ID] {
+			l.r.t.Errorf("key %q is present and was withdrawn or never accepted", k.ID)
+		}
+	}
+	for id := range l.keys {
+		if !present[id] {
+			l.r.t.Errorf("key %q was accepted and is lost", id)
+		}
+	}
+}
+
+func (l *load) checkUsage(image *state.Image) {
+	type figures struct{ requests, tokens uint64 }
+	windows := make(map[string]figures)
+	for _, w := range append([]state.UsageWindow{image.Usage.Open}, image.Usage.Sealed...) {
+		if w.Acknowledged {
+			continue // its figures are dropped; the platform has them
+		}
+		var f figures
+		for _, x := range w.Figures {
+			f.requests += x.Requests
+			f.tokens += x.PromptTokens
+		}
+		windows[fmt.Sprint(w.Number)] = f
+	}
+	if bad := l.r.platform.ConflictingUsage(); len(bad) > 0 {
+		l.r.t.Errorf("reports of one window differ: %+v", bad)
+	}
+	for _, u := range l.r.platform.Usage() {
+		f := figures{u.Requests, u.PromptTokens}
+		if kept, ok := windows[u.Window]; ok && kept != f {
+			l.r.t.Errorf("window %s was reported as %+v and is kept as %+v", u.Window, f, kept)
+		}
+		windows[u.Window] = f
+	}
+	var sum figures
+	for _, f := range windows {
+		sum.requests += f.requests
+		sum.tokens += f.tokens
+	}
+	if sum.requests != l.records || sum.tokens != l.tokens {
+		l.r.t.Errorf("usage of %d records and %d tokens is counted as %+v", l.records, l.tokens, sum)
+	}
+}
