io/controller: write nothing to the platform after an action's deadline

Cause: TestPausedLeader found that a leader paused between the list of targets and the start order sent the order when it went on, after another leader had acted. Before the timer of its context fired, the read of the list returned and the next request was written. No write deadline was set on the connection, and one alone would not do, since a timer is behind it too. Change: each request to the platform has its own connection with the action's write deadline, which also reads the clock before each write. The client is no longer an option of the controller, so that no other can be used. Conclusion: the fault is fixed, but for a pause between the read of the clock and the write itself, which no process can rule out by itself.

--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"net/netip"
 	"net/url"
 	"sync"
@@ -45,9 +44,8 @@
 	Data        string                        // data directory
 	Links       *link.Pool
 	Log         hclog.Logger
-	Platform    *url.URL // orders targets; nil means that none are started or stopped
-	Usage       *url.URL // takes usage reports; nil means that none are sent
-	Client      *http.Client
+	Platform    *url.URL      // orders targets; nil means that none are started or stopped
+	Usage       *url.URL      // takes usage reports; nil means that none are sent
 	UsageWindow time.Duration // length of a usage window; 0 means that none is sealed
 }
 
@@ -80,10 +78,10 @@
 	}
 	c.send = &transport{c: c}
 	if o.Platform != nil {
-		c.platform = &platform{base: o.Platform, client: o.Client, host: o.Self}
+		c.platform = &platform{base: o.Platform, client: boundedClient(), host: o.Self}
 	}
 	if o.Usage != nil {
-		c.usage = &platform{base: o.Usage, client: o.Client, host: o.Self}
+		c.usage = &platform{base: o.Usage, client: boundedClient(), host: o.Self}
 	}
 	var err error
 	c.group, err = replica.New(replica.Options{
--- a/io/controller/platform.go
+++ b/io/controller/platform.go
@@ -128,7 +128,7 @@
 }
 
 func (c *Controller) sendPlatform(ctx context.Context, a dispatch.SendPlatform) error {
-	act, cancel := context.WithDeadline(ctx, a.Deadline)
+	act, cancel := withDeadline(ctx, a.Deadline)
 	defer cancel()
 	done, detail, err := c.platform.order(act, a.Order)
 	if err != nil {
@@ -140,7 +140,7 @@
 // sendUsage reports a window, one report for each customer. The figures are
 // those of the sealed window, so a repeated report is the same.
 func (c *Controller) sendUsage(ctx context.Context, a dispatch.SendUsage) error {
-	act, cancel := context.WithDeadline(ctx, a.Deadline)
+	act, cancel := withDeadline(ctx, a.Deadline)
 	defer cancel()
 	for _, r := range reports(a.Window) {
 		status, err := c.usage.call(act, http.MethodPost, "/usage", r, nil)
--- a/io/daemon/roles.go
+++ b/io/daemon/roles.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/netip"
 	"slices"
 	"sync/atomic"
@@ -26,7 +25,7 @@
 	s := p.s.Control
 	o := controller.Options{
 		Self: p.s.Host, Data: s.Data, Links: p.links,
-		Log: p.log.Named("control"), Platform: s.Platform, Usage: s.Usage, Client: http.DefaultClient,
+		Log: p.log.Named("control"), Platform: s.Platform, Usage: s.Usage,
 		UsageWindow: s.UsageWindow,
 		Addresses:   make(map[fleet.Host]netip.AddrPort), Operators: make(map[fleet.Host]netip.AddrPort),
 	}
