--- a/internal/faulttest/kill_test.go
+++ b/internal/faulttest/kill_test.go
@@ -19,6 +19,7 @@
 // two answers, a claim granted twice, and usage counted twice or not at all,
 // when replicas are ended by SIGKILL in turn under load.
 func TestKills(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, time.Second)
 	r.awaitLeader("")
 	l := startLoad(r)
--- a/internal/faulttest/load_test.go
+++ b/internal/faulttest/load_test.go
@@ -80,6 +80,11 @@
 	return ok
 }
 
+// nextKey is an action that adds a key, for use after end.
+func (l *load) nextKey() state.Action {
+	return state.IssueKey{ID: "last", Digest: sha256.Sum256([]byte("last")), Customer: "klang"}
+}
+
 // repeat calls f with rising numbers until the load is stopped or f fails.
 func (l *load) repeat(f func(i int) bool) {
 	l.done.Go(func() {
--- a/internal/faulttest/pause_test.go
+++ b/internal/faulttest/pause_test.go
@@ -89,6 +89,7 @@
 // goes on, and against two hosts that act in overlapping periods. The platform
 // answers slowly, so that a pause nearly always falls into an action.
 func TestPausedLeader(t *testing.T) {
+	t.Parallel()
 	const rounds, targets = 4, 400
 	r := newRig(t, time.Second)
 	r.platform.Set(func(f *fake.PlatformFaults) { f.Before = 250 * time.Millisecond })
--- a/internal/faulttest/rig_test.go
+++ b/internal/faulttest/rig_test.go
@@ -9,9 +9,12 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -30,6 +33,10 @@
 // the test binary.
 const childSettings = "PAPAYAROCK_TEST_SETTINGS"
 
+// fileLimit names the largest size of a file that a spawned process may write,
+// in bytes. Beyond it, writes fail as on a full disk.
+const fileLimit = "PAPAYAROCK_TEST_FILE_LIMIT"
+
 // waitLimit bounds each wait for a state that must come about.
 const waitLimit = 30 * time.Second
 
@@ -51,6 +58,12 @@
 	if err != nil {
 		return err
 	}
+	if n, err := strconv.ParseUint(os.Getenv(fileLimit), 10, 64); err == nil {
+		signal.Ignore(syscall.SIGXFSZ)
+		if err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: n, Max: n}); err != nil {
+			return err
+		}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		_, _ = io.Copy(io.Discard, os.Stdin)
@@ -158,8 +171,9 @@
 	}
 }
 
-// start spawns the process of a replica.
-func (r *rig) start(h fleet.Host) {
+// start spawns the process of a replica, with further variables of its
+// environment.
+func (r *rig) start(h fleet.Host, environment ...string) {
 	r.t.Helper()
 	log, err := os.OpenFile(r.data(h)+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -167,6 +181,7 @@
 	}
 	p := &process{Cmd: exec.Command(os.Args[0]), done: make(chan struct{}), log: log}
 	p.Env = append(os.Environ(), childSettings+"="+r.data(h)+".toml")
+	p.Env = append(p.Env, environment...)
 	p.Stdout, p.Stderr = log, log
 	if p.input, err = p.StdinPipe(); err != nil {
 		r.t.Fatal(err)
@@ -205,6 +220,12 @@
 	}
 }
 
+// logged says whether the log of a replica's processes holds a text.
+func (r *rig) logged(h fleet.Host, text string) bool {
+	b, err := os.ReadFile(r.data(h) + ".log")
+	return err == nil && strings.Contains(string(b), text)
+}
+
 // leader asks the replicas other than the given one which leads; it is empty
 // if none does.
 func (r *rig) leader(except fleet.Host) operator.Status {
