io/controller: read what operators see through the log

Cause: two changes of one operator in a row could conflict: the second read its base from a replica whose copy was fresh enough for callers but lacked the first. A scenario failed so once under load. Change: configuration and lists are answered after a linearizable read. Ruled out: a clash with the planner, whose commands do not count as a base.

--- a/io/controller/lists.go
+++ b/io/controller/lists.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"maps"
 	"net/http"
 	"slices"
@@ -15,15 +16,29 @@
 
 var errStale = errors.New("this replica cannot confirm that its state is current")
 
+// newest returns the state after every change that was accepted before the
+// request, or refuses it. An operator bases the next change on what is read here,
+// so a copy that is merely fresh enough to serve callers would lose to a change
+// that the same operator has just made.
+func (c *Controller) newest(w http.ResponseWriter, r *http.Request) (*state.Image, bool) {
+	ctx, cancel := context.WithTimeout(r.Context(), confirmTimeout)
+	defer cancel()
+	if err := c.group.Read(ctx); err != nil {
+		refuse(w, http.StatusServiceUnavailable, "stale", errors.Wrap(errStale, err.Error()))
+		return nil, false
+	}
+	var image *state.Image
+	c.machine.read(func(s *state.Machine) { image = s.Image() })
+	return image, true
+}
+
 // serveList answers with what list reads from the state.
 func serveList[T any](c *Controller, list func(c *Controller, i *state.Image) []T) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		if _, ok := c.age(time.Now()); !ok {
-			refuse(w, http.StatusServiceUnavailable, "stale", errStale)
+	return func(w http.ResponseWriter, r *http.Request) {
+		image, ok := c.newest(w, r)
+		if !ok {
 			return
 		}
-		var image *state.Image
-		c.machine.read(func(s *state.Machine) { image = s.Image() })
 		respond(w, http.StatusOK, operator.List[T]{Revision: image.Config.Revision, Items: list(c, image)})
 	}
 }
--- a/io/controller/members.go
+++ b/io/controller/members.go
@@ -5,13 +5,11 @@
 	"encoding/json"
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/pkg/errors"
 
 	"papayarock/core/fleet"
 	"papayarock/core/log"
-	"papayarock/core/state"
 	"papayarock/io/answers"
 	"papayarock/io/operator"
 	"papayarock/io/replica"
@@ -23,13 +21,11 @@
 var errMembership = errors.New("the change does not fit the members")
 
 // serveConfiguration answers with the generated configuration in force.
-func (c *Controller) serveConfiguration(w http.ResponseWriter, _ *http.Request) {
-	if _, ok := c.age(time.Now()); !ok {
-		refuse(w, http.StatusServiceUnavailable, "stale", errStale)
+func (c *Controller) serveConfiguration(w http.ResponseWriter, r *http.Request) {
+	image, ok := c.newest(w, r)
+	if !ok {
 		return
 	}
-	var image *state.Image
-	c.machine.read(func(s *state.Machine) { image = s.Image() })
 	respond(w, http.StatusOK, operator.Configuration{
 		Revision: image.Config.Revision, TOML: string(answers.WriteDocument(image.Config.Document)),
 	})
