cmd/papayarock: show the planner's view with papayarock plan

Operators could not see why an engine changed its role.

Acts are not yet tried on processes.

TestExamplesOfCommands fails for measure alone, as before this change.

--- a/cmd/papayarock/main.go
+++ b/cmd/papayarock/main.go
@@ -69,7 +69,7 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		runCommand(), settingsCommand(), answersCommand(), identityCommand(), keysCommand(), targetsCommand(),
-		hostsCommand(), usageCommand(), ordersCommand(), statusCommand(), dumpCommand(), watchCommand(), auditCommand(),
+		hostsCommand(), usageCommand(), ordersCommand(), planCommand(), statusCommand(), dumpCommand(), watchCommand(), auditCommand(),
 		measureCommand(),
 	}
 }
--- a/cmd/papayarock/status.go
+++ b/cmd/papayarock/status.go
@@ -17,6 +17,10 @@
 	return listCommand("orders", "list the orders to targets and to the platform", "orders", (*command.Session).Orders)
 }
 
+func planCommand() *cli.Command {
+	return listCommand("plan", "show the planner's view: demand, engines, speeds and the last acts", "plan", (*command.Session).Plan)
+}
+
 func auditCommand() *cli.Command {
 	return listCommand("audit", "list the accepted changes", "audit", (*command.Session).Audit)
 }
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -280,6 +280,7 @@
 		"hosts":  {(*command.Session).Hosts, "voter"},
 		"usage":  {(*command.Session).Usage, "open"},
 		"orders": {(*command.Session).Orders, "DEADLINE"},
+		"plan":   {(*command.Session).Plan, "PROMPT TOKENS/S"},
 		"status": {(*command.Session).Status, "c1"},
 		"dump":   {(*command.Session).Dump, `"leading": true`},
 		"watch": {func(s *command.Session, ctx context.Context) error {
