--- /dev/null
+++ b/internal/command/plan_test.go
@@ -0,0 +1,49 @@
+package command_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"papayarock/internal/command"
+	"papayarock/io/operator"
+)
+
+// Guards against acts, their gain or the reason for inaction that operators do
+// not get to see.
+func TestPlan(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		is.Equal(r.URL.Path, "/v1/plan")
+		_ = json.NewEncoder(w).Encode(operator.Plan{
+			Waiting: "no entry reports demand",
+			Groups:  []operator.PlanGroup{{Pool: "m", DataCentre: "klang", Prefill: 1, Decode: 3, PromptTokens: 14000, PrefillSpeed: 9000}},
+			Acts: []operator.PlanAct{{
+				Time: time.Unix(0, 0), Kind: "change-role", Pool: "m", DataCentre: "klang", Target: "t3", Role: "prefill", Gain: 80.25, Outcome: "begun",
+			}},
+		})
+	}))
+	defer server.Close()
+	client, err := operator.New(operator.Options{Addresses: []string{strings.TrimPrefix(server.URL, "http://")}})
+	is.NoErr(err)
+	defer client.Close()
+	var out, notes bytes.Buffer
+	s := &command.Session{Client: client, Out: command.Output{W: &out}, Err: &notes}
+	is.NoErr(s.Plan(t.Context()))
+	for _, want := range []string{"14000", "9000", "change-role", "t3", "prefill", "80.2 s", "begun"} {
+		is.True(strings.Contains(out.String(), want))
+	}
+	is.True(strings.Contains(notes.String(), "no entry reports demand"))
+	out.Reset()
+	s.Out.JSON = true
+	is.NoErr(s.Plan(t.Context()))
+	var p operator.Plan
+	is.NoErr(json.Unmarshal(out.Bytes(), &p)) // one document
+	is.Equal(p.Acts[0].Gain, 80.25)
+}
