io/controller: read the newest revision before answering with it

Cause: GET /v1/configuration answered from the copy of any replica that was fresh. A follower lags behind by up to a heartbeat, so an operator's second command, based on the revision it read there, was refused with exit code 4 as lost to the same operator's first.

Change: the replica first makes its reads linearizable (Group.Read). One that cannot names the leader, to which the client goes next; without a quorum it answers stale, as before.

Conclusion: commands of one operator in a row do not conflict with themselves.

--- a/io/controller/members.go
+++ b/io/controller/members.go
@@ -22,12 +22,26 @@
 // errMembership reports a change that does not fit the members of the log.
 var errMembership = errors.New("the change does not fit the members")
 
-// serveConfiguration answers with the generated configuration in force.
-func (c *Controller) serveConfiguration(w http.ResponseWriter, _ *http.Request) {
+// serveConfiguration answers with the newest generated configuration. Operators
+// base their next change on its revision: on the copy of a replica that lags,
+// that change would lose to the same operator's previous one.
+func (c *Controller) serveConfiguration(w http.ResponseWriter, r *http.Request) {
 	if _, ok := c.age(time.Now()); !ok {
 		refuse(w, http.StatusServiceUnavailable, "stale", errStale)
 		return
 	}
+	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
+	defer cancel()
+	err := c.group.Read(ctx)
+	var elsewhere *replica.NotLeaderError
+	switch {
+	case errors.As(err, &elsewhere):
+		c.refuseNotLeader(w, elsewhere)
+		return
+	case err != nil:
+		refuse(w, http.StatusServiceUnavailable, "stale", errStale)
+		return
+	}
 	var image *state.Image
 	c.machine.read(func(s *state.Machine) { image = s.Image() })
 	respond(w, http.StatusOK, operator.Configuration{
--- a/io/controller/operator_test.go
+++ b/io/controller/operator_test.go
@@ -80,17 +80,40 @@
 }
 
 // Guards against a configuration that operators read as another than the one
-// accepted.
+// accepted, and against a replica that tells them a revision from before it.
 func configurationIsReadBack(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t)
 	defer c.stop()
 	await(t, "no leader", func() bool { return c.leader() != "" })
 	leader := c.leader()
+	type reading struct {
+		operator.Configuration
+		Type string `json:"type"`
+	}
+	read := func(h fleet.Host) (int, reading) {
+		var found reading
+		return c.ask(h, "ana", http.MethodGet, "/v1/configuration", nil, &found), found
+	}
+	await(t, "a follower is stale", func() bool {
+		for _, h := range follower(c) {
+			if _, found := read(h); found.Type == "stale" {
+				return false
+			}
+		}
+		return true
+	})
 	var change operator.ChangeAnswer
 	is.Equal(c.ask(leader, "ana", http.MethodPost, "/v1/changes", operator.Change{
 		ID: "first", Action: operator.ApplyAnswers, Answers: string(examples.Terengganu),
 	}, &change), http.StatusOK)
+	for _, h := range follower(c) {
+		if code, found := read(h); code == http.StatusOK {
+			is.True(found.Revision >= change.Revision)
+		} else {
+			is.Equal(found.Type, operator.ProblemNotLeader)
+		}
+	}
 	var v operator.Configuration
 	is.Equal(c.ask(leader, "ana", http.MethodGet, "/v1/configuration", nil, &v), http.StatusOK)
 	is.Equal(v.Revision, change.Revision)
