io/entry: count the time without a link from its last loss

Cause: an answer that lost its link was given 15 s in all to resume (2 s if another target could take over), counted from the first loss and including the time for which it was resumed. A second loss later than that cut the answer, although agent and target went on.

Change: each loss gets the time of its own. A peer that cannot be reached or refuses to resume does not extend it, and the request's deadline bounds all.

Figures: TestResumesAgainMuchLater, an answer of 30 s that loses its link after about 1 s and again after about 20 s, ends with an unexpected EOF without the change and whole with it, for silent and for closed links. go test -race ./io/entry passes, 8.6 s.

Conclusion: an answer survives several losses of its link.

--- a/io/entry/path_test.go
+++ b/io/entry/path_test.go
@@ -69,6 +69,32 @@
 	}
 }
 
+// Guards against an answer that is cut at the second loss of its link because
+// the time it was resumed for counts as time without a link.
+func TestResumesAgainMuchLater(t *testing.T) {
+	for name, closed := range map[string]bool{"silent": false, "closed": true} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				r := newRig(t, stream(300, 100*time.Millisecond), 1)
+				defer r.stop()
+				faults := []*fault{{close: closed}, {close: closed}}
+				faults[0].left.Store(20)
+				faults[1].left.Store(300) // about 14 frames each second
+				r.damage = func(n int) *fault {
+					if n < len(faults) {
+						return faults[n]
+					}
+					return nil
+				}
+				got := r.do(http.MethodPost, "/v1/completions", "{}")
+				r.is.NoErr(got.err)
+				r.is.Equal(got.body, streamed(300))
+				r.is.True(faults[1].hit.Load())
+			})
+		})
+	}
+}
+
 // Guards against a cut answer that the caller takes for whole, with the agent
 // lost for good at each frame in turn.
 func TestCutIsNeverWhole(t *testing.T) {
--- a/io/entry/recover.go
+++ b/io/entry/recover.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// resumeTimeout bounds how long an answer waits for a new link.
+	// resumeTimeout bounds how long an answer waits for a new link after each
+	// loss. The deadline of the request bounds all of them.
 	resumeTimeout = 15 * time.Second
 	resumePause   = 100 * time.Millisecond
 	askTimeout    = 2 * time.Second
@@ -45,6 +46,10 @@
 		if end != Lost {
 			return end, found, err
 		}
+		if !errors.Is(err, link.ErrUnreachable) && !errors.Is(err, link.ErrRefused) {
+			// The answer went on for a while; this is another loss.
+			until = time.Now().Add(timeout)
+		}
 		cause = err
 	}
 	return Lost, ran, cause
