--- a/internal/deploy/deploy.go
+++ b/internal/deploy/deploy.go
@@ -42,7 +42,8 @@
 	Dir     string // of certificates and data, must exist
 	Answers []byte
 	Entries int
-	Plain   bool // links without TLS
+	Plain   bool          // links without TLS
+	Step    time.Duration // of the engines, for one output token
 	Log     hclog.Logger
 	// Indirect puts proxies before agents and control replicas, so that links
 	// can be made silent. The address that an agent announces is its proxy's.
@@ -279,7 +280,7 @@
 	if p.Kind == fleet.Engine {
 		kind = fleet.Engine
 		t.Engine = &fake.Engine{
-			RoleChangeTime: roleChange, LoadTime: 200 * time.Millisecond, LoadLag: 100 * time.Millisecond,
+			Step: d.o.Step, RoleChangeTime: roleChange, LoadTime: 200 * time.Millisecond, LoadLag: 100 * time.Millisecond,
 			CacheBlocks: 1000, ChecksFencing: len(d.Targets())%2 == 0,
 		}
 		h = t.Engine
--- a/internal/scenario/deployment.go
+++ b/internal/scenario/deployment.go
@@ -14,13 +14,19 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"papayarock/core/fleet"
 	"papayarock/internal/deploy"
+	"papayarock/internal/fake"
 	"papayarock/io/operator"
 )
 
+// engineStep is the time of one output token. A request of some hundred tokens
+// lasts long enough to be changed under.
+const engineStep = 2 * time.Millisecond
+
 // deployment is what the command deploy started.
 type deployment struct {
 	*deploy.Deployment
@@ -32,7 +38,7 @@
 // accepted and all targets are ready.
 func startDeployment(ts *testscript.TestScript, neg bool, args []string) {
 	const usage = "deploy [-certificates] [-entries N] ANSWERS"
-	o := deploy.Options{Dir: ts.MkAbs("deployment"), Entries: 1, Plain: true, Indirect: true}
+	o := deploy.Options{Dir: ts.MkAbs("deployment"), Entries: 1, Plain: true, Indirect: true, Step: engineStep}
 	for len(args) > 1 && strings.HasPrefix(args[0], "-") {
 		switch args[0] {
 		case "-certificates":
@@ -62,11 +68,13 @@
 	w.deployment.client, err = d.Connect()
 	ts.Check(err)
 	w.deployment.operatorFile(ts)
-	w.deployment.names(ts)
 	ts.Check(w.deployment.begin(o.Answers))
 	for i, url := range d.Entries {
 		ts.Setenv(fmt.Sprintf("entry-%d", i+1), url)
 	}
+	for i, a := range d.Operators {
+		ts.Setenv(fmt.Sprintf("control-%d", i+1), a.String())
+	}
 }
 
 // begin applies the answers and waits until the targets are ready.
@@ -87,15 +95,20 @@
 }
 
 // accept commits a change on the newest revision without waiting for it to be
-// in force.
+// in force. A replica may tell a revision older than the last change, and agents
+// change targets meanwhile, so a change that loses is made again.
 func (d *deployment) accept(ctx context.Context, c operator.Change) error {
-	now, err := d.client.Configuration(ctx)
-	if err != nil {
-		return err
+	for {
+		now, err := d.client.Configuration(ctx)
+		if err != nil {
+			return err
+		}
+		c.Base, c.ID = now.Revision, rand.Text()
+		_, err = d.client.Change(ctx, c)
+		if !errors.Is(err, operator.ErrConflict) {
+			return err
+		}
 	}
-	c.Base, c.ID = now.Revision, rand.Text()
-	_, err = d.client.Change(ctx, c)
-	return err
 }
 
 // operatorFile writes the settings of the operator's commands.
@@ -116,27 +129,48 @@
 	ts.Setenv("PAPAYAROCK_OPERATOR", ts.MkAbs("deployment/operator.toml"))
 }
 
-// names makes the stand-ins and links known to the commands for fakes and
-// proxies.
-func (d *deployment) names(ts *testscript.TestScript) {
-	w := of(ts)
+// fake returns a stand-in by its name; nil if there is none.
+func (d *deployment) fake(name string) http.Handler {
+	if d == nil {
+		return nil
+	}
+	if name == "platform" {
+		return d.Platform
+	}
 	var services, engines group
 	for _, t := range d.Targets() {
-		var h http.Handler = t.Service
+		var h http.Handler
 		if t.Engine != nil {
 			h = t.Engine
 			engines = append(engines, h)
 		} else {
+			h = t.Service
 			services = append(services, h)
 		}
-		w.fakes[string(t.Name)] = fakeServer{handler: h}
-		ended := make(chan struct{})
-		close(ended)
-		w.proxies["link-"+string(t.Name)] = &proxy{Proxy: t.Proxy, cancel: func() {}, done: ended}
+		if name == string(t.Name) {
+			return h
+		}
+	}
+	switch name {
+	case "services":
+		return services
+	case "engines":
+		return engines
 	}
-	w.fakes["services"] = fakeServer{handler: services}
-	w.fakes["engines"] = fakeServer{handler: engines}
-	w.fakes["platform"] = fakeServer{handler: d.Platform}
+	return nil
+}
+
+// proxy returns the proxy before an agent; nil if there is none.
+func (d *deployment) proxy(name string) *fake.Proxy {
+	if d == nil {
+		return nil
+	}
+	for _, t := range d.Targets() {
+		if name == "link-"+string(t.Name) {
+			return t.Proxy
+		}
+	}
+	return nil
 }
 
 func (d *deployment) stop() {
@@ -171,8 +205,23 @@
 	ts.Setenv(args[0], text)
 }
 
+// issueKeys is the command "keys N CUSTOMER": it issues N keys that nobody uses.
+func issueKeys(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 2, "keys N CUSTOMER")
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*awaitLimit)
+	defer cancel()
+	for i := range n {
+		sum := sha256.Sum256([]byte(rand.Text()))
+		ts.Check(deployed(ts).accept(ctx, operator.Change{
+			Action: operator.IssueKey, Key: fmt.Sprintf("unused-%d", i), Customer: args[1], Digest: hex.EncodeToString(sum[:]),
+		}))
+	}
+}
+
 // leader is the command "leader NAME [NOT]": it waits for a leader that is not
-// the host NOT and sets the variable NAME to it.
+// the host NOT and sets the variables NAME and NAME_ADDRESS to it.
 func leader(ts *testscript.TestScript, neg bool, args []string) {
 	positive(ts, neg, args, 1, "leader NAME [NOT]")
 	d, found := deployed(ts), ""
@@ -183,6 +232,7 @@
 			s, err := d.client.StatusOf(ctx, a.String())
 			if err == nil && s.Leading && (len(args) == 1 || s.Host != args[1]) {
 				found = s.Host
+				ts.Setenv(args[0]+"_ADDRESS", a.String())
 				return true
 			}
 		}
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -34,7 +34,8 @@
 //
 // One script can run a whole deployment inside the test: three control replicas,
 // entries, and an agent with a stand-in for each target of the answers. Its
-// hosts are control-N, entry-N and host-TARGET; $entry-N is the URL of an entry.
+// hosts are control-N, entry-N and host-TARGET; $entry-N is the URL of an entry,
+// $control-N the operator address of a replica.
 // The stand-ins go by the names of their targets, by "services" and "engines"
 // for all of a kind, and by "platform"; link-TARGET is the proxy before an
 // agent. PAPAYAROCK_OPERATOR is set, so that "exec papayarock" reaches control.
@@ -43,12 +44,16 @@
 //	deploy [-certificates] [-entries N] ANSWERS
 //	                           start it; returns when all targets are ready
 //	key NAME CUSTOMER          issue the key NAME, set $NAME to it
+//	keys N CUSTOMER            issue N keys that nobody uses
 //	leader NAME [NOT]          wait for a leader, not the host NOT; set $NAME to it
 //	phase TARGET PHASE...      wait until a target is in one of the phases
 //	stop HOST, again HOST, restart HOST
 //	                           end a process gracefully, start it again, both
 //	isolate HOST, rejoin HOST  make all links of a control replica silent, undo it
 //	pause DURATION             let a fault last
+//	mark NAME FIELD VARIABLE   set a variable to a count
+//	completion NAME TOKENS PROMPT
+//	                           set a variable to the text an engine answers with
 //	lose-answer NAME BODY      run the next request with a body without an answer
 //	seen NAME HEADER [VALUE]   assert that a stand-in was sent a header
 //	send NAME ARGS             send a request in the background
--- a/internal/scenario/fakes.go
+++ b/internal/scenario/fakes.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"net/http/httptest"
 	"reflect"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -49,6 +48,9 @@
 }
 
 func find(ts *testscript.TestScript, name string) http.Handler {
+	if h := of(ts).deployment.fake(name); h != nil {
+		return h
+	}
 	f, ok := of(ts).fakes[name]
 	if !ok {
 		ts.Fatalf("fake %q does not exist", name)
@@ -58,21 +60,24 @@
 
 func fault(ts *testscript.TestScript, neg bool, args []string) {
 	positive(ts, neg, args, 2, "fault NAME FIELD=VALUE...")
-	var err error
-	if g, ok := of(ts).fakes[args[0]].handler.(group); ok {
-		for _, t := range deployed(ts).Targets() {
-			if slices.Contains(g, of(ts).fakes[string(t.Name)].handler) {
-				fault(ts, neg, append([]string{string(t.Name)}, args[1:]...))
-			}
-		}
-		return
-	}
-	if p, ok := of(ts).proxies[args[0]]; ok {
+	if p := proxyOf(ts, args[0]); p != nil {
+		var err error
 		p.Set(func(faults *fake.ProxyFaults) { err = assign(reflect.ValueOf(faults).Elem(), args[1:]) })
 		ts.Check(err)
 		return
 	}
-	switch f := find(ts, args[0]).(type) {
+	members := group{find(ts, args[0])}
+	if g, ok := members[0].(group); ok {
+		members = g
+	}
+	for _, h := range members {
+		setFaults(ts, h, args)
+	}
+}
+
+func setFaults(ts *testscript.TestScript, h http.Handler, args []string) {
+	var err error
+	switch f := h.(type) {
 	case *fake.Engine:
 		f.Set(func(faults *fake.EngineFaults) { err = assign(reflect.ValueOf(faults).Elem(), args[1:]) })
 	case *fake.Service:
@@ -125,6 +130,24 @@
 	}
 }
 
+// mark is the command "mark NAME FIELD VARIABLE": it sets a variable to a count.
+func mark(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 3, "mark NAME FIELD VARIABLE")
+	h := find(ts, args[0])
+	n, err := lookUp(h, reflect.ValueOf(counts(h)), args[1])
+	ts.Check(err)
+	ts.Setenv(args[2], n)
+}
+
+// completion is the command "completion NAME TOKENS PROMPT": it sets a variable
+// to the text with which an engine answers a prompt.
+func completion(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 3, "completion NAME TOKENS PROMPT")
+	tokens, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	ts.Setenv(args[0], fake.Completion(args[2], tokens))
+}
+
 // serviceCounts, platformCounts and weightCounts are the counts of fakes that
 // scripts can assert, besides fake.EngineCounts.
 type serviceCounts struct{ Runs, Repeated int }
--- a/internal/scenario/proxy.go
+++ b/internal/scenario/proxy.go
@@ -35,10 +35,21 @@
 	ts.Setenv(args[0], l.Addr().String())
 }
 
-func findProxy(ts *testscript.TestScript, neg bool, args []string, usage string) *proxy {
+// proxyOf returns a proxy by its name; nil if there is none.
+func proxyOf(ts *testscript.TestScript, name string) *fake.Proxy {
+	if p := of(ts).deployment.proxy(name); p != nil {
+		return p
+	}
+	if p, ok := of(ts).proxies[name]; ok {
+		return p.Proxy
+	}
+	return nil
+}
+
+func findProxy(ts *testscript.TestScript, neg bool, args []string, usage string) *fake.Proxy {
 	positive(ts, neg, args, 1, usage)
-	p, ok := of(ts).proxies[args[0]]
-	if !ok {
+	p := proxyOf(ts, args[0])
+	if p == nil {
 		ts.Fatalf("proxy %q does not exist", args[0])
 	}
 	return p
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -33,6 +33,7 @@
 		"control": startControl, "deploy": startDeployment, "key": issueKey, "leader": leader, "phase": phase,
 		"isolate": isolate, "rejoin": rejoin, "again": restartHost, "pause": pause, "lose-answer": loseAnswer, "seen": seen,
 		"send": send, "answer": answer, "keep": keep,
+		"mark": mark, "completion": completion, "keys": issueKeys,
 	}
 	for name, c := range more {
 		commands[name] = c
@@ -102,10 +103,8 @@
 			<-p.done
 		}
 		for _, f := range w.fakes {
-			if f.server != nil {
-				f.server.CloseClientConnections()
-				f.server.Close()
-			}
+			f.server.CloseClientConnections()
+			f.server.Close()
 		}
 		transport.CloseIdleConnections()
 	})
