--- a/io/controller/lists.go
+++ b/io/controller/lists.go
@@ -12,6 +12,7 @@
 	"papayarock/core/fleet"
 	"papayarock/core/state"
 	"papayarock/io/operator"
+	"papayarock/io/replica"
 )
 
 var errStale = errors.New("this replica cannot confirm that its state is current")
@@ -23,7 +24,13 @@
 func (c *Controller) newest(w http.ResponseWriter, r *http.Request) (*state.Image, bool) {
 	ctx, cancel := context.WithTimeout(r.Context(), confirmTimeout)
 	defer cancel()
-	if err := c.group.Read(ctx); err != nil {
+	err := c.group.Read(ctx)
+	var elsewhere *replica.NotLeaderError
+	switch {
+	case errors.As(err, &elsewhere):
+		c.refuseNotLeader(w, elsewhere)
+		return nil, false
+	case err != nil:
 		refuse(w, http.StatusServiceUnavailable, "stale", errors.Wrap(errStale, err.Error()))
 		return nil, false
 	}
