--- a/internal/demo/verdict.go
+++ b/internal/demo/verdict.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -178,8 +177,8 @@
 			roles += t.Engine.Counts().RoleChanges
 		}
 	}
-	_, _ = fmt.Fprintf(r.o.Out, "\nrole changes: %d; target orders: %d; target spending: %.2f; requests billed: %d of %d answered\n",
-		roles, len(r.d.Platform.Orders()), math.Round(r.d.Platform.Cost(time.Now())*100)/100, r.reported(), r.traffic.answered)
+	_, _ = fmt.Fprintf(r.o.Out, "\nrole changes: %d; target orders: %d; target spending: %.4f; requests billed: %d of %d answered\n",
+		roles, len(r.d.Platform.Orders()), r.d.Platform.Cost(time.Now()), r.reported(), r.traffic.answered)
 }
 
 // stay prints requests to try and waits until ctx ends.
--- a/internal/deploy/deploy.go
+++ b/internal/deploy/deploy.go
@@ -194,7 +194,7 @@
 		stops: make(map[fleet.Host]func()), settings: make(map[fleet.Host]settings.Settings),
 		targets: make(map[fleet.TargetName]*Target),
 	}
-	d.Platform = &fake.Platform{StartDelay: time.Second, OnStart: d.started, OnStop: d.stopped}
+	d.Platform = &fake.Platform{StartDelay: time.Second, PricePerHour: prices(d.Answers), OnStart: d.started, OnStop: d.stopped}
 	if d.platform, d.platURL, err = serve(d.Platform); err != nil {
 		return nil, err
 	}
@@ -377,3 +377,12 @@
 	}
 	_ = d.platform.Close()
 }
+
+// prices returns the price of a running target by pool.
+func prices(a answers.Answers) map[string]float64 {
+	out := make(map[string]float64, len(a.Pools))
+	for _, p := range a.Pools {
+		out[p.Name] = p.PricePerHour
+	}
+	return out
+}
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -143,7 +143,7 @@
 	if p.targets == nil {
 		p.targets = make(map[string]*PlatformTarget)
 	}
-	t.State, t.Order = "running", "none for "+t.Name
+	t.State, t.Order, t.Running = "running", "none for "+t.Name, time.Now()
 	p.targets[t.Name] = &t
 }
 
