io/controller: bound the demand that relays report

Cause: a direct poll kept at most 10,000 demand reports, a relay's report had no bound. Nothing takes them out at the leader yet, and 405 entries send 8,100 a second. Conclusion: the leader's memory no longer grows with time.

--- a/io/controller/confirm.go
+++ b/io/controller/confirm.go
@@ -146,5 +146,5 @@
 		s.Via = host
 		c.tracker.Record(s)
 	}
-	c.demand = append(c.demand, m.GetDemand()...)
+	c.keepDemand(m.GetDemand())
 }
--- a/io/controller/poll.go
+++ b/io/controller/poll.go
@@ -85,9 +85,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tracker.Record(s)
-	c.demand = append(c.demand, m.GetDemand()...)
-	if len(c.demand) > maxDemand {
-		c.demand = c.demand[len(c.demand)-maxDemand:]
+	c.keepDemand(m.GetDemand())
+}
+
+// keepDemand keeps the newest demand reports. c.mu is held.
+func (c *Controller) keepDemand(more []*wire.ControlDemand) {
+	c.demand = append(c.demand, more...)
+	if over := len(c.demand) - maxDemand; over > 0 {
+		c.demand = c.demand[over:]
 	}
 }
 
