io/controller: look for due actions at most each 20 ms

Cause: the lead loop looked after each commit, and each look copies all targets and all signs. Change: 20 ms between two looks; an action begins that much later at most.

--- a/io/controller/lead.go
+++ b/io/controller/lead.go
@@ -19,6 +19,10 @@
 // been committed in the meantime.
 const leadPeriod = 100 * time.Millisecond
 
+// leadPause is the least time between two looks. Each copies all targets and
+// signs; after each commit, 1,100 targets halved the commits per second.
+const leadPause = 20 * time.Millisecond
+
 // leadLoop begins the actions that are due while this replica leads.
 func (c *Controller) leadLoop(ctx context.Context) error {
 	defer c.actions.Wait()
@@ -40,7 +44,11 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(leadPeriod):
+		case <-time.After(leadPause):
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(leadPeriod - leadPause):
 		case <-next:
 		}
 	}
