internal/measure: paced streams and nodes that join at once

Cause: tokens in bursts share frames, which hides what a token costs that comes alone; and nothing measured the fetch of a large configuration.

--- a/internal/measure/slopes/path.go
+++ b/internal/measure/slopes/path.go
@@ -29,8 +29,11 @@
 
 const (
 	pathCallers = 64
-	secret      = "pk-measure"
-	prompt      = `{"model":"model-0","prompt":"stone 7 is loose at the waterline","max_tokens":50}`
+	maxIdle     = 512
+	// tokenPace is a third of the 61 ms between tokens that are promised.
+	tokenPace = 20 * time.Millisecond
+	secret    = "pk-measure"
+	prompt    = `{"model":"model-0","prompt":"stone 7 is loose at the waterline","max_tokens":50}`
 )
 
 // path is caller, entry, agent and a stand-in for a target on loopback.
@@ -42,7 +45,8 @@
 	stops           []func()
 }
 
-// standIn streams as many tokens as the last element of the path says.
+// standIn streams as many tokens as the last element of the path says, one each
+// tokenPace if the path has the element "paced".
 func standIn(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	n, err := strconv.Atoi(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:])
@@ -52,7 +56,11 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
+	paced := strings.Contains(r.URL.Path, "/paced/")
 	for i := range n {
+		if paced {
+			time.Sleep(tokenPace)
+		}
 		_, _ = fmt.Fprintf(w, "data: {\"choices\":[{\"text\":\"token %d\"}]}\n\n", i)
 		_ = rc.Flush()
 	}
@@ -84,7 +92,7 @@
 	front := httptest.NewUnstartedServer(&entry.Entry{Config: &index, Links: links})
 	entry.Limit(front.Config)
 	front.Start()
-	tr := &http.Transport{MaxIdleConnsPerHost: pathCallers, DisableCompression: true}
+	tr := &http.Transport{MaxIdleConnsPerHost: maxIdle, DisableCompression: true}
 	x.direct, x.through, x.client = backend.URL, front.URL, &http.Client{Transport: tr}
 	x.stops = append(x.stops, links.Close, front.Close, tr.CloseIdleConnections)
 	return x, nil
--- a/internal/measure/slopes/subscribers.go
+++ b/internal/measure/slopes/subscribers.go
@@ -197,3 +197,37 @@
 	at, _ := s.reached(revision)
 	return max(at.Sub(accepted), 0), force, err
 }
+
+// measureJoin measures nodes that start without a copy of a large
+// configuration, all at once.
+func (c *cluster) measureJoin(ctx context.Context, p plan) (Table, error) {
+	largest := p.sizes[len(p.sizes)-1]
+	t := Table{
+		Title:   fmt.Sprintf("nodes that start at once and fetch the configuration of %d customers without keys; CPU of both ends", largest),
+		Columns: []string{"nodes", "all fresh ms", "CPU ms/node", "B/node"},
+	}
+	revision, err := c.change(ctx, state.ReplaceDocument{Document: document(largest)})
+	if err != nil {
+		return t, err
+	}
+	relay := c.relay()
+	err = await(ctx, "relay does not hold the configuration", leadTimeout, func() bool {
+		return c.replicas[relay].Status().Revision >= revision
+	})
+	if err != nil {
+		return t, err
+	}
+	for _, n := range p.joins {
+		start := used()
+		s, err := c.subscribe(ctx, n, relay)
+		if err != nil {
+			return t, err
+		}
+		now := used()
+		t.add(float64(n), millis(now.wall.Sub(start.wall)), millis(now.cpu-start.cpu)/float64(n), s.traffic.bytes()/float64(n))
+		s.stop()
+	}
+	return t, nil
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
