--- a/internal/faulttest/rig_test.go
+++ b/internal/faulttest/rig_test.go
@@ -94,6 +94,16 @@
 // newRig draws addresses for three voters and, by name, further replicas, and
 // starts the voters.
 func newRig(t testing.TB, usageWindow time.Duration, further ...fleet.Host) *rig {
+	t.Helper()
+	r := prepareRig(t, usageWindow, further...)
+	for _, h := range r.hosts {
+		r.start(h)
+	}
+	return r
+}
+
+// prepareRig is newRig without the start.
+func prepareRig(t testing.TB, usageWindow time.Duration, further ...fleet.Host) *rig {
 	t.Helper()
 	r := &rig{
 		t: t, dir: t.TempDir(), hosts: []fleet.Host{"c1", "c2", "c3"}, links: make(map[fleet.Host]netip.AddrPort),
@@ -117,9 +127,6 @@
 	for i, h := range all {
 		r.writeSettings(h, server.URL, usageWindow, further, i >= len(r.hosts))
 	}
-	for _, h := range r.hosts {
-		r.start(h)
-	}
 	return r
 }
 
