core/plan: learn the speeds of a pool of mixed engines

Only engines of one role taught the speed of that role, so a pool of mixed engines kept the assumed 10,000 and 2,000 tokens/s. Engines 2.4 times as fast then had targets ordered that nobody needed.

Without an engine of a role its speed follows from mixed engines at the assumed efficiency.

Four such engines under a load that needs 2.9 of them: an order before, none after.

--- a/core/plan/estimate.go
+++ b/core/plan/estimate.go
@@ -65,7 +65,10 @@
 	first           float64 // promise of the first token in seconds
 }
 
-func (s *speeds) learn(v Speed) {
+// learn follows a speed, given which roles report. Without an engine of one
+// role, the speed of that role follows from mixed engines at the assumed
+// efficiency: the defaults would stay for ever in a pool of mixed engines.
+func (s *speeds) learn(v Speed, known [3]bool) {
 	move := func(x *float64, to float64) {
 		if to > 0 {
 			*x += speedWeight * (to - *x)
@@ -78,6 +81,15 @@
 		move(&s.decode, v.Decode)
 	case fleet.Mixed:
 		if v.Prefill > 0 && v.Decode > 0 {
+			if !known[fleet.Prefill] {
+				move(&s.prefill, v.Prefill/s.mixed)
+			}
+			if !known[fleet.Decode] {
+				move(&s.decode, v.Decode/s.mixed)
+			}
+			if !known[fleet.Prefill] && !known[fleet.Decode] {
+				return
+			}
 			move(&s.mixed, math.Min(1, (v.Prefill/s.prefill+v.Decode/s.decode)/2))
 		}
 	}
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -176,6 +176,37 @@
 	})
 }
 
+// Guards against assumed speeds that stay in a pool of mixed engines, which
+// would order targets for engines that are faster than assumed.
+func TestSpeedsOfMixedEngines(t *testing.T) {
+	is := is.New(t)
+	p := plan.New(plan.Options{Budget: budget()})
+	d := plan.Demand{Rates: []plan.Rate{{Pool: "m", DataCentre: "dc", Class: fleet.Urgent, Requests: 40, Prefill: 40000, Decode: 6000}}}
+	for i := range 4 {
+		d.Engines = append(d.Engines, plan.Engine{Name: fleet.TargetName(fmt.Sprint("t", i)), Pool: "m", DataCentre: "dc", Ready: true})
+		d.Speeds = append(d.Speeds, plan.Speed{Pool: "m", Prefill: 24000, Decode: 4800})
+	}
+	for at := time.Duration(0); at < 10*time.Minute; at += step {
+		if at < time.Minute {
+			p.Learn(start.Add(at), d)
+			continue
+		}
+		for _, a := range p.Step(start.Add(at), d) {
+			is.True(a.Kind != plan.OrderTarget) // 4 engines carry the load
+		}
+	}
+	l := p.Learned()[0]
+	is.True(math.Abs(l.Prefill-30000) < 30) // at the assumed efficiency of 0.8
+	is.True(math.Abs(l.Decode-6000) < 6)
+	d.Engines[0].Role, d.Speeds[0] = fleet.Prefill, plan.Speed{Pool: "m", Role: fleet.Prefill, Prefill: 26000}
+	for at := time.Duration(0); at < 10*time.Minute; at += step {
+		p.Learn(start.Add(at+10*time.Minute), d)
+	}
+	l = p.Learned()[0]
+	is.True(math.Abs(l.Prefill-26000) < 30) // its own report counts from then on
+	is.True(l.Mixed > 0.85)
+}
+
 // Guards against a planner that takes a silent data centre for an idle one, or
 // orders again what an earlier leader has ordered.
 func TestDemandWithGaps(t *testing.T) {
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -166,7 +166,11 @@
 			continue
 		}
 		sort.Slice(l, func(i, j int) bool { return l[i].Prefill+l[i].Decode < l[j].Prefill+l[j].Decode })
-		p.speed(k.pool).learn(l[len(l)/2])
+		known := [3]bool{}
+		for r := range known {
+			known[r] = len(reports[role{k.pool, fleet.Role(r)}]) > 0
+		}
+		p.speed(k.pool).learn(l[len(l)/2], known)
 	}
 }
 
