core/capacity, io/controller: models by pool; refuse stale reads at once

Cause: the planner took a pool's model to have the pool's name, so a target on order in a pool with another name was not counted; a replica that cannot confirm its state refused reads only after trying to reach a leader, and as not-leader rather than stale. Change: the model of a pool is looked up; a read is refused as stale while the replica's copy is.

--- a/core/capacity/view.go
+++ b/core/capacity/view.go
@@ -53,13 +53,9 @@
 			replaced[r.Replaces] = true
 		}
 	}
-	models := make(map[string]bool)
-	for _, m := range v.Config.General.Models {
-		models[m.Name] = true
-	}
 	for _, r := range v.Targets {
 		t := r.Target
-		if t.Incarnation == 0 && t.Phase == fleet.Announced && (t.Kind == fleet.Engine || models[t.Pool]) {
+		if t.Incarnation == 0 && t.Phase == fleet.Announced && (t.Kind == fleet.Engine || v.Config.General.PoolModel[t.Pool] != "") {
 			d.Starting = append(d.Starting, plan.Starting{Pool: t.Pool, DataCentre: t.DataCentre})
 		}
 		if t.Kind != fleet.Engine || t.Incarnation == 0 {
--- a/core/capacity/world_test.go
+++ b/core/capacity/world_test.go
@@ -46,7 +46,7 @@
 		was: make(map[fleet.TargetName]fleet.Role),
 	}
 	w.change(state.ReplaceDocument{Document: config.Document{
-		Customers: []config.Customer{{Name: "a", Weight: 1}}, Models: []config.Model{{Name: "m", Version: "1"}},
+		Customers: []config.Customer{{Name: "a", Weight: 1}}, Models: []config.Model{{Name: "m", Version: "1"}}, PoolModel: map[string]string{"m": "m"},
 		Routes:  []config.Route{{Name: "r", Prefix: "/", Pool: "m", Class: fleet.Urgent, FirstToken: 330 * time.Millisecond}},
 		Windows: windows, Budget: b,
 	}})
--- a/io/controller/lists.go
+++ b/io/controller/lists.go
@@ -22,6 +22,10 @@
 // so a copy that is merely fresh enough to serve callers would lose to a change
 // that the same operator has just made.
 func (c *Controller) newest(w http.ResponseWriter, r *http.Request) (*state.Image, bool) {
+	if _, ok := c.age(time.Now()); !ok {
+		refuse(w, http.StatusServiceUnavailable, "stale", errStale)
+		return nil, false
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), confirmTimeout)
 	defer cancel()
 	err := c.group.Read(ctx)
