core/config: remove the second rule of freshness

Cause: freshness of a copy stood twice, in core/config and in core/watch, and only the latter is used; it also takes off the age of a relay's copy. Change: the unused function and its test are gone; core/watch tests the rule, with the clock margin counted by whoever waits for the copy to end. Conclusion: one rule in one place.

--- a/core/config/index.go
+++ b/core/config/index.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -258,12 +257,6 @@
 // not change the slice.
 func (x *Index) Pool(name string) []fleet.Target { return x.pools[name] }
 
-// FreshUntil returns until when a copy is certain to be current: bound after
-// the node sent the poll that was answered, less 1% for clock rates.
-func FreshUntil(sent time.Time, bound time.Duration) time.Time {
-	return sent.Add(bound - bound/100)
-}
-
 func byPrefix(routes []Route) []Route {
 	out := slices.Clone(routes)
 	slices.SortStableFunc(out, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
--- a/core/config/index_test.go
+++ b/core/config/index_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -88,13 +87,6 @@
 	is.Equal(once.Snapshot(), steps.Snapshot())
 }
 
-// Guards against a copy that counts as current for longer than its lease.
-func TestFreshUntil(t *testing.T) {
-	is := is.New(t)
-	sent := time.Unix(100, 0)
-	is.Equal(FreshUntil(sent, 2*time.Second), sent.Add(1980*time.Millisecond))
-}
-
 func BenchmarkApplyOneKey(b *testing.B) {
 	for _, customers := range []int{8, 1000, 11000} {
 		b.Run(fmt.Sprint(customers), func(b *testing.B) {
