io/controller: keep the ports of spawned replicas from outgoing connections

Cause: in one of 3 runs of the whole package at load 32, TestLostPlatformAnswers waited 30 s for a leader with two of three replicas started. Its log was not kept. The likely cause is the rig: it drew ports from the range of outgoing connections, and a listener cannot take the port of such a connection, so that a replica ends at its restart. Conclusion: if it comes again, the test shows which process ended or that the group elects no leader.

--- a/internal/faulttest/rig_test.go
+++ b/internal/faulttest/rig_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http/httptest"
 	"net/netip"
@@ -130,17 +131,32 @@
 	return r
 }
 
+// Ports are drawn below the range from which systems take the ports of outgoing
+// connections: such a connection can take the port of a replica that is down,
+// which then cannot listen when it starts again.
+const (
+	firstPort = 10_000
+	lastPort  = 29_999
+)
+
 // freePorts finds loopback ports that nobody listens on.
 func freePorts(t testing.TB, n int) []netip.AddrPort {
 	t.Helper()
 	var ports []netip.AddrPort
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 100 * n {
+		if len(ports) == n {
+			break
+		}
+		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+rand.IntN(lastPort-firstPort+1)))
+		l, err := net.Listen("tcp", addr.String())
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
 		defer func() { _ = l.Close() }() // after all are drawn, so that they differ
-		ports = append(ports, netip.MustParseAddrPort(l.Addr().String()))
+		ports = append(ports, addr)
+	}
+	if len(ports) < n {
+		t.Fatalf("found %d free ports of %d", len(ports), n)
 	}
 	return ports
 }
@@ -261,9 +277,22 @@
 	return s
 }
 
+// checkRunning fails the test if a process has ended by itself.
+func (r *rig) checkRunning() {
+	r.t.Helper()
+	for h, p := range r.processes {
+		select {
+		case <-p.done:
+			r.t.Fatalf("the process of %s has ended", h)
+		default:
+		}
+	}
+}
+
 func (r *rig) await(what string, ok func() bool) {
 	r.t.Helper()
 	for end := time.Now().Add(waitLimit); !ok(); time.Sleep(10 * time.Millisecond) {
+		r.checkRunning()
 		if time.Now().After(end) {
 			r.t.Fatalf("after %v still without %s", waitLimit, what)
 		}
