internal/demo: give each caller request ids of its own

Cause: two callers of a customer, one at each entry, sent the same bodies under the same Idempotency-Key. A request that one of them was refused as not run, such as over the customer's limit, had run for the other, which the verdict counted as an untrue refusal; replayed answers were counted as not billed.

Change: the id contains the number of the caller.

Conclusion: the verdict compares each request with its own runs only.

--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -151,7 +151,7 @@
 			own := rand.New(rand.NewPCG(random.Uint64(), 0))
 			entry := r.d.Entries[(i+j)%len(r.d.Entries)]
 			name := string(c.Name)
-			wg.Go(func() { r.traffic.run(ctx, name, entry, own) })
+			wg.Go(func() { r.traffic.run(ctx, name, j, entry, own) })
 		}
 	}
 	err := r.stages(ctx, []stage{
--- a/internal/demo/traffic.go
+++ b/internal/demo/traffic.go
@@ -50,13 +50,13 @@
 	return &traffic{d: d, keys: keys, tallies: make(map[[2]string]*tally)}
 }
 
-// run sends the requests of one customer to one entry.
-func (t *traffic) run(ctx context.Context, customer, entry string, random *rand.Rand) {
+// run sends the requests of one caller of a customer to one entry.
+func (t *traffic) run(ctx context.Context, customer string, caller int, entry string, random *rand.Rand) {
 	client := &http.Client{}
 	defer client.CloseIdleConnections()
 	for i := 0; !t.stopped.Load(); i++ {
 		work := t.d.Answers.Work[random.IntN(len(t.d.Answers.Work))]
-		t.one(ctx, client, customer, entry, work, fmt.Sprintf("%s-%s-%d", customer, work.Name, i))
+		t.one(ctx, client, customer, entry, work, fmt.Sprintf("%s-%s-%d-%d", customer, work.Name, caller, i))
 		time.Sleep(pauseBetween)
 	}
 }
