--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -29,6 +29,9 @@
 	orderTime = 2 * time.Minute
 	// settleTime bounds the phases that wait for the agent's next sign.
 	settleTime = 10 * time.Minute
+	// stopAhead is how long before its deadline a leaving target is stopped even
+	// if it still runs requests.
+	stopAhead = 3 * time.Second
 	// tickPeriod keeps the clock of the state machine going when no deadline
 	// is due.
 	tickPeriod = 5 * time.Second
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -297,6 +297,30 @@
 	is.Equal(w.phase("t1"), fleet.Gone)
 }
 
+// Guards against a target that is gone for the leader but runs on at the
+// platform, and costs money, because its drain did not end in time or its agent
+// was lost meanwhile.
+func TestLeavingTargetIsAlwaysStopped(t *testing.T) {
+	tests := map[string]func(a *agent){
+		"a request does not end":      func(a *agent) { a.running = 1 },
+		"the agent is lost meanwhile": func(a *agent) { a.silent = true },
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(dispatch.Options{Platform: true})
+			a := w.add("t1", "grade")
+			w.run(3 * time.Second)
+			change := state.DrainTarget{Target: "t1", Leave: true, Until: w.now.Add(30 * time.Second)}
+			is.Equal(w.change(change).Outcome, state.ChangeAccepted)
+			fault(a)
+			w.run(40 * time.Second)
+			is.Equal(len(w.started), 1) // the stop order
+			is.Equal(w.phase("t1"), fleet.Gone)
+		})
+	}
+}
+
 // Guards against a target taken for lost by a new leader that has not heard of
 // it yet, and against one that stays in service after its agent went silent.
 func TestSilentTargetIsLost(t *testing.T) {
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -16,7 +16,11 @@
 	switch {
 	case t.Phase == fleet.Gone || t.Incarnation == 0:
 	case t.Phase == fleet.Lost:
-		// The agent announces itself again when it is back.
+		// The agent announces itself again when it is back. A target that was
+		// leaving is not waited for.
+		if s.platform && r.Wanted == state.WantedGone {
+			s.stop(t)
+		}
 	case !alive:
 		s.phase(r, fleet.Lost, time.Time{})
 	case r.Open != nil:
@@ -70,14 +74,25 @@
 
 // leave stops a target that has ended its requests and takes no new ones.
 func (s *step) leave(r state.TargetRecord, sign Seen) {
-	if !sign.Refusing || sign.Running > 0 {
-		return
-	}
-	if !s.platform {
+	// The platform must be told before the deadline of the phase passes: a
+	// target that is gone without an order would go on to cost money.
+	ended := sign.Refusing && sign.Running == 0
+	due := !r.Target.PhaseUntil.IsZero() && s.now.After(r.Target.PhaseUntil.Add(-stopAhead))
+	switch {
+	case s.platform && (ended || due):
+		s.stop(r.Target)
+	case !s.platform && ended:
 		s.phase(r, fleet.Gone, time.Time{})
-		return
 	}
-	t := r.Target
+}
+
+// stop orders the platform to stop a target, unless that is under way.
+func (s *step) stop(t fleet.Target) {
+	for _, o := range s.view.Platform {
+		if o.Target == t.Name {
+			return
+		}
+	}
 	s.propose(Key{kind: propose, target: t.Name, phase: fleet.Leaving}, state.PlacePlatformOrder{
 		ID: "stop " + string(t.Name), Term: s.lease.Term, Kind: state.PlatformStop, DataCentre: t.DataCentre,
 		Region: t.Region, Pool: t.Pool, Target: t.Name, Deadline: s.now.Add(settleTime), Time: s.now,
