--- a/internal/scenario/deployment.go
+++ b/internal/scenario/deployment.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -68,7 +69,11 @@
 	w.deployment.client, err = d.Connect()
 	ts.Check(err)
 	w.deployment.operatorFile(ts)
-	ts.Check(w.deployment.begin(o.Answers))
+	if err := w.deployment.begin(o.Answers); err != nil {
+		ts.Logf("%v", d.Failed())
+		showLog(ts, false, []string{"deployment"})
+		ts.Fatalf("%v", err)
+	}
 	for i, url := range d.Entries {
 		ts.Setenv(fmt.Sprintf("entry-%d", i+1), url)
 	}
@@ -212,11 +217,18 @@
 	ts.Check(err)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*awaitLimit)
 	defer cancel()
+	d := deployed(ts)
+	now, err := d.client.Configuration(ctx)
+	ts.Check(err)
+	base := now.Revision
 	for i := range n {
 		sum := sha256.Sum256([]byte(rand.Text()))
-		ts.Check(deployed(ts).accept(ctx, operator.Change{
+		a, err := d.client.Change(ctx, operator.Change{
+			ID: rand.Text(), Base: base,
 			Action: operator.IssueKey, Key: fmt.Sprintf("unused-%d", i), Customer: args[1], Digest: hex.EncodeToString(sum[:]),
-		}))
+		})
+		ts.Check(err)
+		base = a.Revision
 	}
 }
 
@@ -245,28 +257,34 @@
 // one of the phases.
 func phase(ts *testscript.TestScript, neg bool, args []string) {
 	positive(ts, neg, args, 2, "phase TARGET PHASE...")
+	awaitTarget(ts, args[0], args[1:], func(t operator.Target) string { return t.Phase })
+}
+
+// role is the command "role TARGET ROLE...": it waits until control knows that an
+// engine has one of the roles.
+func role(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 2, "role TARGET ROLE...")
+	awaitTarget(ts, args[0], args[1:], func(t operator.Target) string { return t.Role })
+}
+
+func awaitTarget(ts *testscript.TestScript, name string, wanted []string, field func(operator.Target) string) {
 	d, last := deployed(ts), ""
 	ctx, cancel := context.WithTimeout(context.Background(), awaitLimit)
 	defer cancel()
-	err := deploy.Await(ctx, "phase "+strings.Join(args[1:], " or ")+" of target "+args[0], func() bool {
+	err := deploy.Await(ctx, "target "+name+" is not "+strings.Join(wanted, " or "), func() bool {
 		list, err := d.client.Targets(ctx)
 		if err != nil {
 			return false
 		}
 		for _, t := range list.Items {
-			if t.Name == args[0] {
-				last = t.Phase
+			if t.Name == name {
+				last = field(t)
 			}
 		}
-		for _, want := range args[1:] {
-			if want == last {
-				return true
-			}
-		}
-		return false
+		return slices.Contains(wanted, last)
 	})
 	if err != nil {
-		ts.Fatalf("%v; the phase is %q", err, last)
+		ts.Fatalf("%v; it is %q", err, last)
 	}
 }
 
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -47,6 +47,7 @@
 //	keys N CUSTOMER            issue N keys that nobody uses
 //	leader NAME [NOT]          wait for a leader, not the host NOT; set $NAME to it
 //	phase TARGET PHASE...      wait until a target is in one of the phases
+//	role TARGET ROLE...        wait until control knows an engine in one of the roles
 //	stop HOST, again HOST, restart HOST
 //	                           end a process gracefully, start it again, both
 //	isolate HOST, rejoin HOST  make all links of a control replica silent, undo it
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"io/fs"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,6 +14,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"papayarock/internal/deploy"
 )
 
 // Command is a command of scripts. A command that does not support negation
@@ -30,7 +31,7 @@
 		"fake": startFake, "fault": fault, "crash": crash, "recover": recoverEngine, "count": count, "await": await,
 		"start": start, "spawn": spawn, "stop": stop, "restart": restart, "signal": sendSignal,
 		"request": request, "log": showLog, "proxy": startProxy, "drop": drop, "hold-open": holdOpen,
-		"control": startControl, "deploy": startDeployment, "key": issueKey, "leader": leader, "phase": phase,
+		"control": startControl, "deploy": startDeployment, "key": issueKey, "leader": leader, "phase": phase, "role": role,
 		"isolate": isolate, "rejoin": rejoin, "again": restartHost, "pause": pause, "lose-answer": loseAnswer, "seen": seen,
 		"send": send, "answer": answer, "keep": keep,
 		"mark": mark, "completion": completion, "keys": issueKeys,
@@ -125,10 +126,9 @@
 func ports(ts *testscript.TestScript, neg bool, args []string) {
 	positive(ts, neg, args, 1, "ports NAME...")
 	for _, name := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // listens on loopback at once
+		addr, err := deploy.FreePort()
 		ts.Check(err)
-		defer func() { _ = l.Close() }() // after all ports are drawn, so that they differ
-		ts.Setenv(name, l.Addr().String())
+		ts.Setenv(name, addr.String())
 	}
 }
 
