io/controller: fail TestKills when a replica ends by itself

Cause: a process that could not start again was only seen at its next kill, if at all. Change: the test checks before each kill that all processes run.

--- a/internal/faulttest/kill_test.go
+++ b/internal/faulttest/kill_test.go
@@ -28,6 +28,7 @@
 			break
 		}
 		h := r.hosts[i%len(r.hosts)]
+		r.checkRunning()
 		r.kill(h)
 		r.start(h)
 		if i%burst < burst-1 {
