io/daemon: bound the stop of an entry whose control is away

Cause: an entry took 25 s to end although its shutdown deadline was 15 s: its requests and then its last reports to control each waited on their own. Conclusion: usage that is not reported by then is reported by the agents.

--- a/io/daemon/roles.go
+++ b/io/daemon/roles.go
@@ -141,6 +141,6 @@
 	h := khttp.NewServer(khttp.Address(s.Listen.String()), khttp.Timeout(0))
 	entry.Limit(h.Server)
 	h.Handler = e
-	p.servers = append(p.servers, drained{h, e.Stop})
+	p.servers = append(p.servers, drained{h, e.Stop, p.s.Shutdown})
 	return nil
 }
--- a/io/daemon/server.go
+++ b/io/daemon/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	klog "github.com/go-kratos/kratos/v2/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -59,11 +60,14 @@
 type drained struct {
 	*khttp.Server
 	drain func(ctx context.Context)
+	limit time.Duration // for the requests to end
 }
 
 // Stop ends the requests, then the connections.
 func (d drained) Stop(ctx context.Context) error {
-	d.drain(ctx)
+	limited, cancel := context.WithTimeout(ctx, d.limit)
+	defer cancel()
+	d.drain(limited)
 	return d.Server.Stop(ctx)
 }
 
@@ -89,10 +93,15 @@
 	return nil
 }
 
-// Stop ends the tree and waits for its children.
-func (s *supervisor) Stop(context.Context) error {
+// Stop ends the tree and waits for its children until ctx ends: what they still
+// send to control then is sent again by others or was not promised.
+func (s *supervisor) Stop(ctx context.Context) error {
 	s.cancel()
-	<-s.done
+	select {
+	case <-s.done:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "stop supervisor")
+	}
 	if s.err != nil && !errors.Is(s.err, context.Canceled) {
 		return errors.Wrap(s.err, "stop supervisor")
 	}
