io/entry: keep callers from other paths of a target

Cause: read-through. A path with .. segments matched a route's prefix and went to the target as it was, and a language route forwarded any path after /v1/; a target that resolves such a path would have taken orders from callers. Change: paths with dot segments, also encoded or with backslashes, are refused; a language route serves POST to the two completion paths only. The benchmark uses these paths. Figures: four hostile requests and nine paths; without the check they reach the target. Conclusion: the interfaces of engines for orders and caches are out of reach.

--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net/http"
 	"net/url"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -92,14 +91,12 @@
 // targetPath is the path that the target sees. Engines serve the completion
 // interface at their root, so the prefix of a language route ends at the entry.
 func targetPath(route config.Route, u *url.URL) string {
-	path := u.RequestURI()
-	if route.Protocol != config.Language {
-		return path
-	}
-	if i := strings.Index(path, "/v1/"); i > 0 {
-		return path[i:]
+	if route.Protocol == config.Language {
+		if path, ok := languagePath(u.Path); ok {
+			return path
+		}
 	}
-	return path
+	return u.RequestURI()
 }
 
 func unescape(query string) string {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -204,6 +204,11 @@
 	if !ok {
 		return admitted{}, refuseRoute
 	}
+	if route.Protocol == config.Language {
+		if _, ok := languagePath(r.URL.Path); !ok || r.Method != http.MethodPost {
+			return admitted{}, refuseRoute
+		}
+	}
 	if route.Open {
 		return admitted{route: route}, nil
 	}
--- a/io/entry/header.go
+++ b/io/entry/header.go
@@ -87,6 +87,9 @@
 	if len(r.RequestURI) > maxURLBytes {
 		return refuseURL
 	}
+	if hasDotSegment(r.URL.Path) {
+		return refusePath
+	}
 	fields, size := 0, 0
 	for name, values := range r.Header {
 		for _, v := range values {
@@ -102,3 +105,28 @@
 	}
 	return nil
 }
+
+// hasDotSegment says whether a decoded path leaves the place it seems to name. A
+// target that resolves such a path would serve a request outside the prefix of
+// its route, such as an order to an engine.
+func hasDotSegment(path string) bool {
+	for segment := range strings.FieldsFuncSeq(path, func(r rune) bool { return r == '/' || r == '\\' }) {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+// languagePaths are the paths of the completion interface. Engines take orders
+// and export caches under others, which callers must not reach.
+var languagePaths = map[string]bool{"/v1/completions": true, "/v1/chat/completions": true}
+
+// languagePath returns the part of a language route's path that the engine sees.
+func languagePath(path string) (string, bool) {
+	i := strings.LastIndex(path, "/v1/")
+	if i < 0 || !languagePaths[path[i:]] {
+		return "", false
+	}
+	return path[i:], true
+}
--- /dev/null
+++ b/io/entry/header_test.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a caller that reaches the interfaces of an engine for orders,
+// state or caches through a language route.
+func TestLanguagePath(t *testing.T) {
+	tests := map[string]string{
+		"/grades/v1/completions":      "/v1/completions",
+		"/grades/v1/chat/completions": "/v1/chat/completions",
+		"/v1/completions":             "/v1/completions",
+		"/grades/order":               "",
+		"/grades/v1/order":            "",
+		"/grades/v1/completions/":     "",
+		"/grades/v1/completions/x":    "",
+		"/grades/v1/models":           "",
+		"/grades":                     "",
+	}
+	for path, want := range tests {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			got, ok := languagePath(path)
+			is.Equal(got, want)
+			is.Equal(ok, want != "")
+		})
+	}
+}
--- a/io/entry/hostile_test.go
+++ b/io/entry/hostile_test.go
@@ -57,6 +57,10 @@
 		"giant URL":           {"GET /reads?" + strings.Repeat("a", 9000) + " HTTP/1.1\r\n" + auth + "\r\n", `"type":"url-too-long"`},
 		"upgrade":             {"GET /reads HTTP/1.1\r\n" + auth + "Connection: Upgrade\r\nUpgrade: x\r\n\r\n", `"type":"upgrade"`},
 		"no route":            {"GET /nowhere HTTP/1.1\r\n" + auth + "\r\n", `"type":"no-route"`},
+		"dot segments":        {"POST /reads/../order HTTP/1.1\r\n" + auth + "Content-Length: 0\r\n\r\n", `"type":"path"`},
+		"encoded dot segment": {"GET /reads/%2e%2e/order HTTP/1.1\r\n" + auth + "\r\n", `"type":"path"`},
+		"encoded slash":       {"GET /reads/..%2forder HTTP/1.1\r\n" + auth + "\r\n", `"type":"path"`},
+		"backslash":           {"GET /reads/..%5corder HTTP/1.1\r\n" + auth + "\r\n", `"type":"path"`},
 		"not HTTP":            {"\x16\x03\x01\x02\x00\x01\x00", ""},
 	}
 	for name, tt := range tests {
--- a/io/entry/overhead_test.go
+++ b/io/entry/overhead_test.go
@@ -35,7 +35,7 @@
 
 func standIn(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
-	if r.URL.Path != "/v1/streamed" {
+	if r.URL.Path != "/v1/chat/completions" {
 		_, _ = io.WriteString(w, `{"choices":[{"text":"stone"}],"usage":{"prompt_tokens":9,"completion_tokens":1}}`)
 		return
 	}
@@ -116,6 +116,9 @@
 	return err
 }
 
+// benchPaths are the kinds of answer that are compared.
+var benchPaths = map[string]string{"short": "/v1/completions", "streamed": "/v1/chat/completions"}
+
 // used is what the process has used so far.
 type used struct {
 	wall   time.Time
@@ -135,8 +138,8 @@
 // BenchmarkLatency compares one request at a time through entry and agent with
 // one straight to the stand-in, in turn.
 func BenchmarkLatency(b *testing.B) {
-	for _, path := range []string{"/v1/short", "/v1/streamed"} {
-		b.Run(path[4:], func(b *testing.B) {
+	for name, path := range benchPaths {
+		b.Run(name, func(b *testing.B) {
 			x := newBench(b)
 			bases := []string{x.direct, x.through}
 			h := []*hdrhistogram.Histogram{}
@@ -165,8 +168,8 @@
 // stand-in share the machine; the added figures leave out client and stand-in.
 func BenchmarkThroughput(b *testing.B) {
 	const callers = 64
-	for _, path := range []string{"/v1/short", "/v1/streamed"} {
-		b.Run(path[4:], func(b *testing.B) {
+	for name, path := range benchPaths {
+		b.Run(name, func(b *testing.B) {
 			x := newBench(b)
 			var spent [2]used
 			for i, base := range []string{x.direct, x.through} {
--- a/io/entry/refusal.go
+++ b/io/entry/refusal.go
@@ -31,6 +31,7 @@
 var (
 	refuseRoute     = &Refusal{Status: http.StatusNotFound, Type: "no-route", Title: "no route serves this path"}
 	refuseKey       = &Refusal{Status: http.StatusUnauthorized, Type: "key", Title: "the key is missing or not valid"}
+	refusePath      = &Refusal{Status: http.StatusBadRequest, Type: "path", Title: "the path must not have . or .. segments"}
 	refuseKeyURL    = &Refusal{Status: http.StatusBadRequest, Type: "key-in-url", Title: "the key must not appear in the URL"}
 	refuseStale     = &Refusal{Status: http.StatusServiceUnavailable, Type: "configuration-not-current", Title: "keys cannot be checked at the moment", RetryAfter: time.Second}
 	refuseStopping  = &Refusal{Status: http.StatusServiceUnavailable, Type: "stopping", Title: "this host is stopping", RetryAfter: time.Second}
@@ -63,7 +64,7 @@
 
 // lasting are the refusals that every request of the same content gets, so that
 // no earlier one can have run.
-var lasting = map[*Refusal]bool{refuseRoute: true, refuseKeyURL: true, refuseLarge: true}
+var lasting = map[*Refusal]bool{refuseRoute: true, refusePath: true, refuseKeyURL: true, refuseLarge: true}
 
 // unsure returns what a refusal may say before control was asked about the
 // Idempotency-Key of the request: an earlier request under it may have run.
