io/controller: refuse a drain that is shorter than a promise

Cause: a drain ends at its deadline, and the target is then changed or stopped with what it still runs; an operator could choose a deadline shorter than the time a request may take, so a planned change could interrupt it. Change: such a change is refused as invalid and names the route. Conclusion: a request that keeps its promise has ended before its target's drain does; a non-idempotent one that overruns its deadline may not have.

--- a/io/controller/operator.go
+++ b/io/controller/operator.go
@@ -73,6 +73,11 @@
 		refuse(w, http.StatusRequestEntityTooLarge, "too-large", err)
 		return
 	}
+	index, _ := c.machine.config()
+	if err := checkDrain(index, in); err != nil {
+		respond(w, http.StatusUnprocessableEntity, operator.ChangeAnswer{Outcome: operator.Invalid, Reason: err.Error()})
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
 	defer cancel()
 	result, err := c.commitChange(ctx, change)
