--- a/internal/deploy/deploy.go
+++ b/internal/deploy/deploy.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -11,7 +10,6 @@
 	"os"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -19,6 +17,7 @@
 
 	"papayarock/core/fleet"
 	"papayarock/internal/fake"
+	"papayarock/internal/ports"
 	"papayarock/io/answers"
 	"papayarock/io/daemon"
 	"papayarock/io/identity"
@@ -85,30 +84,6 @@
 	failed   []error
 }
 
-// Ports come from below the range from which systems take the ports of outgoing
-// connections and of listeners on port 0. A port found free there and listened on
-// later would at times be taken in between.
-const (
-	lowestPort = 12_000
-	ports      = 18_000
-)
-
-var nextPort atomic.Uint32 // counts from a random start, so that test processes differ
-
-func init() { nextPort.Store(rand.Uint32N(ports)) }
-
-// FreePort finds a port of the loopback interface that nobody listens on.
-func FreePort() (netip.AddrPort, error) {
-	for range ports {
-		port := uint16(lowestPort + nextPort.Add(1)%ports) //nolint:gosec // below 65536
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
-		if l, err := net.Listen("tcp", addr.String()); err == nil { //nolint:noctx // returns at once
-			return addr, l.Close()
-		}
-	}
-	return netip.AddrPort{}, errors.Wrap(ErrDeploy, "no port is free")
-}
-
 // serve serves h on a loopback port.
 func serve(h http.Handler) (*http.Server, *url.URL, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // returns at once
@@ -221,11 +196,11 @@
 func (d *Deployment) Start() error {
 	places := d.Answers.DataCentres
 	for i := range voters {
-		link, err := FreePort()
+		link, err := ports.Free()
 		if err != nil {
 			return err
 		}
-		op, err := FreePort()
+		op, err := ports.Free()
 		if err != nil {
 			return err
 		}
@@ -278,7 +253,7 @@
 	if err != nil {
 		return err
 	}
-	listen, err := FreePort()
+	listen, err := ports.Free()
 	if err != nil {
 		return err
 	}
@@ -313,7 +288,7 @@
 	if err != nil {
 		return err
 	}
-	listen, err := FreePort()
+	listen, err := ports.Free()
 	if err != nil {
 		return err
 	}
--- a/internal/faulttest/rig_test.go
+++ b/internal/faulttest/rig_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http/httptest"
 	"net/netip"
 	"os"
@@ -23,6 +21,7 @@
 
 	"papayarock/core/fleet"
 	"papayarock/internal/fake"
+	"papayarock/internal/ports"
 	"papayarock/io/daemon"
 	"papayarock/io/link"
 	"papayarock/io/operator"
@@ -113,10 +112,10 @@
 	server := httptest.NewServer(r.platform)
 	t.Cleanup(server.Close)
 	all := append(append([]fleet.Host(nil), r.hosts...), further...)
-	ports := freePorts(t, 2*len(all))
+	drawn := freePorts(t, 2*len(all))
 	var addresses []string
 	for i, h := range all {
-		r.links[h], r.operators[h] = ports[2*i], ports[2*i+1]
+		r.links[h], r.operators[h] = drawn[2*i], drawn[2*i+1]
 		addresses = append(addresses, r.operators[h].String())
 	}
 	var err error
@@ -131,34 +130,17 @@
 	return r
 }
 
-// Ports are drawn below the range from which systems take the ports of outgoing
-// connections: such a connection can take the port of a replica that is down,
-// which then cannot listen when it starts again.
-const (
-	firstPort = 10_000
-	lastPort  = 29_999
-)
-
-// freePorts finds loopback ports that nobody listens on.
+// freePorts draws loopback ports that no other test program uses.
 func freePorts(t testing.TB, n int) []netip.AddrPort {
 	t.Helper()
-	var ports []netip.AddrPort
-	for range 100 * n {
-		if len(ports) == n {
-			break
+	drawn := make([]netip.AddrPort, n)
+	for i := range drawn {
+		var err error
+		if drawn[i], err = ports.Free(); err != nil {
+			t.Fatal(err)
 		}
-		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+rand.IntN(lastPort-firstPort+1)))
-		l, err := net.Listen("tcp", addr.String())
-		if err != nil {
-			continue
-		}
-		defer func() { _ = l.Close() }() // after all are drawn, so that they differ
-		ports = append(ports, addr)
-	}
-	if len(ports) < n {
-		t.Fatalf("found %d free ports of %d", len(ports), n)
 	}
-	return ports
+	return drawn
 }
 
 func (r *rig) data(h fleet.Host) string { return filepath.Join(r.dir, string(h)) }
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -15,7 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"papayarock/internal/deploy"
+	freeport "papayarock/internal/ports"
 )
 
 // Command is a command of scripts. A command that does not support negation
@@ -126,7 +126,7 @@
 func ports(ts *testscript.TestScript, neg bool, args []string) {
 	positive(ts, neg, args, 1, "ports NAME...")
 	for _, name := range args {
-		addr, err := deploy.FreePort()
+		addr, err := freeport.Free()
 		ts.Check(err)
 		ts.Setenv(name, addr.String())
 	}
--- a/io/daemon/daemon_test.go
+++ b/io/daemon/daemon_test.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -22,20 +21,19 @@
 	"papayarock/core/config"
 	"papayarock/core/fleet"
 	"papayarock/internal/fake"
+	"papayarock/internal/ports"
 	"papayarock/io/daemon"
 	"papayarock/io/settings"
 )
 
 const secret = "secret-of-inspector"
 
-// freePort finds a loopback port that nobody listens on.
 func freePort(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	p, err := ports.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
+	return p
 }
 
 // oneProcess returns the settings of a process with an entry and an agent and a
