io/entry, io/daemon: apply the limits of the settings

Cause: the limits on callers in the settings were checked but not used. Change: header, body, first byte, idle time, streams and connections follow the settings; refusals name the limit; the body limit can't exceed what an agent takes. Conclusion: a process with a body limit of 1 KiB refuses 1,025 bytes.

--- a/internal/measure/slopes/path.go
+++ b/internal/measure/slopes/path.go
@@ -90,7 +90,7 @@
 	index.Store(config.NewIndex(s))
 	links := &link.Pool{Identity: id, Roles: []identity.Role{identity.Agent}}
 	front := httptest.NewUnstartedServer(&entry.Entry{Config: &index, Links: links})
-	entry.Limit(front.Config)
+	entry.Limits{}.Apply(front.Config)
 	front.Start()
 	tr := &http.Transport{MaxIdleConnsPerHost: maxIdle, DisableCompression: true}
 	x.direct, x.through, x.client = backend.URL, front.URL, &http.Client{Transport: tr}
--- a/io/daemon/daemon_test.go
+++ b/io/daemon/daemon_test.go
@@ -65,7 +65,7 @@
 		Host: "h1", Region: "west", DataCentre: "klang", Addresses: []netip.Addr{agent.Addr()},
 		Links: settings.Links{Plain: true}, Shutdown: 10 * time.Second, Status: freePort(t),
 		Agent: &settings.Agent{Listen: agent, Target: target, Name: "t1", Pool: "repair-log", Slots: 4},
-		Entry: &settings.Entry{Listen: freePort(t), Static: &settings.Static{
+		Entry: &settings.Entry{Listen: freePort(t), Limits: settings.Limits{BodyBytes: 1024}, Static: &settings.Static{
 			Configuration: file,
 			Keys:          []config.Key{{ID: "k1", Digest: sha256.Sum256([]byte(secret)), Customer: "klang"}},
 			Targets: []fleet.Target{{
@@ -99,7 +99,7 @@
 	return 0, ""
 }
 
-// Guards against a process whose dump or metrics are missing or reveal a key,
+// Guards against a process that ignores its limits, whose dump or metrics are missing or reveal a key,
 // and against one that does not stop.
 func TestProcessServesAndShowsItsState(t *testing.T) {
 	is := is.New(t)
@@ -123,6 +123,14 @@
 	is.Equal(status, http.StatusOK)
 	is.Equal(body, "stone ran 1\n")
 
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.Entry.Listen.String()+"/orders", strings.NewReader(strings.Repeat("x", 1025)))
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer "+secret)
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge) // by the settings
+
 	base := "http://" + s.Status.String()
 	_, dump := get(t, http.MethodGet, base+"/dump", "")
 	var parts map[string]json.RawMessage
--- a/io/daemon/roles.go
+++ b/io/daemon/roles.go
@@ -9,6 +9,7 @@
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
 
 	"papayarock/core/config"
 	"papayarock/core/fleet"
@@ -106,9 +107,12 @@
 	return nil
 }
 
-func (p *process) addEntry(context.Context) error {
+func (p *process) addEntry(ctx context.Context) error {
 	s := p.s.Entry
-	e := &entry.Entry{Links: p.links, Log: p.log.Named("entry")}
+	e := &entry.Entry{Links: p.links, Log: p.log.Named("entry"), Limits: entry.Limits{
+		HeaderBytes: s.Limits.HeaderBytes, BodyBytes: s.Limits.BodyBytes, FirstByte: s.Limits.FirstByte,
+		Idle: s.Limits.Idle, Streams: s.Limits.StreamsPerPeer,
+	}}
 	policy := serving.New(serving.Options{DataCentre: p.s.DataCentre, Region: p.s.Region, Links: p.links, Log: p.log.Named("serving")})
 	e.Picker, e.Admitter, e.Retrier = policy, policy, policy
 	if s.Static != nil {
@@ -138,8 +142,15 @@
 	p.add("entry", e)
 	p.dumps["entry"], p.dumps["serving"] = e.Dump, policy.Dump
 	p.metrics.entry(e, policy)
-	h := khttp.NewServer(khttp.Address(s.Listen.String()), khttp.Timeout(0))
-	entry.Limit(h.Server)
+	l, err := p.listen(ctx, s.Listen.String())
+	if err != nil {
+		return errors.Wrapf(ErrStart, "entry: %v", err)
+	}
+	if n := s.Limits.Connections; n > 0 {
+		l = netutil.LimitListener(l, n)
+	}
+	h := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0))
+	e.Limits.Apply(h.Server)
 	h.Handler = e
 	p.servers = append(p.servers, drained{h, e.Stop, p.s.Shutdown})
 	return nil
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -20,7 +20,6 @@
 )
 
 const (
-	maxBodyBytes  = 8 << 20
 	bodyPartBytes = 64 << 10
 	bodyTimeout   = 30 * time.Second
 	maxInFlight   = 10_000
@@ -30,10 +29,6 @@
 	maxAsking = 64
 	// defaultPromise bounds requests on routes without a promise.
 	defaultPromise = 10 * time.Minute
-
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = time.Minute
-	maxStreams        = 250 // of one HTTP/2 connection
 )
 
 // ReadyPath answers 200 while new callers are welcome, and 503 otherwise.
@@ -53,6 +48,7 @@
 	Picker     Picker   // RoundRobin if nil
 	Admitter   Admitter // AdmitAll if nil
 	Retrier    Retrier  // MaxAttempts(3) if nil
+	Limits     Limits
 	Log        hclog.Logger
 
 	once      sync.Once
@@ -92,23 +88,11 @@
 	if e.Log == nil {
 		e.Log = hclog.NewNullLogger()
 	}
+	e.Limits = e.Limits.orDefaults()
 	e.asking = semaphore.NewWeighted(maxAsking)
 	e.running = make(map[*flight]struct{})
 }
 
-// Limit sets the limits on connections of callers.
-func Limit(s *http.Server) {
-	s.ReadHeaderTimeout = readHeaderTimeout
-	s.IdleTimeout = idleTimeout
-	// Beyond this net/http refuses by itself; below it the entry explains.
-	s.MaxHeaderBytes = 2 * (maxHeaderBytes + maxURLBytes)
-	s.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
-	s.Protocols = new(http.Protocols)
-	s.Protocols.SetHTTP1(true)
-	s.Protocols.SetHTTP2(true)
-	s.Protocols.SetUnencryptedHTTP2(true)
-}
-
 // began returns what is called once the answer to a request begins.
 func (e *Entry) began(id fleet.RequestID) func() {
 	if f, ok := e.Admitter.(FirstByter); ok {
@@ -160,7 +144,7 @@
 }
 
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, id fleet.RequestID) *Refusal {
-	if refusal := checkHead(r); refusal != nil {
+	if refusal := checkHead(r, e.Limits); refusal != nil {
 		return refusal
 	}
 	a, refusal := e.authenticate(r)
@@ -284,8 +268,8 @@
 
 // readBody returns what it has reserved, also with a refusal.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Refusal) {
-	if r.ContentLength > maxBodyBytes {
-		return nil, refuseLarge
+	if r.ContentLength > int64(e.Limits.BodyBytes) {
+		return nil, e.Limits.body()
 	}
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
@@ -294,7 +278,7 @@
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
 	var body []byte
 	buf := make([]byte, min(max(r.ContentLength+1, 512), bodyPartBytes))
-	in := http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	in := http.MaxBytesReader(w, r.Body, int64(e.Limits.BodyBytes))
 	for {
 		n, err := in.Read(buf)
 		if n > 0 {
@@ -308,17 +292,17 @@
 			return body, nil
 		}
 		if err != nil {
-			return body, bodyRefusal(err)
+			return body, e.bodyRefusal(err)
 		}
 	}
 }
 
-func bodyRefusal(err error) *Refusal {
+func (e *Entry) bodyRefusal(err error) *Refusal {
 	var large *http.MaxBytesError
 	var timeout interface{ Timeout() bool }
 	switch {
 	case errors.As(err, &large):
-		return refuseLarge
+		return e.Limits.body()
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return refuseSlow
 	}
--- a/io/entry/header.go
+++ b/io/entry/header.go
@@ -9,7 +9,6 @@
 )
 
 const (
-	maxHeaderBytes  = 16 << 10
 	maxHeaderFields = 100
 	maxURLBytes     = 8 << 10
 	maxKeyBytes     = 512
@@ -83,7 +82,7 @@
 }
 
 // checkHead refuses requests whose line or header is too large.
-func checkHead(r *http.Request) *Refusal {
+func checkHead(r *http.Request, l Limits) *Refusal {
 	if len(r.RequestURI) > maxURLBytes {
 		return refuseURL
 	}
@@ -97,8 +96,8 @@
 			size += len(name) + len(v)
 		}
 	}
-	if fields > maxHeaderFields || size > maxHeaderBytes {
-		return refuseHeader
+	if fields > maxHeaderFields || size > l.HeaderBytes {
+		return l.header()
 	}
 	if r.Method == http.MethodConnect || httpguts.HeaderValuesContainsToken(r.Header["Connection"], "Upgrade") {
 		return refuseUpgrade
--- a/io/entry/overhead_test.go
+++ b/io/entry/overhead_test.go
@@ -80,7 +80,7 @@
 	}))
 	links := &link.Pool{Identity: entryID, Roles: []identity.Role{identity.Agent}}
 	front := httptest.NewUnstartedServer(&entry.Entry{Config: &index, Links: links})
-	entry.Limit(front.Config)
+	entry.Limits{}.Apply(front.Config)
 	front.Start()
 	tr := &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}
 	b.Cleanup(func() {
--- a/io/entry/refusal.go
+++ b/io/entry/refusal.go
@@ -37,8 +37,8 @@
 	refuseStopping  = &Refusal{Status: http.StatusServiceUnavailable, Type: "stopping", Title: "this host is stopping", RetryAfter: time.Second}
 	refuseBusy      = &Refusal{Status: http.StatusServiceUnavailable, Type: "busy", Title: "this host holds too many requests", RetryAfter: time.Second}
 	refuseURL       = &Refusal{Status: http.StatusRequestURITooLong, Type: "url-too-long", Title: "the URL is longer than 8192 bytes"}
-	refuseHeader    = &Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Type: "header-too-large", Title: "the header is larger than 16384 bytes or has more than 100 fields"}
-	refuseLarge     = &Refusal{Status: http.StatusRequestEntityTooLarge, Type: "body-too-large", Title: "the body is larger than 8388608 bytes"}
+	refuseHeader    = &Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Type: "header-too-large", Title: "the header is too large"}
+	refuseLarge     = &Refusal{Status: http.StatusRequestEntityTooLarge, Type: "body-too-large", Title: "the body is too large"}
 	refuseSlow      = &Refusal{Status: http.StatusRequestTimeout, Type: "body-timeout", Title: "the body did not arrive in time"}
 	refuseBody      = &Refusal{Status: http.StatusBadRequest, Type: "body", Title: "the body is incomplete"}
 	refuseUpgrade   = &Refusal{Status: http.StatusBadRequest, Type: "upgrade", Title: "protocol upgrades are not supported"}
@@ -55,6 +55,13 @@
 	refuseDeadline  = &Refusal{Status: http.StatusGatewayTimeout, Type: "deadline", Title: "the answer was not complete in time", NotRun: notRunUnknown}
 )
 
+// because returns r with another title.
+func (r *Refusal) because(title string) *Refusal {
+	c := *r
+	c.Title = title
+	return &c
+}
+
 // known returns r with another value of not-run.
 func (r *Refusal) known(notRun string) *Refusal {
 	c := *r
@@ -64,12 +71,14 @@
 
 // lasting are the refusals that every request of the same content gets, so that
 // no earlier one can have run.
-var lasting = map[*Refusal]bool{refuseRoute: true, refusePath: true, refuseKeyURL: true, refuseLarge: true}
+var lasting = map[string]bool{
+	refuseRoute.Type: true, refusePath.Type: true, refuseKeyURL.Type: true, refuseLarge.Type: true,
+}
 
 // unsure returns what a refusal may say before control was asked about the
 // Idempotency-Key of the request: an earlier request under it may have run.
 func unsure(req *http.Request, r *Refusal) *Refusal {
-	if req.Header.Get("Idempotency-Key") == "" || lasting[r] || r.notRun() != notRunTrue {
+	if req.Header.Get("Idempotency-Key") == "" || lasting[r.Type] || r.notRun() != notRunTrue {
 		return r
 	}
 	return r.known(notRunUnknown)
--- a/io/entry/rig_test.go
+++ b/io/entry/rig_test.go
@@ -235,7 +235,7 @@
 	r.index.Store(config.NewIndex(r.snapshot(1, key())))
 	front := newPipes()
 	frontServer := &http.Server{Handler: r.entry, ErrorLog: log.StandardLogger(nil)}
-	entry.Limit(frontServer)
+	entry.Limits{}.Apply(frontServer)
 	wg.Go(func() { _ = frontServer.Serve(front) })
 	out := &http.Transport{DisableCompression: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 		c, _, err := front.dial(ctx)
--- a/io/settings/check.go
+++ b/io/settings/check.go
@@ -27,7 +27,7 @@
 	defaultUsageWindow = time.Minute
 
 	maxHeaderBytes = 1 << 20
-	maxBodyBytes   = 64 << 20
+	maxBodyBytes   = 8 << 20 // the most an agent takes
 	maxConnections = 1 << 20
 	maxSlots       = 1 << 16
 	minWait        = 10 * time.Millisecond
