io/agent: ask an engine to resume a stream that broke off

Cause: engines can resume a stream, but an answer whose connection between engine and agent broke was cut. Change: the agent asks for the rest at the offset it holds, at most three times; an engine that cannot leaves the answer cut. The slope measurement uses the completion path, which language routes now require; its test had failed with 404 since then.

--- a/internal/measure/slopes/paced.go
+++ b/internal/measure/slopes/paced.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -21,12 +20,10 @@
 // follow reads a paced stream and notes the times of its tokens.
 func (x *path) follow(ctx context.Context, base string, tokens int) (gaps, error) {
 	var g gaps
-	address := fmt.Sprintf("%s/%s/paced/%d", base, pool(0), tokens)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address, strings.NewReader(prompt))
+	req, err := request(ctx, base, tokens, true)
 	if err != nil {
-		return g, errors.Wrap(err, "request")
+		return g, err
 	}
-	req.Header.Set("Authorization", "Bearer "+secret)
 	last, n := time.Now(), 0
 	resp, err := x.client.Do(req)
 	if err != nil {
--- a/internal/measure/slopes/path.go
+++ b/internal/measure/slopes/path.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -10,7 +11,6 @@
 	"net/http/httptest"
 	"net/netip"
 	"net/url"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -33,7 +33,7 @@
 	// tokenPace is a third of the 61 ms between tokens that are promised.
 	tokenPace = 20 * time.Millisecond
 	secret    = "pk-measure"
-	prompt    = `{"model":"model-0","prompt":"stone 7 is loose at the waterline","max_tokens":50}`
+	prompt    = "stone 7 is loose at the waterline"
 )
 
 // path is caller, entry, agent and a stand-in for a target on loopback.
@@ -45,26 +45,27 @@
 	stops           []func()
 }
 
-// standIn streams as many tokens as the last element of the path says, one each
-// tokenPace if the path has the element "paced".
+// standIn streams as many tokens as the request asks for, one each tokenPace if
+// it is paced.
 func standIn(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
-	n, err := strconv.Atoi(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:])
-	if err != nil {
+	var in struct {
+		MaxTokens int  `json:"max_tokens"`
+		Paced     bool `json:"paced"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 		http.Error(w, "no number of tokens", http.StatusBadRequest)
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
-	paced := strings.Contains(r.URL.Path, "/paced/")
-	for i := range n {
-		if paced {
+	for i := range in.MaxTokens {
+		if in.Paced {
 			time.Sleep(tokenPace)
 		}
 		_, _ = fmt.Fprintf(w, "data: {\"choices\":[{\"text\":\"token %d\"}]}\n\n", i)
 		_ = rc.Flush()
 	}
-	_, _ = fmt.Fprintf(w, "data: {\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", n)
+	_, _ = fmt.Fprintf(w, "data: {\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", in.MaxTokens)
 }
 
 func startPath(ctx context.Context) (*path, error) {
@@ -127,13 +128,23 @@
 	}
 }
 
-func (x *path) call(ctx context.Context, base string, tokens int) error {
-	address := fmt.Sprintf("%s/%s/%d", base, pool(0), tokens)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address, strings.NewReader(prompt))
+// request asks for a streamed answer.
+func request(ctx context.Context, base string, tokens int, paced bool) (*http.Request, error) {
+	address := fmt.Sprintf("%s/%s/v1/completions", base, pool(0))
+	body := fmt.Sprintf(`{"prompt": %q, "max_tokens": %d, "paced": %t, "stream": true}`, prompt, tokens, paced)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address, strings.NewReader(body))
 	if err != nil {
-		return errors.Wrap(err, "request")
+		return nil, errors.Wrap(err, "request")
 	}
 	req.Header.Set("Authorization", "Bearer "+secret)
+	return req, nil
+}
+
+func (x *path) call(ctx context.Context, base string, tokens int) error {
+	req, err := request(ctx, base, tokens, false)
+	if err != nil {
+		return err
+	}
 	resp, err := x.client.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "request")
--- a/io/agent/orders_test.go
+++ b/io/agent/orders_test.go
@@ -46,9 +46,10 @@
 	go func() { done <- c.agent.Serve(ctx) }()
 	t.Cleanup(func() {
 		engine.Crash() // ends what it still runs
-		c.links.Close()
 		cancel()
 		c.is.NoErr(<-done)
+		// Only now: an agent that loses a link waits for its entry to resume.
+		c.links.Close()
 		target.Close()
 	})
 	return c
--- a/io/agent/target.go
+++ b/io/agent/target.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -19,10 +20,12 @@
 var ErrCut = errors.New("target did not complete its answer")
 
 const (
-	readBytes     = 32 << 10
-	maxIdleConns  = 1024
-	idleTimeout   = 90 * time.Second
-	maxHeadBytes  = 64 << 10
+	readBytes    = 32 << 10
+	maxIdleConns = 1024
+	idleTimeout  = 90 * time.Second
+	maxHeadBytes = 64 << 10
+	// maxResumes bounds how often an engine is asked to resume one answer.
+	maxResumes    = 3
 	overrunBeyond = 5 * time.Minute
 )
 
@@ -66,8 +69,40 @@
 		}
 		return wire.Ran_RAN_UNKNOWN, errors.Wrap(ErrCut, err.Error())
 	}
+	err = j.receive(ctx, resp)
+	_ = resp.Body.Close()
+	for range maxResumes {
+		if err == nil || !j.resumable(resp) || ctx.Err() != nil {
+			break
+		}
+		a.Log.Info("stream broke off, asking the engine to resume it", "request", j.request.ID, "offset", j.answer.Length, "error", err)
+		err = a.resumeStream(ctx, j, err)
+	}
+	return wire.Ran_RAN_YES, err
+}
+
+// resumable says whether an engine may be asked for the rest of an answer.
+func (j *job) resumable(resp *http.Response) bool {
+	return j.request.Language && j.stream && resp.StatusCode == http.StatusOK
+}
+
+// resumeStream asks the engine for the answer from where it broke off. An engine
+// that cannot resume, or has crashed, leaves the answer cut.
+func (a *Agent) resumeStream(ctx context.Context, j *job, cause error) error {
+	address := fmt.Sprintf("%s/resume/%s?offset=%d", a.Target, j.request.ID, j.answer.Length)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, http.NoBody)
+	if err != nil {
+		return errors.Wrap(ErrCut, err.Error())
+	}
+	resp, err := a.single.RoundTrip(req)
+	if err != nil {
+		return errors.Wrapf(cause, "resume: %v", err)
+	}
 	defer func() { _ = resp.Body.Close() }()
-	return wire.Ran_RAN_YES, j.receive(ctx, resp)
+	if resp.StatusCode != http.StatusOK || !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return errors.Wrapf(cause, "resume: status %d", resp.StatusCode)
+	}
+	return j.receiveBody(ctx, resp, false)
 }
 
 func (a *Agent) newRequest(ctx context.Context, j *job) (*http.Request, error) {
@@ -96,6 +131,11 @@
 	small := resp.ContentLength >= 0 && resp.ContentLength <= readBytes
 	head := &wire.Head{RequestId: j.request.ID[:], Status: uint32(resp.StatusCode), Headers: wire.EncodeHeader(resp.Header)}
 	j.setHead(head, small)
+	return j.receiveBody(ctx, resp, small)
+}
+
+// receiveBody appends a body to the answer.
+func (j *job) receiveBody(ctx context.Context, resp *http.Response, small bool) error {
 	buf := readBuffers.Get().(*[readBytes]byte)
 	defer readBuffers.Put(buf)
 	for {
