--- a/internal/measure/slopes/paced.go
+++ b/internal/measure/slopes/paced.go
@@ -4,8 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"net/http"
-	"strings"
 	"sync"
 	"time"
 
