--- a/internal/deploy/operate.go
+++ b/internal/deploy/operate.go
@@ -18,7 +18,7 @@
 )
 
 // patience bounds the wait for any one state of the deployment.
-const patience = 20 * time.Second
+const patience = time.Minute
 
 // OperatorFiles issues the certificate of an operator with this name.
 func (d *Deployment) OperatorFiles(name fleet.Host) (settings.Links, error) {
