core/state: allow 64 barred attempts under one key

Cause: a refusal under load now bars an attempt to be sure that none has run; after eight of them the key could not be used any more. Change: 64, enough for a caller that repeats each second of a minute.

--- a/core/state/claims.go
+++ b/core/state/claims.go
@@ -15,8 +15,10 @@
 	// unknownRetention is how long a claim that ended unknown bars its key. A
 	// caller that reuses a key after that must have checked what happened.
 	unknownRetention = 30 * 24 * time.Hour
-	// maxAttempts bounds the barred attempts under one key.
-	maxAttempts = 8
+	// maxAttempts bounds the barred attempts under one key. An entry that refuses
+	// a request under load bars one attempt to be sure that none has run, and its
+	// caller may repeat the request each second of a promised minute.
+	maxAttempts = 64
 	// maxIdempotencyKeyBytes bounds the caller's key.
 	maxIdempotencyKeyBytes = 256
 	// claimOverheadBytes is what a claim takes in memory beside its texts: the
