io/entry: test that a refusal under load is true for the key

Cause: the rule had no test of its own. Change: refusals before and after the first run of a key, and without control.

--- a/io/entry/claim_test.go
+++ b/io/entry/claim_test.go
@@ -149,6 +149,45 @@
 	})
 }
 
+// full refuses every request while it is set.
+type full struct{ set bool }
+
+func (f *full) Admit(context.Context, entry.Request) (func(entry.Outcome), error) {
+	if f.set {
+		return nil, &entry.Refusal{Status: http.StatusServiceUnavailable, Type: "queue-full", Title: "too many requests wait"}
+	}
+	return func(entry.Outcome) {}, nil
+}
+
+// Guards against a refusal under load that says not run although an earlier
+// request under the same key has run, and against one that says unknown although
+// none has.
+func TestRefusalUnderLoadIsTrueForTheKey(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		service := &counter{}
+		r := newRig(t, service, 1)
+		defer r.stop()
+		control, admitter := &register{}, &full{set: true}
+		r.entry.Control, r.entry.Admitter = control, admitter
+		order := func() reply { return r.do(http.MethodPost, "/orders", "stone", "Idempotency-Key", "a") }
+		for range 2 { // the claim is free again after each
+			none := order()
+			r.is.Equal(none.status, http.StatusServiceUnavailable)
+			r.is.True(strings.Contains(none.body, `"not-run":"true"`))
+			synctest.Wait()
+		}
+		admitter.set = false
+		r.is.Equal(order().body, "stone ran 1")
+		synctest.Wait()
+		admitter.set = true
+		r.is.Equal(order().body, "stone ran 1") // the kept answer
+		r.is.Equal(service.count("stone"), 1)
+		control.fail = true
+		r.is.True(strings.Contains(order().body, `"not-run":"unknown"`))
+		r.is.True(strings.Contains(r.do(http.MethodPost, "/orders", "wall").body, `"not-run":"true"`)) // has no key
+	})
+}
+
 // gate holds requests until it is opened.
 type gate struct{ open chan struct{} }
 
