--- /dev/null
+++ b/io/daemon/stop_test.go
@@ -0,0 +1,79 @@
+package daemon_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"papayarock/io/daemon"
+	"papayarock/io/entry"
+)
+
+// Guards against a process that interrupts a running request when it is told to
+// stop. The target answers only after the stop has begun.
+func TestStopLetsRequestsEnd(t *testing.T) {
+	is := is.New(t)
+	entered, release := make(chan struct{}), make(chan struct{})
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(entered)
+		<-release
+		_, _ = io.WriteString(w, "whole answer")
+	}))
+	defer backend.Close()
+	target, err := url.Parse(backend.URL)
+	is.NoErr(err)
+	s := oneProcess(t, target)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- daemon.Run(ctx, s, hclog.NewNullLogger()) }()
+	base := "http://" + s.Entry.Listen.String()
+	status, _ := get(t, http.MethodGet, base+entry.ReadyPath, "")
+	is.Equal(status, http.StatusOK)
+
+	answers := make(chan string, 1)
+	go func() {
+		req, err := http.NewRequest(http.MethodPost, base+"/orders", strings.NewReader("stone"))
+		if err != nil {
+			answers <- err.Error()
+			return
+		}
+		req.Header.Set("Authorization", "Bearer "+secret)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			answers <- err.Error()
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			answers <- err.Error()
+			return
+		}
+		answers <- string(body)
+	}()
+	<-entered
+	cancel()
+	for { // the stop has begun once the process is not ready or takes no connection
+		resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Get(base + entry.ReadyPath)
+		if err != nil {
+			break
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	close(release)
+	is.Equal(<-answers, "whole answer")
+	is.NoErr(<-done)
+}
