io/disk: open a directory with a leftover temporary file

Cause: a replica killed between creating the next log's temporary file and renaming it could not start again: opening the directory started the new log under the same temporary name, and then failed to remove the leftover that it had renamed itself. The same held for a creation killed while it wrote its identity. Ruled out: a second process in the directory; the lock is taken before the files are listed.

Change: leftovers are removed before new files are written. The in-memory file system refuses to remove a missing file. TestKillAtEveryByte ends a process at each written byte and opens the directory again.

--- a/io/disk/disk_test.go
+++ b/io/disk/disk_test.go
@@ -238,3 +238,30 @@
 	}
 	t.Fatal("creation does not fit into 2000 bytes")
 }
+
+// Guards against a temporary file of a killed process that keeps the next one
+// from opening the directory.
+func TestKillAtEveryByte(t *testing.T) {
+	is := is.New(t)
+	for room := range 4000 {
+		fs := newMemory()
+		fs.room = room
+		s, _, _, err := open(fs)
+		var accepted uint64
+		for i := uint64(2); err == nil && i < 6; i++ {
+			if err = s.Write([]log.Persist{write(i, 2)}); err == nil {
+				accepted = i
+			}
+			if err == nil && i == 4 {
+				err = s.Write([]log.Persist{{Snapshot: &log.Snapshot{Index: 3, Term: 2, Members: log.Voters("a", "b", "c"), Data: []byte("three")}, Entries: []log.Entry{entry(4, 2)}}})
+			}
+		}
+		_, stored := mustOpen(t, fs.kill())
+		last := stored.Snapshot.Index + uint64(len(stored.Entries))
+		is.True(last >= accepted) // no accepted entry is lost
+		if err == nil {
+			return
+		}
+	}
+	t.Fatal("the writes do not fit into 4000 bytes")
+}
--- a/io/disk/memory_test.go
+++ b/io/disk/memory_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"io/fs"
+	"maps"
 	"path/filepath"
 	"sync"
 
@@ -73,9 +74,20 @@
 	return nil
 }
 
+// kill returns the directory as the end of the process leaves it, while the
+// host goes on.
+func (m *memory) kill() *memory {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &memory{names: maps.Clone(m.names), durable: m.durable, locked: map[string]bool{}, room: -1}
+}
+
 func (m *memory) Remove(name string) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.names[name] == nil {
+		return fs.ErrNotExist
+	}
 	delete(m.names, name)
 	return nil
 }
--- a/io/disk/open.go
+++ b/io/disk/open.go
@@ -87,10 +87,11 @@
 // an interrupted creation starts over with a new identity.
 func (s *Store) create(o Options, names []string) (log.Identity, log.Stored, error) {
 	d := &wire.LogDirectory{Host: string(o.Host), Identity: uint64(o.Identity), Format: formatVersion}
-	if err := s.writeIdentity(d); err != nil {
+	unused := func(name string) bool { return isNumbered(name) || strings.HasSuffix(name, temporary) }
+	if err := s.removeAll(names, unused); err != nil {
 		return 0, log.Stored{}, err
 	}
-	if err := s.clean(names, ""); err != nil {
+	if err := s.writeIdentity(d); err != nil {
 		return 0, log.Stored{}, err
 	}
 	var stored log.Stored
@@ -152,10 +153,17 @@
 		return stored, errors.Wrapf(ErrDamaged, "%s starts at entry %d after snapshot %d", name, stored.Entries[0].Index, s.snapshot)
 	}
 	s.hard = stored.Hard
+	// Before the new log: a temporary file that a killed process left may have
+	// the very name that the new log starts under.
+	isTemporary := func(name string) bool { return strings.HasSuffix(name, temporary) }
+	if err := s.removeAll(names, isTemporary); err != nil {
+		return stored, err
+	}
 	if err := s.newLog(stored.Entries); err != nil {
 		return stored, errors.Wrapf(ErrWrite, "%v", err)
 	}
-	return stored, s.clean(names, numbered(snapshotPrefix, s.snapshot))
+	snapshot := numbered(snapshotPrefix, s.snapshot)
+	return stored, s.removeAll(names, func(name string) bool { return isNumbered(name) && name != snapshot })
 }
 
 func (s *Store) replay(records []record, stored *log.Stored) error {
@@ -196,13 +204,10 @@
 	return append(old[:next-first], list...), nil
 }
 
-// clean removes files that are no longer used. The log in use is newer than
-// names.
-func (s *Store) clean(names []string, keep string) error {
+// removeAll removes the files among names that are unused.
+func (s *Store) removeAll(names []string, unused func(name string) bool) error {
 	for _, name := range names {
-		_, isLog := number(name, logPrefix)
-		_, isSnapshot := number(name, snapshotPrefix)
-		if name == keep || (!isLog && !isSnapshot && !strings.HasSuffix(name, temporary)) {
+		if !unused(name) {
 			continue
 		}
 		if err := s.fs.Remove(s.path(name)); err != nil {
@@ -212,6 +217,13 @@
 	return nil
 }
 
+// isNumbered says whether name is that of a log or a snapshot.
+func isNumbered(name string) bool {
+	_, isLog := number(name, logPrefix)
+	_, isSnapshot := number(name, snapshotPrefix)
+	return isLog || isSnapshot
+}
+
 // number returns the number in a file name with prefix.
 func number(name, prefix string) (uint64, bool) {
 	rest, ok := strings.CutPrefix(name, prefix)
--- a/io/entry/claim_test.go
+++ b/io/entry/claim_test.go
@@ -239,6 +239,9 @@
 		service.set(0, 0)
 		r.is.Equal(r.do(http.MethodPost, "/reads", "x").status, http.StatusOK)
 		time.Sleep(time.Minute)
+		// The server closes the idle connection at this very time; a client that
+		// has not seen it yet would send the next request there.
+		synctest.Wait()
 		stale := r.do(http.MethodPost, "/reads", "y")
 		r.is.Equal(stale.status, http.StatusServiceUnavailable)
 		r.is.True(strings.Contains(stale.body, `"not-run":"true"`))
