--- a/internal/demo/traffic.go
+++ b/internal/demo/traffic.go
@@ -30,6 +30,7 @@
 type sentOrder struct {
 	body   string
 	notRun string // of the refusal, "" if answered
+	detail string // of the refusal, for the report
 }
 
 // traffic sends requests until it is stopped.
@@ -152,10 +153,21 @@
 		t.answered++
 	}
 	if !isEngine(work) && work.Idempotent == answers.Never {
-		t.orders = append(t.orders, sentOrder{body, refused})
+		t.orders = append(t.orders, sentOrder{body, refused, describe(o)})
 	}
 }
 
+// describe returns the status and the body of a refusal on one line.
+func describe(o outcome) string {
+	switch {
+	case o.err != nil:
+		return o.err.Error()
+	case o.status == http.StatusOK:
+		return ""
+	}
+	return fmt.Sprintf("%d %s", o.status, bytes.TrimSpace(o.body))
+}
+
 // notRunOf returns what a refusal says of the request; "" if it was answered.
 func notRunOf(o outcome) string {
 	if o.err != nil {
--- a/internal/demo/verdict.go
+++ b/internal/demo/verdict.go
@@ -40,25 +40,26 @@
 	first := r.last(id)
 	r.traffic.one(ctx, &http.Client{}, customer, r.d.Entries[1], work, id)
 	second := r.last(id)
+	r.say("  first: %s; then: %s", first.detail, second.detail)
 	runs := 0
 	for _, s := range services {
 		runs += s.Runs(id)
 	}
-	r.judge("a repeated order whose answer was lost runs once", runs == 1 && first != "true" && second != "true",
-		"ran %d time(s); not-run %q, then %q", runs, first, second)
+	r.judge("a repeated order whose answer was lost runs once", runs == 1 && first.notRun != "true" && second.notRun != "true",
+		"ran %d time(s); not-run %q, then %q", runs, first.notRun, second.notRun)
 	return nil
 }
 
 // last returns what the last request with a body was told.
-func (r *run) last(body string) string {
+func (r *run) last(body string) sentOrder {
 	r.traffic.mu.Lock()
 	defer r.traffic.mu.Unlock()
 	for _, o := range slices.Backward(r.traffic.orders) {
 		if o.body == body {
-			return o.notRun
+			return o
 		}
 	}
-	return "missing"
+	return sentOrder{notRun: "missing"}
 }
 
 func (r *run) judge(what string, ok bool, format string, args ...any) {
