core/admit: hold a customer's limit over all pools

Cause: each pool's queue kept its own share of a customer's limits and was granted the whole of it, so a customer of two pools could spend its limit twice. A renewed share replaced the old one, which forgave what long answers had overdrawn and restored what had just been spent when control changed the share. A request larger than three seconds of the share was refused for ever with a Retry-After.

Change: Limits holds one token bucket for each limited customer, shared by the queues. Shares give its rate; large requests and long answers leave a debt. TestLimit and TestLimitsAreSpentLocally ask for the new behaviour: the first large request runs and the next of any size is refused until the debt is paid, in every pool. TestLimitHoldsForLargeRequests bounds the mean over ten minutes by the limit.

Before: two pools spend 2 x the limit; a request of 1,000 tokens at 50 tokens/s never runs. After: at most the limit and one request in debt.

--- a/core/admit/event.go
+++ b/core/admit/event.go
@@ -7,8 +7,8 @@
 	"papayarock/core/fleet"
 )
 
-// Event is an input of Queue.Step: Configure, Capacity, Share, Submit,
-// FirstToken, Progress, Done, Cancel or Tick.
+// Event is an input of Queue.Step: Configure, Capacity, Submit, FirstToken,
+// Progress, Done, Cancel or Tick.
 type Event interface{ event() }
 
 // Configure replaces customers and windows.
@@ -26,15 +26,6 @@
 	Prefilling   float64 // targets that process prompts; 0 means Targets
 }
 
-// Share grants a limited customer tokens and requests to spend at this entry.
-// A later share replaces the earlier one.
-type Share struct {
-	Customer fleet.Customer
-	Tokens   float64
-	Requests float64
-	Expires  time.Time
-}
-
 // Submit asks for a request to run.
 type Submit struct {
 	ID           fleet.RequestID
@@ -72,7 +63,6 @@
 
 func (Configure) event()  {}
 func (Capacity) event()   {}
-func (Share) event()      {}
 func (Submit) event()     {}
 func (FirstToken) event() {}
 func (Progress) event()   {}
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -16,6 +16,7 @@
 	MaxTotal       int           // waiting requests; 0 means 4096
 	PrefillDepth   time.Duration // prompt work handed over and not yet processed, per target; 0 means 250 ms
 	Lead           time.Duration // time before a window opens in which patient work is already held back; 0 means 10 s
+	Limits         *Limits       // shared by the queues of all pools; nil grants limited customers nothing
 }
 
 // Queue admits the requests of one pool. Use New.
@@ -48,7 +49,6 @@
 	name     fleet.Customer
 	weight   float64
 	limited  bool
-	share    Share
 	start    float64 // start tag of the next request, price over weight
 	finish   float64 // finish tag of the last dispatched request
 	queues   [classes]backlog
@@ -99,6 +99,9 @@
 	if o.Lead == 0 {
 		o.Lead = 10 * time.Second
 	}
+	if o.Limits == nil {
+		o.Limits = &Limits{}
+	}
 	q := &Queue{
 		o:         o,
 		customers: make(map[fleet.Customer]*customer),
@@ -124,8 +127,6 @@
 		if q.capacity.Prefilling == 0 {
 			q.capacity.Prefilling = e.Targets
 		}
-	case Share:
-		q.customer(e.Customer).share = e
 	case Submit:
 		q.submit(now, e)
 	case FirstToken:
@@ -200,18 +201,20 @@
 	i.prompt = e.PromptTokens * q.capacity.PrefillPrice
 	i.charged = i.prompt + i.output*q.capacity.DecodePrice
 	i.refuseAt = q.latestStart(i)
-	if c.limited && !c.spend(now, i) {
-		q.refuse(e.ID, Limited, max(0, c.share.Expires.Sub(now)))
-		return
+	if c.limited {
+		if wait, ok := q.o.Limits.spend(now, c.name, i.PromptTokens+i.output); !ok {
+			q.refuse(e.ID, Limited, wait)
+			return
+		}
 	}
 	wait := q.expectedWait(c, i)
 	if now.Add(wait).After(i.refuseAt) {
-		c.refund(i)
+		q.refund(i)
 		q.refuse(e.ID, Late, wait)
 		return
 	}
 	if c.waiting >= q.o.MaxPerCustomer || (q.Waiting() >= q.o.MaxTotal && !q.displace(c, e.Class)) {
-		c.refund(i)
+		q.refund(i)
 		q.refuse(e.ID, Full, wait)
 		return
 	}
@@ -311,7 +314,7 @@
 // drop refuses a waiting request.
 func (q *Queue) drop(i *item, r Reason) {
 	q.unqueue(i)
-	i.owner.refund(i)
+	q.refund(i)
 	delete(q.items, i.ID)
 	q.refuse(i.ID, r, 0)
 }
@@ -322,20 +325,9 @@
 	}
 }
 
-// spend takes the request out of the customer's share.
-func (c *customer) spend(now time.Time, i *item) bool {
-	need := i.PromptTokens + i.output
-	if now.After(c.share.Expires) || c.share.Tokens < need || c.share.Requests < 1 {
-		return false
-	}
-	c.share.Tokens -= need
-	c.share.Requests--
-	return true
-}
-
-func (c *customer) refund(i *item) {
-	if c.limited {
-		c.share.Tokens += i.PromptTokens + i.output
-		c.share.Requests++
+// refund gives back what a request took that has not run.
+func (q *Queue) refund(i *item) {
+	if i.owner.limited {
+		q.o.Limits.refund(i.owner.name, i.PromptTokens+i.output, 1)
 	}
 }
--- a/core/admit/run.go
+++ b/core/admit/run.go
@@ -214,7 +214,7 @@
 // charge sets what a request costs its customer.
 func (q *Queue) charge(i *item, prompt, output float64) {
 	if i.owner.limited {
-		i.owner.share.Tokens += i.PromptTokens + i.output - prompt - output
+		q.o.Limits.refund(i.owner.name, i.PromptTokens+i.output-prompt-output, 0)
 	}
 	price := prompt*q.capacity.PrefillPrice + output*q.capacity.DecodePrice
 	d := (price - i.charged) / i.owner.weight
@@ -254,7 +254,7 @@
 		q.end(i)
 	default:
 		q.unqueue(i)
-		i.owner.refund(i)
+		q.refund(i)
 		delete(q.items, id)
 	}
 }
--- a/io/serving/admit.go
+++ b/io/serving/admit.go
@@ -130,13 +130,12 @@
 func (p *Policy) step(now time.Time, name string, e admit.Event) {
 	q := p.pools[name]
 	if q == nil {
-		q = &pool{queue: admit.New(admit.Options{})}
+		q = &pool{queue: admit.New(admit.Options{Limits: &p.limits})}
 		p.pools[name] = q
 		if p.index != nil {
 			p.apply(q.queue.Step(now, admit.Configure{Customers: p.index.Customers(), Windows: p.index.General.Windows}))
 		}
 		p.resize(now, name, q)
-		p.grant(now, q)
 	}
 	p.apply(q.queue.Step(now, e))
 }
@@ -210,38 +209,37 @@
 		p.o.Log.Info("share of the limits changed", "parts", s.Parts, "of", state.ShareUnit, "expires", s.Expires)
 	}
 	p.parts, p.share = s.Parts, s.Expires
+	p.grant(now)
 	for name, q := range p.pools {
-		p.grant(now, q)
 		p.resize(now, name, q)
 	}
 }
 
-// grant gives a queue the tokens and requests of limited customers for the time
-// until the share is renewed.
-func (p *Policy) grant(now time.Time, q *pool) {
+// grant gives limited customers their part of the share.
+func (p *Policy) grant(now time.Time) {
 	if p.index == nil || p.share.IsZero() {
 		return
 	}
 	part := float64(p.parts) / state.ShareUnit
-	period := shareInterval.Seconds()
+	var shares []admit.Share
 	for _, c := range p.index.Customers() {
 		if c.TokensPerSecond <= 0 && c.RequestsPerSec <= 0 {
 			continue
 		}
-		p.apply(q.queue.Step(now, admit.Share{
-			Customer: c.Name, Tokens: granted(c.TokensPerSecond * part * period),
-			Requests: granted(c.RequestsPerSec * part * period), Expires: p.share,
-		}))
+		shares = append(shares, admit.Share{
+			Customer: c.Name, TokensPerSecond: limit(c.TokensPerSecond, part),
+			RequestsPerSecond: limit(c.RequestsPerSec, part), Expires: p.share,
+		})
 	}
+	p.limits.Grant(now, shares)
 }
 
-// granted returns the amount of one limit of a customer who has another; 0
-// means that this one does not exist.
-func granted(amount float64) float64 {
-	if amount <= 0 {
+// limit returns a part of a limit; 0 stands for none in the configuration.
+func limit(perSecond, part float64) float64 {
+	if perSecond <= 0 {
 		return math.Inf(1)
 	}
-	return amount
+	return perSecond * part
 }
 
 // maxOutput bounds the estimate of the answer. A plain service produces no
--- a/io/serving/policy.go
+++ b/io/serving/policy.go
@@ -73,6 +73,7 @@
 	speeds  map[fleet.TargetName]speed
 	demand  map[demandKey]work
 	asked   time.Time // when the demand was last handed out
+	limits  admit.Limits
 	parts   uint32    // of state.ShareUnit
 	share   time.Time // end of the share
 }
@@ -126,6 +127,7 @@
 		q.queue.Step(now, admit.Configure{Customers: x.Customers(), Windows: x.General.Windows})
 		p.resize(now, name, q)
 	}
+	p.grant(now)
 }
 
 // Serve ticks, polls loads and renews the share until ctx ends.
