io/identity: revoke the certificates of a host

Cause: a stolen host or operator key stayed valid until its certificate expired, a year by default; the only means was a new authority and new certificates for every host.

Change: "papayarock hosts revoke HOST" refuses what was issued under a name before the change; a certificate issued later is valid. The list is part of the replicated configuration and reaches every process with its polls. It is checked in each handshake, for each call, and once a second for each open session, since streams between replicas never end.

Before: an old key opened links and the operator address.

--- a/cmd/papayarock/hosts.go
+++ b/cmd/papayarock/hosts.go
@@ -18,6 +18,22 @@
 			hostCommand("add", "add a learner, which receives the log and does not vote", operator.AddLearner),
 			hostCommand("promote", "make a learner that has caught up a voter", operator.Promote),
 			hostCommand("remove", "remove a voter or learner", operator.Remove),
+			{
+				Name:      "revoke",
+				Usage:     "revoke the certificates that a host was issued so far",
+				ArgsUsage: "HOST",
+				Description: `Every process refuses the host as soon as the change is in force, and closes its
+sessions. A certificate that is issued to the host afterwards is valid. Revoking
+an operator's certificate works the same way, by the name it was issued to.
+
+Example:
+  papayarock hosts revoke --operator operator.toml agent-7`,
+				Flags: changeFlags(),
+				Action: onName("HOST", func(ctx context.Context, c *cli.Command, s *command.Session, host string) error {
+					return s.RevokeHost(ctx, changeOf(c), host)
+				}),
+			},
+			listCommand("revoked", "list the hosts with revoked certificates", "hosts revoked", (*command.Session).Revocations),
 		},
 	}
 }
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -94,4 +94,5 @@
 	Keys     []Key
 	Targets  []fleet.Target
 	Cut      []CutKey // keys withdrawn of late whose running requests are interrupted
+	Revoked  []Revocation
 }
--- a/core/config/delta.go
+++ b/core/config/delta.go
@@ -33,4 +33,5 @@
 	Cut             []CutKey // withdrawn keys whose requests are interrupted
 	RemoveTargets   []fleet.TargetName
 	PutTargets      []fleet.Target
+	Revoked         []Revocation // added
 }
--- a/core/config/index.go
+++ b/core/config/index.go
@@ -20,7 +20,8 @@
 type Index struct {
 	Revision uint64
 	General  General
-	Cut      []CutKey // keys withdrawn of late whose running requests are interrupted
+	Cut      []CutKey     // keys withdrawn of late whose running requests are interrupted
+	Revoked  []Revocation // sorted by host
 
 	keys      partition[Digest, Key]
 	digests   partition[string, Digest] // by key ID
@@ -37,7 +38,7 @@
 func NewIndex(s Snapshot) *Index {
 	d := s.Document
 	x, _ := (&Index{}).Apply(Delta{ // a delta from revision 0 never has a gap
-		To: s.Revision, PutCustomers: d.Customers, PutKeys: s.Keys, PutTargets: s.Targets, Cut: s.Cut,
+		To: s.Revision, PutCustomers: d.Customers, PutKeys: s.Keys, PutTargets: s.Targets, Cut: s.Cut, Revoked: s.Revoked,
 		General: &General{Team: d.Team, Routes: d.Routes, Models: d.Models, PoolModel: d.PoolModel, Windows: d.Windows, Budget: d.Budget},
 	})
 	x.Revision = s.Revision
@@ -55,7 +56,7 @@
 		return x, nil
 	}
 	n := &Index{
-		Revision: d.To, General: x.General, Cut: x.Cut, keys: x.keys, digests: x.digests,
+		Revision: d.To, General: x.General, Cut: x.Cut, Revoked: mergeRevoked(x.Revoked, d.Revoked), keys: x.keys, digests: x.digests,
 		customers: x.customers, targets: x.targets, pools: x.pools, routes: x.routes,
 	}
 	if d.General != nil {
@@ -164,7 +165,7 @@
 func (x *Index) Snapshot() Snapshot {
 	g := x.General
 	return Snapshot{
-		Revision: x.Revision, Cut: x.Cut,
+		Revision: x.Revision, Cut: x.Cut, Revoked: x.Revoked,
 		Document: Document{
 			Team: g.Team, Routes: g.Routes, Models: g.Models, PoolModel: g.PoolModel, Windows: g.Windows, Budget: g.Budget,
 			Customers: x.Customers(),
--- a/core/config/index_test.go
+++ b/core/config/index_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -72,8 +73,9 @@
 // Guards against an entry that reappears when deltas are sent as one.
 func TestMergeEqualsSteps(t *testing.T) {
 	is := is.New(t)
-	a := Delta{From: 7, To: 8, PutKeys: []Key{{ID: "k", Digest: Digest{1}}}, RemoveCustomers: []fleet.Customer{"c00000"}}
-	b := Delta{From: 8, To: 9, RemoveKeys: []string{"k"}, PutCustomers: []Customer{{Name: "c00000", Weight: 3}}}
+	day := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	a := Delta{From: 7, To: 8, PutKeys: []Key{{ID: "k", Digest: Digest{1}}}, RemoveCustomers: []fleet.Customer{"c00000"}, Revoked: []Revocation{{"h2", day}, {"h1", day.Add(time.Hour)}}}
+	b := Delta{From: 8, To: 9, RemoveKeys: []string{"k"}, PutCustomers: []Customer{{Name: "c00000", Weight: 3}}, Revoked: []Revocation{{"h1", day}}}
 	c := Delta{From: 9, To: 10, PutKeys: []Key{{ID: "k", Digest: Digest{2}}}, PutTargets: []fleet.Target{{Name: "t", Pool: "p"}}}
 	x := NewIndex(wide(3, 2))
 	steps := x
@@ -85,6 +87,10 @@
 	once, err := x.Apply(Merge(a, b, c))
 	is.NoErr(err)
 	is.Equal(once.Snapshot(), steps.Snapshot())
+	is.Equal(once.Revoked, []Revocation{{"h1", day.Add(time.Hour)}, {"h2", day}}) // the later one stays
+	is.True(once.IsRevoked("h1", day))
+	is.True(!once.IsRevoked("h1", day.Add(time.Hour)))
+	is.True(!once.IsRevoked("h3", day))
 }
 
 func BenchmarkApplyOneKey(b *testing.B) {
--- a/core/config/merge.go
+++ b/core/config/merge.go
@@ -27,6 +27,7 @@
 			out.General = d.General
 		}
 		out.Cut = mergeCut(out.Cut, d.Cut)
+		out.Revoked = mergeRevoked(out.Revoked, d.Revoked)
 		customers.add(d.RemoveCustomers, d.PutCustomers, func(c Customer) fleet.Customer { return c.Name })
 		keys.add(d.RemoveKeys, d.PutKeys, func(k Key) string { return k.ID })
 		targets.add(d.RemoveTargets, d.PutTargets, func(t fleet.Target) fleet.TargetName { return t.Name })
@@ -40,7 +41,7 @@
 // Entries counts the edits of d.
 func (d Delta) Entries() int {
 	return len(d.RemoveCustomers) + len(d.PutCustomers) + len(d.RemoveKeys) + len(d.PutKeys) +
-		len(d.RemoveTargets) + len(d.PutTargets) + len(d.Cut)
+		len(d.RemoveTargets) + len(d.PutTargets) + len(d.Cut) + len(d.Revoked)
 }
 
 type merger[K cmp.Ordered, V any] struct {
--- /dev/null
+++ b/core/config/revocation.go
@@ -0,0 +1,51 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"papayarock/core/fleet"
+)
+
+// MaxRevocations bounds the hosts with revoked certificates, so that the list
+// fits into one message beside the document.
+const MaxRevocations = 1024
+
+// Revocation revokes the certificates of a host that were issued before a time.
+// Certificates issued later are valid, so that a host whose key was lost can be
+// given a new one.
+type Revocation struct {
+	Host         fleet.Host
+	IssuedBefore time.Time
+}
+
+// IsRevoked reports whether a certificate of host that was issued at a time is
+// revoked.
+func (x *Index) IsRevoked(host fleet.Host, issued time.Time) bool {
+	i, ok := findRevocation(x.Revoked, host)
+	return ok && issued.Before(x.Revoked[i].IssuedBefore)
+}
+
+func findRevocation(list []Revocation, host fleet.Host) (int, bool) {
+	return slices.BinarySearchFunc(list, host, func(r Revocation, h fleet.Host) int { return cmp.Compare(r.Host, h) })
+}
+
+// mergeRevoked returns a with the revocations of b, sorted by host. The later
+// of two for one host stays.
+func mergeRevoked(a, b []Revocation) []Revocation {
+	if len(b) == 0 {
+		return a
+	}
+	out := slices.Clone(a)
+	for _, r := range b {
+		i, ok := findRevocation(out, r.Host)
+		switch {
+		case !ok:
+			out = slices.Insert(out, i, r)
+		case r.IssuedBefore.After(out[i].IssuedBefore):
+			out[i] = r
+		}
+	}
+	return out
+}
--- a/core/state/change.go
+++ b/core/state/change.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -81,6 +82,8 @@
 		return m.issueKey(a, c.Time)
 	case WithdrawKey:
 		return m.withdrawKey(a)
+	case RevokeHost:
+		return m.revokeHost(a, c.Time)
 	case DrainTarget:
 		return m.drainTarget(a)
 	case ReplaceTarget:
@@ -223,6 +226,18 @@
 	return nil
 }
 
+func (m *Machine) revokeHost(a RevokeHost, now time.Time) error {
+	if a.Host == "" || len(a.Host) > maxNameBytes {
+		return errors.Errorf("host %q is empty or too long", a.Host)
+	}
+	known := slices.ContainsFunc(m.config.Revoked, func(r config.Revocation) bool { return r.Host == a.Host })
+	if !known && len(m.config.Revoked) >= config.MaxRevocations {
+		return errors.Errorf("the certificates of %d hosts are already revoked; a new authority is needed", config.MaxRevocations)
+	}
+	m.pending.Revoked = []config.Revocation{{Host: a.Host, IssuedBefore: now}}
+	return nil
+}
+
 func describe(a Action) string {
 	switch a := a.(type) {
 	case ReplaceDocument:
@@ -231,6 +246,8 @@
 		return fmt.Sprintf("issue key %q to %q", a.ID, a.Customer)
 	case WithdrawKey:
 		return fmt.Sprintf("withdraw key %q, cut=%t", a.ID, a.Cut)
+	case RevokeHost:
+		return fmt.Sprintf("revoke certificates of host %q issued so far", a.Host)
 	case DrainTarget:
 		return fmt.Sprintf("drain target %q, leave=%t", a.Target, a.Leave)
 	case ReplaceTarget:
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -41,6 +41,10 @@
 	Cut bool
 }
 
+// RevokeHost revokes the certificates of a host that were issued before the
+// change.
+type RevokeHost struct{ Host fleet.Host }
+
 // DrainTarget keeps new requests from a target. With Leave it then goes;
 // without, it stays drained until CancelDrain.
 type DrainTarget struct {
@@ -243,6 +247,7 @@
 func (ReplaceDocument) action() {}
 func (IssueKey) action()        {}
 func (WithdrawKey) action()     {}
+func (RevokeHost) action()      {}
 func (DrainTarget) action()     {}
 func (ReplaceTarget) action()   {}
 func (SetRole) action()         {}
--- a/core/state/machine_test.go
+++ b/core/state/machine_test.go
@@ -124,6 +124,32 @@
 	is.Equal(after.Snapshot(), r.Config().Snapshot())
 }
 
+// Guards against a revocation that is lost in a delta or a snapshot, that moves
+// back in time, or that makes the list grow without bound.
+func TestRevokeHost(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	before := r.Config()
+	is.Equal(r.change("r1", before.Revision, RevokeHost{"h1"}).Outcome, ChangeAccepted)
+	is.True(r.Config().IsRevoked("h1", start.Add(-time.Second)))
+	is.True(!r.Config().IsRevoked("h1", start.Add(time.Hour)))
+	is.Equal(r.change("r2", r.Config().Revision, RevokeHost{""}).Outcome, ChangeInvalid)
+	d, ok := r.Delta(before.Revision)
+	is.True(ok)
+	after, err := before.Apply(d)
+	is.NoErr(err)
+	is.Equal(after.Snapshot(), r.Config().Snapshot())
+	restored := New()
+	restored.Restore(r.Image())
+	is.Equal(restored.Config().Revoked, r.Config().Revoked)
+	for i := len(r.Config().Revoked); i < config.MaxRevocations; i++ {
+		id := fmt.Sprint("many", i)
+		is.Equal(r.change(id, r.Config().Revision, RevokeHost{fleet.Host(id)}).Outcome, ChangeAccepted)
+	}
+	is.Equal(r.change("full", r.Config().Revision, RevokeHost{"full"}).Outcome, ChangeInvalid)
+	is.Equal(r.change("again", r.Config().Revision, RevokeHost{"h1"}).Outcome, ChangeAccepted)
+}
+
 // Guards against a replacement that takes the old target out of service before
 // the new one serves, or that orders two targets.
 func TestReplaceTarget(t *testing.T) {
--- a/internal/command/changes.go
+++ b/internal/command/changes.go
@@ -64,6 +64,11 @@
 	return s.commit(ctx, c, operator.Change{Action: operator.WithdrawKey, Key: id, Cut: cut})
 }
 
+// RevokeHost revokes the certificates of a host that were issued so far.
+func (s *Session) RevokeHost(ctx context.Context, c Change, host string) error {
+	return s.commit(ctx, c, operator.Change{Action: operator.RevokeHost, Host: host})
+}
+
 // DrainTarget keeps new requests from a target. With leave it then goes.
 func (s *Session) DrainTarget(ctx context.Context, c Change, target string, within time.Duration, leave bool) error {
 	return s.timed(ctx, c, within, operator.Change{Action: operator.DrainTarget, Target: target, Leave: leave})
--- a/internal/command/lists.go
+++ b/internal/command/lists.go
@@ -41,6 +41,18 @@
 		column[k]{"ISSUED", func(k k) any { return k.Issued }})
 }
 
+// Revocations lists the hosts with revoked certificates.
+func (s *Session) Revocations(ctx context.Context) error {
+	l, err := s.Client.Revocations(ctx)
+	if err != nil {
+		return err
+	}
+	type r = operator.Revocation
+	return table(s.Out, l, l.Items,
+		column[r]{"HOST", func(r r) any { return r.Host }},
+		column[r]{"ISSUED BEFORE", func(r r) any { return r.IssuedBefore }})
+}
+
 // Usage lists the usage by window, customer and route.
 func (s *Session) Usage(ctx context.Context) error {
 	l, err := s.Client.Usage(ctx)
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"papayarock/core/capacity"
+	"papayarock/core/config"
 	"papayarock/core/dispatch"
 	"papayarock/core/fleet"
 	"papayarock/core/state"
@@ -211,6 +212,12 @@
 	return s
 }
 
+// Index returns the newest configuration this replica has applied.
+func (c *Controller) Index() *config.Index {
+	x, _ := c.machine.config()
+	return x
+}
+
 // Dump is the state of a Controller for operators.
 type Dump struct {
 	Status      operator.Status
--- a/io/controller/lists.go
+++ b/io/controller/lists.go
@@ -111,6 +111,14 @@
 	return out
 }
 
+func listRevocations(_ *Controller, i *state.Image) []operator.Revocation {
+	out := make([]operator.Revocation, 0, len(i.Config.Revoked))
+	for _, r := range i.Config.Revoked {
+		out = append(out, operator.Revocation{Host: string(r.Host), IssuedBefore: r.IssuedBefore})
+	}
+	return out
+}
+
 func listUsage(_ *Controller, i *state.Image) []operator.Usage {
 	out := []operator.Usage{}
 	for _, w := range i.Usage.Sealed {
--- a/io/controller/operator.go
+++ b/io/controller/operator.go
@@ -44,6 +44,7 @@
 	mux.HandleFunc("GET /v1/orders", serveList(c, listOrders))
 	mux.HandleFunc("GET /v1/audit", serveList(c, listAudit))
 	mux.HandleFunc("GET /v1/hosts", serveList(c, listHosts))
+	mux.HandleFunc("GET /v1/revocations", serveList(c, listRevocations))
 	mux.HandleFunc("GET /v1/plan", c.servePlan)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { respond(w, http.StatusOK, c.Status()) })
 	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, _ *http.Request) { respond(w, http.StatusOK, c.Dump()) })
@@ -164,6 +165,8 @@
 		return state.IssueKey{ID: b.Key, Digest: d, Customer: fleet.Customer(b.Customer)}, nil
 	case operator.WithdrawKey:
 		return state.WithdrawKey{ID: b.Key, Cut: b.Cut}, nil
+	case operator.RevokeHost:
+		return state.RevokeHost{Host: fleet.Host(b.Host)}, nil
 	case operator.DrainTarget:
 		return state.DrainTarget{Target: target, Until: now.Add(drain), Leave: b.Leave}, nil
 	case operator.ReplaceTarget:
@@ -273,11 +276,14 @@
 	if credentials == nil {
 		return c.Operators(func(*http.Request) (string, error) { return plainOperator, nil }), nil
 	}
-	return c.Operators(OperatorName), identity.ServerConfig(credentials, identity.Operator)
+	name := func(r *http.Request) (string, error) { return operatorName(r, credentials) }
+	return c.Operators(name), identity.ServerConfig(credentials, identity.Operator)
 }
 
-// OperatorName names the operator of a request by its client certificate.
-func OperatorName(r *http.Request) (string, error) {
+// operatorName names the operator of a request by its client certificate. The
+// check for revocation is made again for each request, since connections stay
+// open.
+func operatorName(r *http.Request, credentials *identity.Credentials) (string, error) {
 	if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
 		return "", errors.New("an operator's client certificate is required")
 	}
@@ -288,5 +294,8 @@
 	if !p.Is(identity.Operator) {
 		return "", errors.Errorf("host %q is not an operator", p.Host)
 	}
+	if credentials.IsRevoked(p) {
+		return "", errors.Errorf("the certificate of operator %q is revoked", p.Host)
+	}
 	return string(p.Host), nil
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/thejerf/suture/v4"
 
+	"papayarock/core/config"
 	"papayarock/io/identity"
 	"papayarock/io/link"
 	"papayarock/io/settings"
@@ -31,6 +32,7 @@
 	servers     []server // started in order, stopped in reverse
 	dumps       map[string]func() any
 	metrics     metrics
+	indexes     []func() *config.Index // of the roles, to look up revoked certificates
 }
 
 // Run runs the roles that s names until ctx ends.
@@ -113,9 +115,21 @@
 	if peer.Host != p.s.Host {
 		return nil, errors.Wrapf(ErrStart, "certificate %s is that of host %q, not %q", p.s.Links.Certificate, peer.Host, p.s.Host)
 	}
+	c.Revoked = p.revoked
 	return c, nil
 }
 
+// revoked looks a certificate up in the configuration of each role. A process
+// that has not received a configuration yet knows of no revocation.
+func (p *process) revoked(peer identity.Peer) bool {
+	for _, index := range p.indexes {
+		if x := index(); x != nil && x.IsRevoked(peer.Host, peer.Issued) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *process) listen(ctx context.Context, addr string) (net.Listener, error) {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr)
 	return l, errors.Wrap(err, "listen")
@@ -128,5 +142,7 @@
 		o.Addresses = append(o.Addresses, link.Address{Host: h.Host, AddrPort: h.Address})
 	}
 	o.Links, o.Host = p.links, p.s.Host
-	return subscribe.New(o)
+	c := subscribe.New(o)
+	p.indexes = append(p.indexes, c.Index.Load)
+	return c
 }
--- a/io/daemon/roles.go
+++ b/io/daemon/roles.go
@@ -51,6 +51,7 @@
 	}
 	links := &link.Server{Listener: l, Identity: p.credentials, StopTimeout: controlStop, Log: p.log.Named("link")}
 	c.Register(links)
+	p.indexes = append(p.indexes, c.Index)
 	p.add("control", c)
 	p.add("control links", links)
 	p.dumps["control"] = c.Dump
--- a/io/identity/identity.go
+++ b/io/identity/identity.go
@@ -44,8 +44,9 @@
 
 // Peer is what a certificate proves about its holder.
 type Peer struct {
-	Host  fleet.Host
-	Roles []Role
+	Host   fleet.Host
+	Roles  []Role
+	Issued time.Time
 }
 
 // Is reports whether p holds at least one of the roles.
@@ -64,8 +65,15 @@
 type Credentials struct {
 	Certificate tls.Certificate
 	Authority   *x509.Certificate
+	// Revoked says whether a peer's certificate is revoked; nil means none is.
+	// It must be safe for concurrent use.
+	Revoked func(Peer) bool
 }
 
+// IsRevoked reports whether the certificate of p is revoked. Without
+// credentials there are no certificates.
+func (c *Credentials) IsRevoked(p Peer) bool { return c != nil && c.Revoked != nil && c.Revoked(p) }
+
 // NewAuthority makes an authority that is valid from now to expires.
 func NewAuthority(now, expires time.Time) (*Authority, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
@@ -137,7 +145,7 @@
 
 // PeerOf returns host and roles that a verified certificate proves.
 func PeerOf(c *x509.Certificate) (Peer, error) {
-	var p Peer
+	p := Peer{Issued: c.NotBefore.Add(backdate)}
 	for _, u := range c.URIs {
 		role := Role(strings.TrimPrefix(u.Path, "/"))
 		if u.Scheme != scheme || !slices.Contains(Roles(), role) {
--- a/io/identity/identity_test.go
+++ b/io/identity/identity_test.go
@@ -67,12 +67,21 @@
 	old, err := a.Issue("e1", []identity.Role{identity.Entry}, now.Add(-3*time.Hour), now.Add(-time.Hour))
 	is.New(t).NoErr(err)
 	server := identity.ServerConfig(agent, identity.Entry)
+	wary := *agent
+	wary.Revoked = func(p identity.Peer) bool { return p.Host == "e1" && p.Issued.Before(now.Add(time.Minute)) }
+	reissued, err := a.Issue("e1", []identity.Role{identity.Entry}, now.Add(30*time.Minute), now.Add(time.Hour))
+	is.New(t).NoErr(err)
+	waryEntry := *entry
+	waryEntry.Revoked = func(p identity.Peer) bool { return p.Host == "a1" }
 	tests := map[string]struct {
 		server, client *tls.Config
 		ok             bool
 	}{
 		"right roles":         {server, identity.ClientConfig(entry, "a1", identity.Agent), true},
 		"any host":            {server, identity.ClientConfig(entry, "", identity.Agent), true},
+		"revoked":             {identity.ServerConfig(&wary, identity.Entry), identity.ClientConfig(entry, "a1", identity.Agent), false},
+		"issued after that":   {identity.ServerConfig(&wary, identity.Entry), identity.ClientConfig(reissued, "a1", identity.Agent), true},
+		"server revoked":      {server, identity.ClientConfig(&waryEntry, "a1", identity.Agent), false},
 		"no certificate":      {server, &tls.Config{InsecureSkipVerify: true}, false},
 		"other role":          {server, identity.ClientConfig(issue(t, a, "o1", identity.Operator), "a1", identity.Agent), false},
 		"foreign authority":   {server, identity.ClientConfig(foreign, "a1", identity.Agent), false},
@@ -102,7 +111,9 @@
 	is.NoErr(err)
 	p, err := c.Peer()
 	is.NoErr(err)
-	is.Equal(p, identity.Peer{Host: "e1", Roles: []identity.Role{identity.Entry, identity.Agent}})
+	is.Equal(p.Host, fleet.Host("e1"))
+	is.Equal(p.Roles, []identity.Role{identity.Entry, identity.Agent})
+	is.True(p.Issued.Before(time.Now()) && p.Issued.After(time.Now().Add(-time.Minute)))
 	is.True(authority(t).Save(dir) != nil) // second authority in the same directory
 }
 
--- a/io/identity/tls.go
+++ b/io/identity/tls.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -58,6 +59,9 @@
 		if !p.Is(roles...) {
 			return errors.Wrapf(ErrIdentity, "host %q has roles %v, want one of %v", p.Host, p.Roles, roles)
 		}
+		if c.IsRevoked(p) {
+			return errors.Wrapf(ErrIdentity, "the certificate of host %q issued at %s is revoked", p.Host, p.Issued.Format(time.RFC3339))
+		}
 		return nil
 	}
 }
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -107,6 +107,28 @@
 	return abruptConn{t}, p, err
 }
 
+// revocationInterval is how often a session checks that the certificate of its
+// peer has not been revoked. Streams between replicas never end by themselves.
+const revocationInterval = time.Second
+
+// expelRevoked closes a session once the certificate of its peer is revoked. It
+// returns when the session has ended.
+func expelRevoked(session *yamux.Session, credentials *identity.Credentials, peer Peer) {
+	tick := time.NewTicker(revocationInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-session.CloseChan():
+			return
+		case <-tick.C:
+			if credentials.IsRevoked(peer.Peer) {
+				_ = session.Close()
+				return
+			}
+		}
+	}
+}
+
 // abruptConn closes the TCP connection without a TLS close alert. On a silent
 // connection the alert waits up to 5 s for a write, while readers of the
 // closing session spin; yamux marks the end of a stream itself.
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -281,6 +282,51 @@
 	})
 }
 
+// Guards against a peer whose certificate is revoked while its session is open
+// and goes on with calls or with a stream that never ends, on either side.
+func TestRevokedPeerLosesItsSession(t *testing.T) {
+	now := time.Now()
+	a, err := identity.NewAuthority(now, now.Add(time.Hour))
+	is.New(t).NoErr(err)
+	issue := func(host fleet.Host, r identity.Role, revoked *atomic.Bool) *identity.Credentials {
+		c, err := a.Issue(host, []identity.Role{r}, now, now.Add(time.Hour))
+		is.New(t).NoErr(err)
+		c.Revoked = func(identity.Peer) bool { return revoked.Load() }
+		return c
+	}
+	for name, byServer := range map[string]bool{"revoked caller": true, "revoked server": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			var atServer, atCaller atomic.Bool
+			s := &link.Server{Listener: l, Identity: issue("a1", identity.Agent, &atServer), Log: hclog.NewNullLogger()}
+			link.Handle(s, double, identity.Entry)
+			link.Handle(s, func(_ context.Context, st *link.Stream, _ *emptypb.Empty) {
+				_ = st.Send(&emptypb.Empty{})
+				_ = st.Receive(&emptypb.Empty{})
+			}, identity.Entry)
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error)
+			go func() { done <- s.Serve(ctx) }()
+			address := link.Address{Host: "a1", AddrPort: netip.MustParseAddrPort(l.Addr().String())}
+			p := &link.Pool{Identity: issue("e1", identity.Entry, &atCaller), Roles: []identity.Role{identity.Agent}}
+			st, err := p.Open(ctx, address, &emptypb.Empty{})
+			is.NoErr(err)
+			is.NoErr(st.Receive(&emptypb.Empty{}))
+			atServer.Store(byServer)
+			atCaller.Store(!byServer)
+			is.True(errors.Is(st.Receive(&emptypb.Empty{}), link.ErrLink)) // the endless stream ends
+			_ = st.Close()
+			_, err = callDouble(ctx, p, address, 1)
+			is.True(err != nil) // a new session is refused
+			p.Close()
+			cancel()
+			is.NoErr(<-done)
+		})
+	}
+}
+
 // Guards against a peer without certificate or with another role that gets an
 // answer, on real sockets.
 func TestRefusesPeers(t *testing.T) {
--- a/io/link/pool.go
+++ b/io/link/pool.go
@@ -196,6 +196,9 @@
 		return nil, Peer{}, err
 	}
 	s, err := yamux.Client(newBatch(c), sessionConfig())
+	if err == nil && p.Identity != nil {
+		go expelRevoked(s, p.Identity, peer)
+	}
 	return s, peer, err
 }
 
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -170,6 +170,9 @@
 	if peer.Plain {
 		name = peer.Address
 	}
+	if s.Identity != nil {
+		go expelRevoked(session, s.Identity, peer)
+	}
 	var streams sync.WaitGroup
 	serve := func(y *yamux.Stream) {
 		st := NewStream(y, true)
@@ -221,6 +224,11 @@
 		st.refuse(statusRole)
 		return
 	}
+	if s.Identity.IsRevoked(st.Peer.Peer) {
+		s.Log.Warn("call refused", "peer", name, "call", first.MessageName(), "error", "certificate is revoked")
+		st.refuse(statusRole)
+		return
+	}
 	if err := k.handle(ctx, st, &first); err != nil {
 		s.Log.Warn("call refused", "peer", name, "call", first.MessageName(), "error", err)
 	}
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -130,6 +130,11 @@
 // Keys lists the keys.
 func (c *Client) Keys(ctx context.Context) (List[Key], error) { return list[Key](ctx, c, "keys") }
 
+// Revocations lists the hosts with revoked certificates.
+func (c *Client) Revocations(ctx context.Context) (List[Revocation], error) {
+	return list[Revocation](ctx, c, "revocations")
+}
+
 // Usage lists the usage by window, customer and route.
 func (c *Client) Usage(ctx context.Context) (List[Usage], error) { return list[Usage](ctx, c, "usage") }
 
--- a/io/operator/types.go
+++ b/io/operator/types.go
@@ -7,6 +7,7 @@
 	ApplyAnswers  = "apply-answers"
 	IssueKey      = "issue-key"
 	WithdrawKey   = "withdraw-key"
+	RevokeHost    = "revoke-host"
 	DrainTarget   = "drain-target"
 	ReplaceTarget = "replace-target"
 	SetRole       = "set-role"
@@ -24,11 +25,18 @@
 	Customer   string `json:"customer,omitempty"`
 	Cut        bool   `json:"cut,omitempty"`
 	Target     string `json:"target,omitempty"`
+	Host       string `json:"host,omitempty"`
 	Role       string `json:"role,omitempty"` // mixed, prefill, decode
 	Leave      bool   `json:"leave,omitempty"`
 	ForSeconds int    `json:"for-seconds,omitempty"` // time a drain may take
 }
 
+// Revocation says that certificates of a host are refused.
+type Revocation struct {
+	Host         string    `json:"host"`
+	IssuedBefore time.Time `json:"issued-before"`
+}
+
 // Outcomes of a Change.
 const (
 	Accepted = "accepted"
--- a/io/wire/codec_command.go
+++ b/io/wire/codec_command.go
@@ -110,6 +110,8 @@
 		m.Action = &StateChange_IssueKey{IssueKey: &StateIssueKey{Id: a.ID, Digest: a.Digest[:], Customer: string(a.Customer)}}
 	case state.WithdrawKey:
 		m.Action = &StateChange_WithdrawKey{WithdrawKey: &StateWithdrawKey{Id: a.ID, Cut: a.Cut}}
+	case state.RevokeHost:
+		m.Action = &StateChange_RevokeHost{RevokeHost: &StateRevokeHost{Host: string(a.Host)}}
 	case state.DrainTarget:
 		m.Action = &StateChange_DrainTarget{DrainTarget: &StateDrainTarget{
 			Target: string(a.Target), Until: nanos(a.Until), Leave: a.Leave,
@@ -292,6 +294,8 @@
 		return state.IssueKey{ID: k.GetId(), Digest: r.bytes32("key digest", k.GetDigest()), Customer: customerName(k.GetCustomer())}
 	case *StateChange_WithdrawKey:
 		return state.WithdrawKey{ID: a.WithdrawKey.GetId(), Cut: a.WithdrawKey.GetCut()}
+	case *StateChange_RevokeHost:
+		return state.RevokeHost{Host: fleet.Host(a.RevokeHost.GetHost())}
 	case *StateChange_DrainTarget:
 		d := a.DrainTarget
 		return state.DrainTarget{Target: targetName(d.GetTarget()), Until: fromNanos(d.GetUntil()), Leave: d.GetLeave()}
--- a/io/wire/codec_config.go
+++ b/io/wire/codec_config.go
@@ -133,6 +133,14 @@
 	return config.CutKey{ID: m.GetId(), Revision: m.GetRevision()}
 }
 
+func encodeRevocation(x config.Revocation) *ConfigRevocation {
+	return &ConfigRevocation{Host: string(x.Host), IssuedBefore: nanos(x.IssuedBefore)}
+}
+
+func decodeRevocation(m *ConfigRevocation) config.Revocation {
+	return config.Revocation{Host: fleet.Host(m.GetHost()), IssuedBefore: fromNanos(m.GetIssuedBefore())}
+}
+
 func encodeTarget(t fleet.Target) *ConfigTarget {
 	return &ConfigTarget{
 		Name: string(t.Name), Host: string(t.Host), Region: string(t.Region), DataCentre: string(t.DataCentre),
@@ -158,6 +166,7 @@
 	return &ConfigSnapshot{
 		Revision: s.Revision, Document: encodeDocument(s.Document),
 		Keys: mapped(s.Keys, encodeKey), Targets: mapped(s.Targets, encodeTarget), Cut: mapped(s.Cut, encodeCut),
+		Revoked: mapped(s.Revoked, encodeRevocation),
 	}
 }
 
@@ -165,6 +174,7 @@
 	return config.Snapshot{
 		Revision: m.GetRevision(), Document: r.document(m.GetDocument()),
 		Keys: mapped(m.GetKeys(), r.key), Targets: mapped(m.GetTargets(), r.target), Cut: mapped(m.GetCut(), decodeCut),
+		Revoked: mapped(m.GetRevoked(), decodeRevocation),
 	}
 }
 
@@ -178,6 +188,7 @@
 		Cut:             mapped(d.Cut, encodeCut),
 		RemoveTargets:   mapped(d.RemoveTargets, text[fleet.TargetName]),
 		PutTargets:      mapped(d.PutTargets, encodeTarget),
+		Revoked:         mapped(d.Revoked, encodeRevocation),
 	}
 	if d.General != nil {
 		m.General = encodeGeneral(*d.General)
@@ -195,6 +206,7 @@
 		Cut:             mapped(m.GetCut(), decodeCut),
 		RemoveTargets:   mapped(m.GetRemoveTargets(), targetName),
 		PutTargets:      mapped(m.GetPutTargets(), r.target),
+		Revoked:         mapped(m.GetRevoked(), decodeRevocation),
 	}
 	if m.GetGeneral() != nil {
 		g := r.general(m.GetGeneral())
--- a/io/wire/state_test.go
+++ b/io/wire/state_test.go
@@ -50,6 +50,7 @@
 	return map[string]state.Command{
 		"replace document":     change(state.ReplaceDocument{Document: sampleDocument()}),
 		"issue key":            change(state.IssueKey{ID: "k", Digest: config.Digest{1}, Customer: "a"}),
+		"revoke host":          change(state.RevokeHost{Host: "h"}),
 		"withdraw key":         change(state.WithdrawKey{ID: "k", Cut: true}),
 		"drain target":         change(state.DrainTarget{Target: "e1", Until: at, Leave: true}),
 		"replace target":       change(state.ReplaceTarget{Target: "e1", DrainFor: 7, Deadline: at}),
