io/wire: carry header values that are not UTF-8

Cause: a header value was a protobuf string, which must be UTF-8, while HTTP allows any bytes but control characters. A request with such a value was refused as "target unreachable", and an answer with one, for example a file name in Latin-1, was lost after the request had run. Ruled out: the HTTP server and client, which pass the bytes on.

Change: the value is protobuf bytes, which has the same encoding on the wire. An Idempotency-Key that is not UTF-8 is refused with status 400, since control could not store it; before it was refused with 503 and Retry-After for ever.

After: request, answer and kept answer carry the bytes.

--- a/io/entry/claim_test.go
+++ b/io/entry/claim_test.go
@@ -149,6 +149,31 @@
 	})
 }
 
+// Guards against header values in another encoding than UTF-8 that make a
+// request or, worse, the answer to one that ran fail on the way.
+func TestHeaderBytesPass(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		const latin = "caf\xe9"
+		var seen atomic.Value
+		r := newRig(t, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			seen.Store(q.Header.Get("X-Name"))
+			w.Header().Set("X-Place", latin)
+			_, _ = fmt.Fprint(w, "booked")
+		}), 1)
+		defer r.stop()
+		r.entry.Control = &register{}
+		for range 2 { // the second answer is the kept one
+			got := r.do(http.MethodPost, "/orders", "stone", "X-Name", latin, "Idempotency-Key", "a")
+			r.is.Equal(got.body, "booked")
+			r.is.Equal(got.header.Get("X-Place"), latin)
+			r.is.Equal(seen.Load(), latin)
+			synctest.Wait()
+		}
+		got := r.do(http.MethodPost, "/orders", "stone", "Idempotency-Key", latin)
+		r.is.Equal(got.status, http.StatusBadRequest)
+	})
+}
+
 // full refuses every request while it is set.
 type full struct{ set bool }
 
--- a/io/entry/frames_test.go
+++ b/io/entry/frames_test.go
@@ -20,7 +20,7 @@
 func headFrame(id []byte, status uint32, header ...string) *wire.Frame {
 	h := &wire.Head{RequestId: id, Status: status}
 	for i := 0; i < len(header); i += 2 {
-		h.Headers = append(h.Headers, &wire.Header{Name: header[i], Value: header[i+1]})
+		h.Headers = append(h.Headers, &wire.Header{Name: header[i], Value: []byte(header[i+1])})
 	}
 	return &wire.Frame{Frame: &wire.Frame_Head{Head: h}}
 }
--- a/io/entry/header.go
+++ b/io/entry/header.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+	"unicode/utf8"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -75,7 +76,7 @@
 	switch {
 	case len(values) == 0:
 		return "", nil
-	case len(values) > 1 || values[0] == "" || len(values[0]) > maxIdemKeyBytes:
+	case len(values) > 1 || values[0] == "" || len(values[0]) > maxIdemKeyBytes || !utf8.ValidString(values[0]):
 		return "", refuseIdemKey
 	}
 	return values[0], nil
--- a/io/entry/refusal.go
+++ b/io/entry/refusal.go
@@ -42,7 +42,7 @@
 	refuseSlow      = &Refusal{Status: http.StatusRequestTimeout, Type: "body-timeout", Title: "the body did not arrive in time"}
 	refuseBody      = &Refusal{Status: http.StatusBadRequest, Type: "body", Title: "the body is incomplete"}
 	refuseUpgrade   = &Refusal{Status: http.StatusBadRequest, Type: "upgrade", Title: "protocol upgrades are not supported"}
-	refuseIdemKey   = &Refusal{Status: http.StatusBadRequest, Type: "idempotency-key", Title: "Idempotency-Key must be one value of at most 256 bytes"}
+	refuseIdemKey   = &Refusal{Status: http.StatusBadRequest, Type: "idempotency-key", Title: "Idempotency-Key must be one value of at most 256 bytes in UTF-8"}
 	refuseNoTarget  = &Refusal{Status: http.StatusServiceUnavailable, Type: "no-target", Title: "no target can take the request", RetryAfter: time.Second}
 	refuseClaim     = &Refusal{Status: http.StatusServiceUnavailable, Type: "no-claim", Title: "the Idempotency-Key cannot be recorded at the moment", RetryAfter: time.Second}
 	refuseMismatch  = &Refusal{Status: http.StatusUnprocessableEntity, Type: "idempotency-key-mismatch", Title: "the Idempotency-Key was used with another request"}
--- a/io/wire/path.go
+++ b/io/wire/path.go
@@ -101,7 +101,7 @@
 	out := make([]*Header, 0, len(h))
 	for name, values := range h {
 		for _, v := range values {
-			out = append(out, &Header{Name: name, Value: v})
+			out = append(out, &Header{Name: name, Value: []byte(v)})
 		}
 	}
 	return out
@@ -111,10 +111,11 @@
 func DecodeHeader(in []*Header) (http.Header, error) {
 	h := make(http.Header, len(in))
 	for _, f := range in {
-		if !httpguts.ValidHeaderFieldName(f.GetName()) || !httpguts.ValidHeaderFieldValue(f.GetValue()) {
+		value := string(f.GetValue())
+		if !httpguts.ValidHeaderFieldName(f.GetName()) || !httpguts.ValidHeaderFieldValue(value) {
 			return nil, errors.Wrapf(ErrMessage, "header %q", f.GetName())
 		}
-		h.Add(f.GetName(), f.GetValue())
+		h.Add(f.GetName(), value)
 	}
 	return h, nil
 }
--- a/io/wire/path_test.go
+++ b/io/wire/path_test.go
@@ -53,7 +53,7 @@
 		"no path":      {RequestId: id, Method: "GET"},
 		"path newline": {RequestId: id, Method: "GET", Path: "/ HTTP/1.1\r\nA: b"},
 		"header name":  {RequestId: id, Method: "GET", Path: "/", Headers: []*wire.Header{{Name: "a b"}}},
-		"header value": {RequestId: id, Method: "GET", Path: "/", Headers: []*wire.Header{{Name: "a", Value: "b\r\nc: d"}}},
+		"header value": {RequestId: id, Method: "GET", Path: "/", Headers: []*wire.Header{{Name: "a", Value: []byte("b\r\nc: d")}}},
 		"class":        {RequestId: id, Method: "GET", Path: "/", Class: 9},
 	} {
 		t.Run(name, func(t *testing.T) {
