io: fuzz log records, protocol messages and idempotency keys

Cause: settings, answers, commands, images and deltas had fuzz targets; records of the log file, messages of the log, of control and of agents, and the Idempotency-Key had none.

--- a/io/disk/record.go
+++ b/io/disk/record.go
@@ -32,11 +32,16 @@
 	if len(payload) > maxRecordBytes {
 		return nil, errors.Errorf("record of %d bytes exceeds %d", len(payload), maxRecordBytes)
 	}
+	seal(head, file, base+uint64(start), synced, payload)
+	return buf, nil
+}
+
+// seal fills the head of a record at offset of a file.
+func seal(head []byte, file, offset, synced uint64, payload []byte) {
 	binary.LittleEndian.PutUint32(head, recordMagic)
 	binary.LittleEndian.PutUint32(head[4:], uint32(len(payload)))
 	binary.LittleEndian.PutUint64(head[16:], synced)
-	binary.LittleEndian.PutUint64(head[8:], checksum(file, base+uint64(start), head, payload))
-	return buf, nil
+	binary.LittleEndian.PutUint64(head[8:], checksum(file, offset, head, payload))
 }
 
 func checksum(file, offset uint64, head, payload []byte) uint64 {
--- a/io/entry/hostile_test.go
+++ b/io/entry/hostile_test.go
@@ -14,9 +14,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
 
 	"papayarock/core/config"
 	"papayarock/core/fleet"
+	"papayarock/core/state"
 	"papayarock/io/entry"
 	"papayarock/io/link"
 	"papayarock/io/wire"
@@ -139,6 +141,60 @@
 	})
 }
 
+// Guards against an Idempotency-Key that panics the entry, that is claimed under
+// another name than the caller gave, or that control cannot store.
+func FuzzIdempotencyKey(f *testing.F) {
+	for _, key := range []string{"a", "", " a", "caf\xc3\xa9", "caf\xe9", strings.Repeat("k", 257), "a\x00b"} {
+		f.Add(key)
+	}
+	f.Fuzz(func(t *testing.T, name string) {
+		control := &claimKeys{}
+		var index atomic.Pointer[config.Index]
+		index.Store(config.NewIndex(config.Snapshot{
+			Revision: 1, Document: config.Document{Routes: routes()}, Keys: []config.Key{key()},
+			Targets: []fleet.Target{{Name: "t1", Pool: "app", Phase: fleet.Ready}},
+		}))
+		links := &link.Pool{Dial: func(context.Context, link.Address) (net.Conn, error) { return nil, net.ErrClosed }}
+		e := &entry.Entry{Config: &index, Links: links, Control: control, Log: hclog.NewNullLogger()}
+		r := httptest.NewRequest(http.MethodPost, "/orders", strings.NewReader("stone"))
+		r.Header["Authorization"] = []string{"Bearer " + secret}
+		r.Header["Idempotency-Key"] = []string{name}
+		w := httptest.NewRecorder()
+		e.ServeHTTP(w, r)
+		control.mu.Lock()
+		defer control.mu.Unlock()
+		for _, k := range control.keys {
+			if k.IdempotencyKey != name {
+				t.Fatalf("key %q is claimed as %q", name, k.IdempotencyKey)
+			}
+			c := state.Claim{Key: k, Expires: time.Unix(1, 0)}
+			b, err := wire.EncodeCommand(c)
+			if err != nil {
+				t.Fatalf("claim of %q: %v", name, err)
+			}
+			if d, err := wire.DecodeCommand(b); err != nil || d.(state.Claim).Key != k {
+				t.Fatalf("claim of %q is stored as %v: %v", name, d, err)
+			}
+		}
+		if len(control.keys) == 0 && w.Code != http.StatusBadRequest {
+			t.Fatalf("key %q: no claim and status %d", name, w.Code)
+		}
+	})
+}
+
+// claimKeys grants every claim and notes its key.
+type claimKeys struct {
+	register
+	keys []state.ClaimKey
+}
+
+func (c *claimKeys) Claim(ctx context.Context, m state.Claim) (state.ClaimResult, error) {
+	c.mu.Lock()
+	c.keys = append(c.keys, m.Key)
+	c.mu.Unlock()
+	return c.register.Claim(ctx, m)
+}
+
 // recorder is an agent without a target that inspects what it is sent.
 type recorder struct {
 	leaked atomic.Bool
--- /dev/null
+++ b/io/wire/fuzz_messages_test.go
@@ -0,0 +1,150 @@
+package wire_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"papayarock/core/fleet"
+	"papayarock/core/log"
+	"papayarock/core/state"
+	"papayarock/io/wire"
+)
+
+// Guards against a message of a replica that panics a voter, makes it write an
+// entry with a gap, or changes when it is sent on.
+func FuzzLogMessage(f *testing.F) {
+	start := time.Unix(1000, 0)
+	for _, m := range []log.Message{
+		{Kind: log.Append, From: "b", Term: 2, Index: 1, LogTerm: 1, Commit: 2, Entries: []log.Entry{{Index: 2, Term: 2, Command: []byte("x")}}},
+		{Kind: log.Vote, From: "b", Term: 3, Index: 9, LogTerm: 2},
+		{Kind: log.Chunk, From: "b", Term: 2, Index: 7, LogTerm: 2, Total: 1 << 62, Data: []byte("part"), Members: log.Voters("a", "b")},
+	} {
+		b, err := proto.Marshal(wire.EncodeLogMessage(m))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b, b)
+	}
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		n := log.New(start, log.Options{
+			Self: "a", Identity: 1, Random: rand.New(rand.NewPCG(1, 1)),
+			Stored: log.Stored{Snapshot: log.Bootstrap(log.Voters("a", "b", "c")), Hard: log.HardState{Term: 1}},
+		})
+		for i, b := range [][]byte{first, second} {
+			var m wire.LogMessage
+			if proto.Unmarshal(b, &m) != nil {
+				return
+			}
+			decoded, err := wire.DecodeLogMessage(&m)
+			if err != nil {
+				return
+			}
+			again, err := wire.DecodeLogMessage(wire.EncodeLogMessage(decoded))
+			if err != nil || !reflect.DeepEqual(decoded, again) {
+				t.Fatalf("%+v became %+v: %v", decoded, again, err)
+			}
+			decoded.To, decoded.ToIdentity = "a", 1
+			for _, a := range n.Step(start.Add(time.Duration(i+1)*time.Second), log.Receive{Message: decoded}) {
+				if p, ok := a.(log.Persist); ok && len(p.Entries) > 0 && p.Entries[0].Index < 2 {
+					t.Fatalf("the entry %d of the first snapshot is replaced", p.Entries[0].Index)
+				}
+			}
+		}
+	})
+}
+
+// Guards against messages of nodes and relays that panic control or bring in
+// amounts that no sum recovers from.
+func FuzzControlMessages(f *testing.F) {
+	now := time.Unix(1000, 0)
+	for _, m := range []proto.Message{
+		&wire.ControlSubscriber{Host: "h", AgeNanos: -5, Target: &wire.ControlTarget{Name: "t", PrefillSpeed: math.Inf(1)}},
+		&wire.ControlDemand{Pool: "p", PromptTokens: math.NaN(), Seconds: 1e300, AgeNanos: math.MinInt64},
+		&wire.StateOrder{}, &wire.StateContent{}, &wire.ControlResult{},
+	} {
+		b, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	finite := func(v float64) bool { return v >= 0 && !math.IsInf(v, 1) }
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var s wire.ControlSubscriber
+		if proto.Unmarshal(b, &s) == nil {
+			d := wire.DecodeSubscriber(&s, now)
+			if d.Seen.After(now) || !finite(d.Target.Prefill) || !finite(d.Target.Decode) {
+				t.Fatalf("subscriber %+v", d)
+			}
+		}
+		var demand wire.ControlDemand
+		if proto.Unmarshal(b, &demand) == nil {
+			d := wire.DecodeDemand(&demand, now)
+			if d.At.After(now) || d.Period < 0 || !finite(d.Requests) || !finite(d.Prompt) || !finite(d.Output) {
+				t.Fatalf("demand %+v", d)
+			}
+		}
+		same(t, b, &wire.StateOrder{}, wire.DecodeOrder, wire.EncodeOrder)
+		same(t, b, &wire.StateContent{}, wire.DecodeContent, wire.EncodeContent)
+		var r wire.ControlResult
+		if proto.Unmarshal(b, &r) == nil {
+			if result, err := wire.DecodeResult(&r); err == nil {
+				if _, err := wire.EncodeResult(result); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	})
+}
+
+// same requires that a value which decodes is the same after another round.
+func same[M proto.Message, V any](t *testing.T, b []byte, m M, decode func(M) (V, error), encode func(V) M) {
+	t.Helper()
+	if proto.Unmarshal(b, m) != nil {
+		return
+	}
+	v, err := decode(m)
+	if err != nil {
+		return
+	}
+	again, err := decode(encode(v))
+	if err != nil || !reflect.DeepEqual(v, again) {
+		t.Fatalf("%+v became %+v: %v", v, again, err)
+	}
+}
+
+// Guards against frames of an agent that panic the entry: header, usage and
+// request id.
+func FuzzAgentMessages(f *testing.F) {
+	u := state.UsageRecord{ID: state.UsageID{Node: "n", Incarnation: 1, Sequence: 2}, Customer: "c", Route: "r", Ended: time.Unix(5, 0)}
+	b, err := proto.Marshal(wire.EncodeUsage(u))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var head wire.Head
+		if proto.Unmarshal(b, &head) == nil {
+			if h, err := wire.DecodeHeader(head.GetHeaders()); err == nil {
+				again, err := wire.DecodeHeader(wire.EncodeHeader(h))
+				if err != nil || !reflect.DeepEqual(h, again) {
+					t.Fatalf("%v became %v: %v", h, again, err)
+				}
+			}
+			_, _ = wire.DecodeRequestID(head.GetRequestId())
+		}
+		var usage wire.Usage
+		if proto.Unmarshal(b, &usage) == nil {
+			if u, ok := wire.DecodeUsage(&usage, fleet.Customer("c"), "r"); ok {
+				if again, ok := wire.DecodeUsage(wire.EncodeUsage(u), "c", "r"); !ok || !reflect.DeepEqual(u, again) {
+					t.Fatalf("%+v became %+v", u, again)
+				}
+			}
+		}
+	})
+}
