--- /dev/null
+++ b/io/link/heartbeat.go
@@ -0,0 +1,40 @@
+package link
+
+import (
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+const (
+	// heartbeatInterval applies to a session with open streams: one that went
+	// silent is replaced after heartbeatInterval + heartbeatTimeout.
+	heartbeatInterval = time.Second
+	// idleInterval applies to a session without streams, which delays no request.
+	// A stream that opens on it is followed by a heartbeat within
+	// heartbeatInterval. Heartbeats each second cost 134 B/s a session.
+	idleInterval     = 3 * time.Second
+	heartbeatTimeout = 3 * time.Second
+)
+
+// heartbeat ends a session whose peer no longer answers.
+func heartbeat(s *yamux.Session) {
+	tick := time.NewTicker(heartbeatInterval)
+	defer tick.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-s.CloseChan():
+			return
+		case now := <-tick.C:
+			if s.NumStreams() == 0 && now.Sub(last) < idleInterval {
+				continue
+			}
+			last = now
+			if _, err := s.Ping(); err != nil {
+				_ = s.Close()
+				return
+			}
+		}
+	}
+}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -17,10 +17,7 @@
 )
 
 const (
-	maxMessageBytes = 1 << 20
-	// A silent session is replaced after heartbeatInterval + heartbeatTimeout.
-	heartbeatInterval = time.Second
-	heartbeatTimeout  = 3 * time.Second
+	maxMessageBytes   = 1 << 20
 	streamOpenTimeout = 10 * time.Second
 	// streamCloseTimeout bounds how long a stream that this side has closed
 	// waits for the close of the other side.
@@ -118,7 +115,7 @@
 func sessionConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.AcceptBacklog = acceptBacklog
-	c.KeepAliveInterval = heartbeatInterval
+	c.EnableKeepAlive = false // see heartbeat
 	c.ConnectionWriteTimeout = heartbeatTimeout
 	c.StreamOpenTimeout = streamOpenTimeout
 	c.StreamCloseTimeout = streamCloseTimeout
--- a/io/link/pool.go
+++ b/io/link/pool.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
@@ -32,11 +33,13 @@
 	mu      sync.Mutex
 	session *yamux.Session
 	peer    Peer
+	used    time.Time // of the last call
 }
 
 func (o *outbound) live() (*yamux.Session, Peer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.used = time.Now()
 	if o.session == nil || o.session.IsClosed() {
 		return nil, Peer{}
 	}
@@ -196,6 +199,9 @@
 		return nil, Peer{}, err
 	}
 	s, err := yamux.Client(newBatch(c), sessionConfig())
+	if err == nil {
+		go heartbeat(s)
+	}
 	return s, peer, err
 }
 
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -153,6 +153,9 @@
 		return nil, peer, err
 	}
 	session, err := yamux.Server(newBatch(c), sessionConfig())
+	if err == nil {
+		go heartbeat(session)
+	}
 	return session, peer, err
 }
 
