core/route, io/serving: keep sessions with a drawn subset of targets

Cause: each entry polls each target over a session of its own; 27 KB/s per node are reached at about 130 targets.

Change: route.Draw chooses 80 targets by rendezvous hashing, near ones first. The Router samples only them, and the others when none of the subset is expected to keep the promise, by the summary of their data centre. A summary counts for 5 s. io/serving polls the subset, drops sessions outside of it, and assumes the mean speed of the known targets for the others.

Conclusion: the size of the subset no longer depends on the fleet.

--- a/core/route/event.go
+++ b/core/route/event.go
@@ -12,8 +12,12 @@
 type Event interface{ event() }
 
 // Configure replaces the known targets. Figures of targets that stay under the
-// same name and incarnation are kept.
-type Configure struct{ Targets []fleet.Target }
+// same name and incarnation are kept. Targets outside the subset are chosen only
+// when no target in it is expected to keep the promise.
+type Configure struct {
+	Targets []fleet.Target
+	Subset  Subset
+}
 
 // Load is a target's report of its own backlog.
 type Load struct {
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -44,7 +44,7 @@
 		if best.slot >= 0 && g.distance > r.groups[bestGroup].distance && r.keeps(now, q, best, bestGroup) {
 			break
 		}
-		if bestGroup >= 0 && g.mean(q.Stage)+g.delay.Seconds()*2 > best.wait+r.groups[bestGroup].delay.Seconds()*2 {
+		if bestGroup >= 0 && g.mean(now)+g.delay.Seconds()*2 > best.wait+r.groups[bestGroup].delay.Seconds()*2 {
 			continue // by its summary it is no better
 		}
 		c := r.pickIn(now, q, g, entry, tokens)
@@ -53,6 +53,9 @@
 			best.score += 2 * g.delay.Seconds()
 		}
 	}
+	if best.slot < 0 || !r.keeps(now, q, best, bestGroup) {
+		best, bestGroup = r.pickBeyond(now, q, p, best, bestGroup)
+	}
 	if best.slot < 0 {
 		return Choice{}, ErrNoTarget
 	}
@@ -63,7 +66,11 @@
 func (r *Router) pickNear(now time.Time, q Request, p *pool) (Choice, error) {
 	for _, gi := range p.byStage[q.Stage] {
 		if g := &r.groups[gi]; g.dataCentre == q.Near {
-			if c := r.pickIn(now, q, g, nil, 0); c.slot >= 0 {
+			c := r.pickIn(now, q, g, nil, 0)
+			if c.slot < 0 {
+				c = r.pickAmong(now, q, g, g.rest)
+			}
+			if c.slot >= 0 {
 				return r.commit(now, q, c, g), nil
 			}
 		}
@@ -81,12 +88,12 @@
 }
 
 // mean is the score that an average member of the group has.
-func (g *group) mean(stage Stage) float64 {
+func (g *group) mean(now time.Time) float64 {
 	n := float64(len(g.members))
 	if n == 0 {
 		return math.Inf(1)
 	}
-	return math.Max(g.summary, ahead(g.others.plus(g.own, 1), stage)/n)
+	return math.Max(g.backlog(now), ahead(g.others.plus(g.own, 1), g.stage)/n)
 }
 
 // ahead weighs the work at a target by how much it delays a new request.
@@ -101,21 +108,10 @@
 // prefix.
 func (r *Router) pickIn(now time.Time, q Request, g *group, entry *cacheEntry, tokens float64) candidate {
 	best := candidate{slot: -1, score: math.Inf(1)}
-	n := len(g.members)
-	if n <= candidates {
-		for _, m := range g.members {
-			r.compare(now, q, g, entry, tokens, m, &best)
-		}
-		return best
-	}
-	for found, draw := 0, 0; found < candidates && draw < maxSamples; draw++ {
-		if r.compare(now, q, g, entry, tokens, g.members[r.o.Random.IntN(n)], &best) {
-			found++
-		}
-	}
-	if entry != nil {
+	r.sample(now, q, g, g.members, entry, tokens, &best)
+	if len(g.members) > candidates && entry != nil {
 		for _, h := range entry.holders {
-			if h.target >= 0 && r.targets[h.target].groups[q.Stage] >= 0 && r.targets[h.target].DataCentre == g.dataCentre && r.targets[h.target].Pool == q.Pool {
+			if h.target >= 0 && r.targets[h.target].drawn && r.targets[h.target].groups[q.Stage] >= 0 && r.targets[h.target].DataCentre == g.dataCentre && r.targets[h.target].Pool == q.Pool {
 				r.compare(now, q, g, entry, tokens, h.target, &best)
 			}
 		}
@@ -175,8 +171,15 @@
 // its age; this node's own work is known exactly.
 func (t *target) queue(now time.Time, g *group) work {
 	trust := t.trust(now)
-	mean := work{}.plus(g.others, 1/float64(len(g.members)))
-	mean.prefill = math.Max(mean.prefill, g.summary)
+	mean := work{}.plus(g.others, 1/float64(max(len(g.members), 1)))
+	if !t.drawn && g.current(now) {
+		mean = work{} // the summary counts it, the mean of the subset does not
+	}
+	if g.stage == Decode {
+		mean.decode = math.Max(mean.decode, g.backlog(now))
+	} else {
+		mean.prefill = math.Max(mean.prefill, g.backlog(now))
+	}
 	return t.own.plus(t.others, trust).plus(mean, 1-trust)
 }
 
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,9 +53,11 @@
 	dataCentre  fleet.DataCentre
 	delay       time.Duration // one-way
 	distance    uint8         // 0 own data centre, 1 own region, 2 other region
-	members     []int32
-	pair        int32 // decode group of the data centre, of a start group; -1 if none
-	others      work  // sums over members
+	stage       Stage
+	members     []int32 // in the subset
+	rest        []int32 // outside of it
+	pair        int32   // decode group of the data centre, of a start group; -1 if none
+	others      work    // sums over members
 	own         work
 	summary     float64 // mean reported from outside
 	summaryTime time.Time
@@ -78,6 +81,7 @@
 type target struct {
 	fleet.Target
 	groups  [stages]int32 // -1 where the role does not serve the stage
+	drawn   bool          // in the subset: counted in the sums of its groups
 	taken   time.Time     // of the last load report
 	others  work          // in that report, without this node's own
 	own     work          // of this node, handed over and not ended
@@ -123,7 +127,7 @@
 	r.resync = r.resync[:0]
 	switch e := e.(type) {
 	case Configure:
-		r.configure(e.Targets)
+		r.configure(e)
 	case Load:
 		r.load(e)
 	case Summary:
@@ -138,7 +142,8 @@
 	return r.resync
 }
 
-func (r *Router) configure(targets []fleet.Target) {
+func (r *Router) configure(e Configure) {
+	targets := e.Targets
 	old, oldByName := r.targets, r.byName
 	r.targets = make([]target, 0, len(targets))
 	r.byName = make(map[fleet.TargetName]int32, len(targets))
@@ -153,6 +158,7 @@
 		}
 		n.Target = t
 		n.groups = [stages]int32{-1, -1}
+		n.drawn = e.Subset.Has(t.Name)
 		r.byName[t.Name] = int32(len(r.targets))
 		r.targets = append(r.targets, n)
 		if t.Phase == fleet.Ready {
@@ -178,6 +184,10 @@
 		}
 		g := r.groupOf(p, s, &t.Target)
 		t.groups[s] = g
+		if !t.drawn {
+			r.groups[g].rest = append(r.groups[g].rest, i)
+			continue
+		}
 		r.groups[g].members = append(r.groups[g].members, i)
 		r.groups[g].others = r.groups[g].others.plus(t.others, 1)
 		r.groups[g].own = r.groups[g].own.plus(t.own, 1)
@@ -197,7 +207,7 @@
 			return g
 		}
 	}
-	g := group{dataCentre: t.DataCentre, delay: r.o.Delay(t.Region, t.DataCentre), distance: 2}
+	g := group{dataCentre: t.DataCentre, stage: Stage(stage), delay: r.o.Delay(t.Region, t.DataCentre), distance: 2}
 	switch {
 	case t.DataCentre == r.o.DataCentre:
 		g.distance = 0
@@ -217,11 +227,11 @@
 		for _, s := range p.byStage[Start] {
 			g := &r.groups[s]
 			g.pair = r.find(p.byStage[Decode], g.dataCentre)
-			if g.pair < 0 && r.targets[g.members[0]].Kind == fleet.Engine {
-				for _, m := range g.members {
+			if g.pair < 0 && r.kind(g) == fleet.Engine {
+				for _, m := range slices.Concat(g.members, g.rest) {
 					r.targets[m].groups[Start] = -1
 				}
-				g.members, g.others, g.own = nil, work{}, work{}
+				g.members, g.rest, g.others, g.own = nil, nil, work{}, work{}
 			}
 		}
 	}
@@ -279,7 +289,7 @@
 	ownThen := t.own.plus(t.since, -1)
 	others := reported.plus(ownThen, -1).positive()
 	for _, g := range t.groups {
-		if g >= 0 {
+		if g >= 0 && t.drawn {
 			r.groups[g].others = r.groups[g].others.plus(others, 1).plus(t.others, -1).positive()
 		}
 	}
@@ -305,7 +315,7 @@
 	t.own = t.own.plus(by, 1).positive()
 	t.since = t.since.plus(by, 1)
 	for _, g := range t.groups {
-		if g >= 0 {
+		if g >= 0 && t.drawn {
 			r.groups[g].own = r.groups[g].own.plus(by, 1).positive()
 		}
 	}
--- /dev/null
+++ b/core/route/subset_test.go
@@ -0,0 +1,171 @@
+package route_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"papayarock/core/fleet"
+	"papayarock/core/route"
+)
+
+// fleetOf returns n engines of five pools in eleven data centres of four
+// regions, every fourth for prefill.
+func fleetOf(n int) []fleet.Target {
+	out := make([]fleet.Target, n)
+	for i := range out {
+		role, dc := fleet.Decode, i%11
+		if i/55%4 == 0 {
+			role = fleet.Prefill
+		}
+		out[i] = fleet.Target{
+			Name: fleet.TargetName(fmt.Sprintf("target-%d", i)), Pool: fmt.Sprintf("model-%d", i/11%5), Kind: fleet.Engine,
+			Role: role, Phase: fleet.Ready, DataCentre: fleet.DataCentre(fmt.Sprint(dc)), Region: fleet.Region(fmt.Sprint(dc / 3)),
+		}
+	}
+	return out
+}
+
+func nodeAt(i, dcs int) route.Node {
+	dc := i % dcs
+	return route.Node{
+		Host: fleet.Host(fmt.Sprintf("entry-%d", i)), DataCentre: fleet.DataCentre(fmt.Sprint(dc)), Region: fleet.Region(fmt.Sprint(dc / 3)),
+	}
+}
+
+func drawn(s route.Subset, targets []fleet.Target) map[fleet.TargetName]bool {
+	out := make(map[fleet.TargetName]bool)
+	for _, t := range targets {
+		if t.Phase == fleet.Ready && s.Has(t.Name) {
+			out[t.Name] = true
+		}
+	}
+	return out
+}
+
+// Guards against targets that few entries or nearly all of them keep sessions
+// with, against a subset that grows with the fleet, and against targets that no
+// entry knows since their data centre has none.
+func TestSubsetsCoverTargetsEvenly(t *testing.T) {
+	for name, dcs := range map[string]int{"entries everywhere": 11, "two data centres without entries": 9} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			targets, covered := fleetOf(1100), make(map[fleet.TargetName]int)
+			for i := range 405 {
+				got := drawn(route.Draw(nodeAt(i, dcs), targets, route.SubsetSize), targets)
+				is.Equal(len(got), route.SubsetSize)
+				for n := range got {
+					covered[n]++
+				}
+			}
+			// Targets of one data centre and kind have the same chance.
+			least, sums, counts, most := math.MaxInt, map[string]int{}, map[string]int{}, map[string]int{}
+			for _, x := range targets {
+				n, k := covered[x.Name], fmt.Sprint(x.DataCentre, x.Pool, x.Role)
+				least, most[k] = min(least, n), max(most[k], n)
+				sums[k], counts[k] = sums[k]+n, counts[k]+1
+			}
+			is.True(least > 0)
+			for k, n := range most {
+				mean := float64(sums[k]) / float64(counts[k])
+				if float64(n) > mean+5*math.Sqrt(mean) { // draws without favourites stay within
+					t.Errorf("%s: one target is drawn by %d entries, the mean is %.1f", k, n, mean)
+				}
+			}
+		})
+	}
+}
+
+// Guards against sessions that are all replaced when one target comes or goes,
+// and against a draw that depends on the order of the targets.
+func TestSubsetChangesLittle(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		targets := fleetOf(rapid.IntRange(81, 600).Draw(rt, "targets"))
+		self := nodeAt(rapid.IntRange(0, 404).Draw(rt, "entry"), 11)
+		before := drawn(route.Draw(self, targets, route.SubsetSize), targets)
+		targets[rapid.IntRange(0, len(targets)-1).Draw(rt, "lost")].Phase = fleet.Lost
+		targets = append(targets[1:], targets[0])
+		after := drawn(route.Draw(self, targets, route.SubsetSize), targets)
+		added := 0
+		for n := range after {
+			if !before[n] {
+				added++
+			}
+		}
+		// One for the lost target and one for each kind whose share changes by
+		// what the kind of the lost target leaves; ten kinds. A change of a share
+		// can move the border between near and spread by one more.
+		if added > 4 {
+			rt.Fatalf("%d of %d targets are new after the loss of one", added, len(after))
+		}
+	})
+}
+
+// Guards against a small fleet that is not known as a whole, and against far
+// targets that are preferred to near ones.
+func TestSubsetPrefersNear(t *testing.T) {
+	is := is.New(t)
+	is.Equal(route.Draw(nodeAt(0, 11), fleetOf(80), route.SubsetSize).Len(), 0)
+	targets, near := fleetOf(1100), 0
+	for n := range drawn(route.Draw(nodeAt(0, 11), targets, route.SubsetSize), targets) {
+		for _, x := range targets {
+			if x.Name == n && x.DataCentre == "0" {
+				near++
+			}
+		}
+	}
+	is.True(near >= route.SubsetSize*5/8) // each prefill pool has 5 near targets for a share of 8
+}
+
+// Guards against sessions with targets outside the subset while one in it keeps
+// the promise, and against requests that wait although a target outside of it is
+// known to be free.
+func TestPickOutsideSubset(t *testing.T) {
+	tests := map[string]struct {
+		busy    bool            // the drawn targets
+		summary []route.Summary // of data centre dc1
+		now     time.Time       // of the choice
+		tried   bool            // all drawn targets
+		outside bool            // a target outside the subset is chosen
+	}{
+		"the subset keeps the promise": {summary: []route.Summary{{Taken: start}}, now: start},
+		"a free data centre is known":  {busy: true, summary: []route.Summary{{Taken: start, Work: 0.01}}, now: start, outside: true},
+		"the other one is busy too":    {busy: true, summary: []route.Summary{{Taken: start, Work: 99}}, now: start},
+		"the other one is silent":      {busy: true, summary: []route.Summary{{Taken: start}}, now: start.Add(5 * time.Second)},
+		"nothing was ever heard of it": {busy: true, now: start},
+		"a late summary contradicts": {
+			busy: true, now: start,
+			summary: []route.Summary{{Taken: start, Work: 99}, {Taken: start.Add(-time.Second)}},
+		},
+		"no other target is left": {now: start, tried: true, outside: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r, targets := newRouter(), engines(40, 2) // dc0 and dc1 in one region
+			subset := route.Draw(route.Node{Host: "e", DataCentre: "dc0", Region: "r0"}, targets, 8)
+			r.Step(start, route.Configure{Targets: targets, Subset: subset})
+			q := request(500, 330*time.Millisecond)
+			q.FirstTokenBy = tt.now.Add(330 * time.Millisecond)
+			for n := range drawn(subset, targets) {
+				if tt.busy {
+					r.Step(start, route.Load{Target: n, Taken: tt.now, PrefillTokens: 80000})
+				}
+				if tt.tried {
+					q.Tried = append(q.Tried, n)
+				}
+			}
+			for _, s := range tt.summary {
+				s.Pool, s.DataCentre = "m", "dc1"
+				r.Step(start, s)
+			}
+			c, err := r.Pick(tt.now, q)
+			is.NoErr(err)
+			is.Equal(!subset.Has(c.Target), tt.outside)
+		})
+	}
+}
--- a/io/daemon/roles.go
+++ b/io/daemon/roles.go
@@ -113,7 +113,7 @@
 		HeaderBytes: s.Limits.HeaderBytes, BodyBytes: s.Limits.BodyBytes, FirstByte: s.Limits.FirstByte,
 		Idle: s.Limits.Idle, Streams: s.Limits.StreamsPerPeer,
 	}}
-	policy := serving.New(serving.Options{DataCentre: p.s.DataCentre, Region: p.s.Region, Links: p.links, Log: p.log.Named("serving")})
+	policy := serving.New(serving.Options{Host: p.s.Host, DataCentre: p.s.DataCentre, Region: p.s.Region, Links: p.links, Log: p.log.Named("serving")})
 	e.Picker, e.Admitter, e.Retrier = policy, policy, policy
 	if s.Static != nil {
 		snapshot, err := settings.LoadStatic(s.Static)
--- a/io/serving/admit.go
+++ b/io/serving/admit.go
@@ -155,14 +155,19 @@
 	if p.index == nil {
 		return
 	}
+	assumed := p.assumed(name)
 	var near, all capacity
 	for _, t := range p.index.Pool(name) {
 		if t.Phase != fleet.Ready {
 			continue
 		}
-		all.add(t, p.speeds[t.Name])
+		s := p.speeds[t.Name]
+		if s == (speed{}) && !p.subset.Has(t.Name) {
+			s = assumed[t.Role]
+		}
+		all.add(t, s)
 		if t.Region == p.o.Region {
-			near.add(t, p.speeds[t.Name])
+			near.add(t, s)
 		}
 	}
 	if near.targets == 0 {
--- a/io/serving/load.go
+++ b/io/serving/load.go
@@ -36,19 +36,16 @@
 }
 
 func (p *Policy) pollRound(ctx context.Context, far bool) {
-	p.mu.Lock()
-	var targets []fleet.Target
-	if p.index != nil {
-		for _, t := range p.index.Targets() {
-			if t.Phase == fleet.Ready && (far || t.Region == p.o.Region) {
-				targets = append(targets, t)
-			}
-		}
+	targets := p.drawn()
+	if far {
+		p.retain(targets)
 	}
-	p.mu.Unlock()
 	var wg sync.WaitGroup
 	room := make(chan struct{}, maxPolls)
 	for _, t := range targets {
+		if !far && t.Region != p.o.Region {
+			continue
+		}
 		room <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-room }()
@@ -62,7 +59,7 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	open := &wire.Open{Call: &wire.Open_LoadPoll{LoadPoll: &wire.LoadPoll{}}}
-	f, err := link.Call[wire.Frame](ctx, p.o.Links, link.Address{Host: t.Host, AddrPort: t.Agent}, open)
+	f, err := link.Call[wire.Frame](ctx, p.o.Links, address(t), open)
 	if err != nil {
 		p.o.Log.Debug("load not polled", "target", t.Name, "error", err)
 		return
--- a/io/serving/policy.go
+++ b/io/serving/policy.go
@@ -66,6 +66,7 @@
 	mu sync.Mutex
 	// guarded by mu
 	index   *config.Index
+	subset  route.Subset
 	router  *route.Router
 	budget  retry.Budget
 	pools   map[string]*pool
@@ -121,7 +122,8 @@
 		return
 	}
 	p.index = x
-	p.router.Step(now, route.Configure{Targets: x.Targets()})
+	p.subset = route.Draw(route.Node{Host: p.o.Host, DataCentre: p.o.DataCentre, Region: p.o.Region}, x.Targets(), route.SubsetSize)
+	p.router.Step(now, route.Configure{Targets: x.Targets(), Subset: p.subset})
 	for name, q := range p.pools {
 		q.queue.Step(now, admit.Configure{Customers: x.Customers(), Windows: x.General.Windows})
 		p.resize(now, name, q)
@@ -185,6 +187,7 @@
 	ShareParts uint32
 	ShareUntil time.Time
 	Speeds     map[fleet.TargetName]string
+	Subset     int                       // targets drawn; 0 means all
 	Crossed    map[fleet.Customer]uint64 // bytes across regions
 }
 
@@ -194,7 +197,7 @@
 	defer p.mu.Unlock()
 	d := Dump{
 		Flights: len(p.flights), Waiting: make(map[string]int), Firsts: p.budget.Firsts, Retries: p.budget.Retries,
-		ShareParts: p.parts, ShareUntil: p.share, Speeds: make(map[fleet.TargetName]string),
+		ShareParts: p.parts, ShareUntil: p.share, Subset: p.subset.Len(), Speeds: make(map[fleet.TargetName]string),
 		Crossed: make(map[fleet.Customer]uint64),
 	}
 	if p.index != nil {
