core/summary, io/controller: hand summaries of load to entries

Cause: an entry knows the load of a target only by polling it, which does not carry at 1,100 targets; the router's Summary event was sent by nothing.

Change: an agent adds the load of its target to its poll of control. Relays sum it up by pool, data centre and stage twice a second, send the sums to the leader with their report and get the totals of all relays back. Entries with targets outside their subset ask for them with a poll each second. core/summary decides what is current: late, repeated and contradictory reports, dead relays, silent data centres and former leaders are in its tests and in TestCluster.

Conclusion: a load report of any target reaches each entry within about 3 s without a session between them.

--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -74,6 +74,15 @@
 	Refusing    bool    // the agent accepts no new requests
 	Prefill     float64 // prompt tokens/s of the engine while busy; 0 if unknown
 	Decode      float64 // output tokens/s of the engine while busy; 0 if unknown
+	Load        Load    // not passed on by relays
+}
+
+// Load is the backlog of a target.
+type Load struct {
+	Taken         time.Time // zero: not known
+	PrefillTokens float64   // accepted and not yet processed
+	DecodeTokens  float64   // still to be produced
+	Waiting       uint32    // requests
 }
 
 // expired is the time after which a subscriber that has not polled surely
--- a/io/agent/load.go
+++ b/io/agent/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"papayarock/core/fleet"
+	"papayarock/core/watch"
 	"papayarock/io/wire"
 )
 
@@ -53,3 +54,13 @@
 		a.mu.Unlock()
 	}
 }
+
+// backlog is what relays sum up. A plain service reports no load of its own; its
+// running requests count.
+func (a *Agent) backlog() watch.Load {
+	if a.Announcement.Kind == fleet.Service {
+		return watch.Load{Taken: time.Now()}
+	}
+	t := a.target
+	return watch.Load{Taken: t.At, PrefillTokens: t.PrefillTokens, DecodeTokens: t.DecodeTokens, Waiting: t.Waiting}
+}
--- a/io/agent/sign.go
+++ b/io/agent/sign.go
@@ -56,6 +56,7 @@
 	if t := a.target; t.PrefillSpeed > 0 && t.DecodeSpeed >= 0 || t.DecodeSpeed > 0 && t.PrefillSpeed >= 0 {
 		s.Prefill, s.Decode = t.PrefillSpeed, t.DecodeSpeed
 	}
+	s.Load = a.backlog()
 	return s
 }
 
--- a/io/controller/cluster_test.go
+++ b/io/controller/cluster_test.go
@@ -205,6 +205,7 @@
 		"a change that is too large":                          changeIsTooLarge,
 		"the configuration is read back":                      configurationIsReadBack,
 		"the planner acts on demand":                          plannerActsOnDemand,
+		"summaries of load reach entries":                     summariesReachEntries,
 		"hosts join and leave":                                hostsJoinAndLeave,
 		"a lost voter is replaced":                            lostVoterIsReplaced,
 	}
--- a/io/controller/confirm.go
+++ b/io/controller/confirm.go
@@ -88,13 +88,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	answer, err := link.Call[wire.ControlConfirmAnswer](ctx, c.links, addr, c.confirmation(time.Now()))
+	sent := time.Now()
+	answer, err := link.Call[wire.ControlConfirmAnswer](ctx, c.links, addr, c.confirmation(sent))
 	if err != nil {
 		return err
 	}
 	if !answer.GetLeading() {
 		return errors.Wrapf(ErrNoLeader, "host %q does not lead", leader)
 	}
+	c.adopt(sent, answer)
 	return nil
 }
 
@@ -115,6 +117,7 @@
 		m.Demand = append(m.Demand, wire.EncodeDemand(r, now))
 	}
 	c.reports = nil
+	c.addSums(now, m)
 	return m
 }
 
@@ -130,6 +133,7 @@
 	}
 	if held {
 		c.recordReport(now, host, m)
+		answer.Summaries = c.totals(now, host, m)
 	}
 	return s.Send(answer)
 }
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -15,6 +15,7 @@
 	"papayarock/core/dispatch"
 	"papayarock/core/fleet"
 	"papayarock/core/state"
+	"papayarock/core/summary"
 	"papayarock/core/watch"
 	"papayarock/io/identity"
 	"papayarock/io/link"
@@ -70,6 +71,8 @@
 	copy    watch.Copy        // of a replica that does not lead
 	leading uint64            // term this replica leads, as far as the tracker goes
 	reports []capacity.Report // of demand, not yet passed on or taken in
+	board   summary.Board
+	summed  time.Time // when summaries were last sent to a leader
 
 	planning sync.Mutex // guards term and demand; never taken with mu held
 	term     *capacity.Term
--- a/io/controller/poll.go
+++ b/io/controller/poll.go
@@ -25,6 +25,9 @@
 	}
 	index, _ := c.machine.config()
 	answer := &wire.ControlPollAnswer{Revision: index.Revision, AgeNanos: int64(age), Last: true}
+	if m.GetSummaries() {
+		answer.Summaries = c.summaries(time.Now())
+	}
 	if index.Revision <= revision && revision > 0 {
 		return s.Send(answer)
 	}
@@ -82,8 +85,11 @@
 func (c *Controller) record(host fleet.Host, m *wire.ControlPoll) {
 	s := wire.DecodeSubscriber(m.GetSelf(), time.Now())
 	s.Host = host // the name that the peer has proved
+	index, _ := c.machine.config()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.hear(index, host, s.Target)
+	s.Target.Load = watch.Load{}
 	c.tracker.Record(s)
 	for _, d := range m.GetDemand() {
 		r := wire.DecodeDemand(d, s.Seen)
--- /dev/null
+++ b/io/controller/summary_test.go
@@ -0,0 +1,90 @@
+package controller_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"papayarock/core/fleet"
+	"papayarock/core/state"
+	"papayarock/core/summary"
+	"papayarock/core/watch"
+	"papayarock/io/subscribe"
+)
+
+// board keeps the last summaries that an entry was handed.
+type board struct {
+	mu   sync.Mutex
+	rows []summary.Row
+}
+
+func (b *board) take(rows []summary.Row) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rows = rows
+}
+
+// row returns the current row of a data centre.
+func (b *board) row(dc fleet.DataCentre) summary.Row {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range b.rows {
+		if r.DataCentre == dc && time.Since(r.Taken) < 5*time.Second {
+			return r
+		}
+	}
+	return summary.Row{}
+}
+
+// Guards against load that does not reach an entry by way of agent, relay,
+// leader and another relay, against load from a host that is not the target's,
+// and against summaries that outlive the data centre that they are about or end
+// with the leader.
+func summariesReachEntries(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	defer c.stop()
+	await(t, "no leader", func() bool { return c.leader() != "" })
+	leader, near := c.leader(), follower(c)
+	var far []fleet.Host
+	for h := range c.replicas {
+		if h != leader && h != near[0] {
+			far = append(far, h)
+		}
+	}
+	agent := func(i int, dc fleet.DataCentre, as fleet.Host, control ...fleet.Host) func() {
+		name := fleet.TargetName(fmt.Sprint("t", i))
+		target := fleet.Target{
+			Name: name, Incarnation: 1, Kind: fleet.Engine, Role: fleet.Prefill, Pool: "m", DataCentre: dc, Host: fleet.Host(fmt.Sprint("a", i)),
+		}
+		_, stop := c.node(subscribe.Options{Host: as, Sign: func() watch.Sign {
+			return watch.Sign{Name: name, Incarnation: 1, Ready: true, Prefill: 1000, Decode: 1, Load: watch.Load{
+				Taken: time.Now(), PrefillTokens: 3000,
+			}}
+		}}, control...)
+		_, err := c.replicas[leader].Propose(t.Context(), state.Announce{Target: target, Until: time.Now().Add(time.Hour), Time: time.Now()})
+		is.NoErr(err)
+		return stop
+	}
+	defer agent(0, "a", "a0", near...)()
+	defer agent(1, "a", "a1", leader, near[0])()
+	stopB := agent(2, "b", "a2", near...)
+	defer agent(3, "a", "stranger", near...)()
+	var seen board
+	_, stop := c.node(subscribe.Options{Host: "e1", Summed: seen.take}, far...)
+	defer stop()
+	await(t, "no summaries", func() bool { return seen.row("a").Targets == 2 && seen.row("b").Targets == 1 })
+	is.Equal(seen.row("a").Mean(), 3.0)
+	stopB()
+	await(t, "a silent data centre is kept", func() bool { return seen.row("b").Targets == 0 })
+	is.Equal(seen.row("a").Targets, uint32(2))
+	c.isolate(leader)
+	await(t, "no new leader", func() bool { return c.leader() != "" })
+	time.Sleep(5 * time.Second)
+	is.Equal(seen.row("a").Targets, uint32(2)) // both poll the other relay now
+	c.isolate(near[0])
+	await(t, "a relay that died is kept", func() bool { return seen.row("a").Targets == 0 })
+}
--- a/io/serving/subset.go
+++ b/io/serving/subset.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"papayarock/core/fleet"
+	"papayarock/core/route"
+	"papayarock/core/summary"
 	"papayarock/io/link"
 )
 
@@ -68,3 +70,24 @@
 	}
 	return sums
 }
+
+// WantsSummaries says whether there are targets outside the subset.
+func (p *Policy) WantsSummaries() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.subset.Len() > 0
+}
+
+// Summarised passes summaries of load to the router. Where all targets are in the
+// subset, their own reports tell more.
+func (p *Policy) Summarised(rows []summary.Row) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range rows {
+		if p.subset.Covers(r.Pool, r.DataCentre) {
+			continue
+		}
+		p.router.Step(now, route.Summary{Pool: r.Pool, DataCentre: r.DataCentre, Stage: r.Stage, Taken: r.Taken, Work: r.Mean()})
+	}
+}
--- a/io/subscribe/client.go
+++ b/io/subscribe/client.go
@@ -11,6 +11,7 @@
 
 	"papayarock/core/config"
 	"papayarock/core/fleet"
+	"papayarock/core/summary"
 	"papayarock/core/watch"
 	"papayarock/io/link"
 	"papayarock/io/wire"
@@ -55,6 +56,8 @@
 	Sign      func() watch.Sign     // what an agent says of its target; nil on other nodes
 	Demand    func() []Demand       // work received since the last call; nil on other nodes
 	Changed   func(x *config.Index) // called with each new configuration, in order; may be nil
+	Summed    func([]summary.Row)   // called with summaries of load; nil if none are wanted
+	Wanted    func() bool           // whether summaries are wanted now; nil means always
 	Log       hclog.Logger
 }
 
@@ -69,6 +72,7 @@
 
 	o        Options
 	demanded time.Time // of the last report of demand; used by Serve alone
+	summed   time.Time // when summaries were last asked for; used by Serve alone
 	mu       sync.Mutex
 	// guarded by mu
 	copy    watch.Copy
@@ -165,7 +169,7 @@
 	if c.o.Sign != nil {
 		s.Target = c.o.Sign()
 	}
-	m := &wire.ControlPoll{Self: wire.EncodeSubscriber(s, now)}
+	m := &wire.ControlPoll{Self: wire.EncodeSubscriber(s, now), Summaries: c.wantsSummaries(now)}
 	if c.o.Demand == nil || now.Sub(c.demanded) < demandPeriod {
 		return m
 	}
@@ -229,6 +233,9 @@
 		return errors.Wrapf(ErrStale, "it holds revision %d, this node %d", m.GetRevision(), c.copy.Revision)
 	}
 	c.FreshNanos.Store(c.copy.FreshUntil.UnixNano())
+	if len(m.GetSummaries()) > 0 && c.o.Summed != nil {
+		c.o.Summed(wire.DecodeSummaries(m.GetSummaries(), sent))
+	}
 	return nil
 }
 
--- a/io/wire/codec_control.go
+++ b/io/wire/codec_control.go
@@ -20,6 +20,11 @@
 			Ready: t.Ready, Running: t.Running, Refusing: t.Refusing,
 			PrefillSpeed: t.Prefill, DecodeSpeed: t.Decode,
 		}
+		if l := t.Load; !l.Taken.IsZero() {
+			m.Target.Load = &ControlLoad{
+				PrefillTokens: l.PrefillTokens, DecodeTokens: l.DecodeTokens, Waiting: l.Waiting, AgeNanos: int64(now.Sub(l.Taken)),
+			}
+		}
 	}
 	return m
 }
@@ -34,6 +39,12 @@
 			Ready: t.GetReady(), Running: t.GetRunning(), Refusing: t.GetRefusing(),
 			Prefill: amount(t.GetPrefillSpeed()), Decode: amount(t.GetDecodeSpeed()),
 		}
+		if l := t.GetLoad(); l != nil {
+			s.Target.Load = watch.Load{
+				PrefillTokens: amount(l.GetPrefillTokens()), DecodeTokens: amount(l.GetDecodeTokens()), Waiting: l.GetWaiting(),
+				Taken: now.Add(-time.Duration(max(l.GetAgeNanos(), 0))),
+			}
+		}
 	}
 	return s
 }
--- a/io/wire/codec_control_test.go
+++ b/io/wire/codec_control_test.go
@@ -9,6 +9,8 @@
 
 	"papayarock/core/capacity"
 	"papayarock/core/fleet"
+	"papayarock/core/route"
+	"papayarock/core/summary"
 	"papayarock/core/watch"
 )
 
@@ -18,6 +20,7 @@
 	is := is.New(t)
 	s := watch.Subscriber{Host: "h", Revision: 3, Seen: at, Target: watch.Sign{
 		Name: "e1", Incarnation: 4, Ready: true, Running: 5, Refusing: true, Prefill: 6, Decode: 7,
+		Load: watch.Load{Taken: at.Add(-time.Second), PrefillTokens: 8, DecodeTokens: 9, Waiting: 10},
 	}}
 	sent := at.Add(time.Second)
 	is.Equal(DecodeSubscriber(EncodeSubscriber(s, sent), sent), s)
@@ -26,9 +29,13 @@
 		Period: 4 * time.Second, At: at,
 	}
 	is.Equal(DecodeDemand(EncodeDemand(r, sent), sent), r)
+	rows := []summary.Row{{Key: summary.Key{Pool: "m", DataCentre: "dc", Stage: route.Decode}, Targets: 2, Work: 1.5, Taken: at}}
+	is.Equal(DecodeSummaries(EncodeSummaries(rows, sent), sent), rows)
+	is.Equal(len(DecodeSummaries([]*ControlSummary{{}, {Targets: 1, Stage: 2}}, at)), 0)
 	for _, v := range []float64{math.NaN(), math.Inf(1), -1} {
 		got := DecodeDemand(&ControlDemand{Requests: v, PromptTokens: v, OutputTokens: v, Seconds: v}, at)
 		is.Equal(got, capacity.Report{At: at})
 		is.Equal(DecodeSubscriber(&ControlSubscriber{Target: &ControlTarget{PrefillSpeed: v, DecodeSpeed: v}}, at).Target, watch.Sign{})
+		is.Equal(DecodeSummaries([]*ControlSummary{{Targets: 1, Work: float32(v)}}, at)[0].Work, 0.0)
 	}
 }
