--- a/io/link/server.go
+++ b/io/link/server.go
@@ -153,6 +153,9 @@
 		return nil, peer, err
 	}
 	session, err := yamux.Server(newBatch(c), sessionConfig())
+	if err == nil {
+		go watch(session, s.Identity, peer)
+	}
 	return session, peer, err
 }
 
@@ -170,9 +173,6 @@
 	if peer.Plain {
 		name = peer.Address
 	}
-	if s.Identity != nil {
-		go expelRevoked(session, s.Identity, peer)
-	}
 	var streams sync.WaitGroup
 	serve := func(y *yamux.Stream) {
 		st := NewStream(y, true)
