--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -24,8 +24,8 @@
 //
 // Requests are POST /v1/completions and /v1/chat/completions; GET
 // /resume/{request id}?offset=BYTES continues an answer. GET /load, /state and
-// /events report; POST /order changes the engine; POST /kv/export and
-// /kv/import move cached prefixes.
+// /events report, GET /cache lists the prefix cache; POST /order changes the
+// engine; POST /kv/export and /kv/import move cached prefixes.
 type Engine struct {
 	Model   string // loaded at start; "" serves any model
 	Version string
@@ -101,6 +101,7 @@
 	OldOrdersRun    int // old number, while the engine does not check
 	OrdersRepeated  int // run again under a number that had run
 	OrderConflicts  int // orders that arrived during another order
+	CacheListings   int // whole listings of the prefix cache
 	ContentConflict int // orders with the number of another content
 }
 
@@ -233,6 +234,7 @@
 	mux.HandleFunc("GET /resume/{id}", e.resume)
 	mux.HandleFunc("GET /load", e.serveLoad)
 	mux.HandleFunc("GET /events", e.serveEvents)
+	mux.HandleFunc("GET /cache", e.serveCache)
 	mux.HandleFunc("GET /state", e.serveState)
 	mux.HandleFunc("POST /order", e.serveOrder)
 	mux.HandleFunc("POST /kv/export", e.exportKV)
--- a/internal/fake/engine_cache.go
+++ b/internal/fake/engine_cache.go
@@ -38,19 +38,39 @@
 
 // CacheEvent tells that a prompt block entered or left the prefix cache.
 type CacheEvent struct {
-	Sequence uint64    `json:"sequence"` // from 1; a gap means lost events
-	Kind     string    `json:"kind"`     // stored or removed
-	Block    string    `json:"block"`    // hash in hexadecimal
-	At       time.Time `json:"at"`
+	Incarnation uint64    `json:"incarnation"` // of the engine; a crash loses the cache
+	Sequence    uint64    `json:"sequence"`    // from 1 in each incarnation; a gap means lost events
+	Kind        string    `json:"kind"`        // stored, removed, or cleared for all blocks
+	Block       string    `json:"block"`       // hash in hexadecimal
+	Tokens      int       `json:"tokens"`      // of the prefix that ends with the block
+	At          time.Time `json:"at"`
+}
+
+// cacheListing is the whole content of a prefix cache after the event with the
+// sequence number.
+type cacheListing struct {
+	Incarnation uint64        `json:"incarnation"`
+	Sequence    uint64        `json:"sequence"`
+	Blocks      []listedBlock `json:"blocks"`
+}
+
+type listedBlock struct {
+	Block  string `json:"block"`
+	Tokens int    `json:"tokens"`
 }
 
 // prefixCache keeps prompt blocks, the least recently used first.
 type prefixCache struct {
-	blocks   []uint64
+	blocks   []cachedBlock
 	events   []CacheEvent
 	sequence uint64
 }
 
+type cachedBlock struct {
+	hash   uint64
+	tokens int
+}
+
 // match returns the number of leading tokens of a prompt in the cache.
 func (c *prefixCache) match(prompt []string) int {
 	n := 0
@@ -64,11 +84,12 @@
 }
 
 func (c *prefixCache) touch(h uint64) bool {
-	i := slices.Index(c.blocks, h)
+	i := slices.IndexFunc(c.blocks, func(b cachedBlock) bool { return b.hash == h })
 	if i < 0 {
 		return false
 	}
-	c.blocks = append(slices.Delete(c.blocks, i, i+1), h)
+	b := c.blocks[i]
+	c.blocks = append(slices.Delete(c.blocks, i, i+1), b)
 	return true
 }
 
@@ -76,16 +97,18 @@
 	c.add(blockHashes(prompt), limit, gapEvery)
 }
 
+// add stores the blocks of one prompt, from its beginning.
 func (c *prefixCache) add(hashes []uint64, limit, gapEvery int) {
 	if limit <= 0 {
 		return
 	}
-	for _, h := range hashes {
+	for i, h := range hashes {
 		if c.touch(h) {
 			continue
 		}
-		c.blocks = append(c.blocks, h)
-		c.record("stored", h, gapEvery)
+		b := cachedBlock{h, (i + 1) * blockTokens}
+		c.blocks = append(c.blocks, b)
+		c.record("stored", b, gapEvery)
 		if len(c.blocks) > limit {
 			c.record("removed", c.blocks[0], gapEvery)
 			c.blocks = c.blocks[1:]
@@ -93,26 +116,41 @@
 	}
 }
 
-func (c *prefixCache) record(kind string, h uint64, gapEvery int) {
+// clear loses the whole content, as an engine does when it is rebuilt.
+func (c *prefixCache) clear() {
+	if len(c.blocks) > 0 {
+		c.record("cleared", cachedBlock{}, 0)
+	}
+	c.blocks = nil
+}
+
+func (c *prefixCache) record(kind string, b cachedBlock, gapEvery int) {
 	c.sequence++
 	if gapEvery > 0 && c.sequence%uint64(gapEvery) == 0 {
 		return
 	}
-	c.events = append(c.events, CacheEvent{Sequence: c.sequence, Kind: kind, Block: strconv.FormatUint(h, 16), At: time.Now()})
+	c.events = append(c.events, CacheEvent{
+		Sequence: c.sequence, Kind: kind, Block: strconv.FormatUint(b.hash, 16), Tokens: b.tokens, At: time.Now(),
+	})
 	if len(c.events) > maxCacheEvents {
 		c.events = c.events[1:]
 	}
 }
 
 // serveEvents returns the events after the sequence number "after" that are
-// older than EventLag.
+// older than EventLag. With another "incarnation" than the engine's it returns
+// all.
 func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
 	e.mu.Lock()
+	if i := r.FormValue("incarnation"); i != "" && i != strconv.FormatUint(e.incarnation(), 10) {
+		after = 0
+	}
 	published := time.Now().Add(-e.EventLag)
 	events := []CacheEvent{}
 	for _, ev := range e.cache.events {
 		if ev.Sequence > after && !ev.At.After(published) {
+			ev.Incarnation = e.incarnation()
 			events = append(events, ev)
 		}
 	}
@@ -120,6 +158,21 @@
 	writeJSON(w, http.StatusOK, events)
 }
 
+// incarnation changes whenever the cache and its sequence numbers are lost.
+func (e *Engine) incarnation() uint64 { return uint64(e.generation) + 1 }
+
+// serveCache lists the whole content of the prefix cache.
+func (e *Engine) serveCache(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	l := cacheListing{Incarnation: e.incarnation(), Sequence: e.cache.sequence, Blocks: []listedBlock{}}
+	for _, b := range e.cache.blocks {
+		l.Blocks = append(l.Blocks, listedBlock{strconv.FormatUint(b.hash, 16), b.tokens})
+	}
+	e.counts.CacheListings++
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, l)
+}
+
 // kvHeader is the first line of exported KV cache; Bytes bytes follow it.
 type kvHeader struct {
 	Blocks []uint64 `json:"blocks"`
--- a/internal/fake/engine_order.go
+++ b/internal/fake/engine_order.go
@@ -218,7 +218,7 @@
 	switch o.Kind {
 	case "load-model":
 		e.Model, e.Version = o.Name, o.Version
-		e.cache = prefixCache{sequence: e.cache.sequence}
+		e.cache.clear()
 	case "load-version":
 		e.Version = o.Version
 	case "load-adapter":
