io/agent: follow the prefix cache of the engine

Nobody read the cache events of engines. The agent now reads them each 200 ms, makes up for lost ones from the engine's listing, at most once a second, and numbers the changes that entries ask for with CachePoll. It keeps changes of 1,024 hashes and gives at most 8,192 for the whole content.

Conclusion: an entry needs one listing only after it missed those changes.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -75,6 +75,7 @@
 	registered bool
 	fence      authority.Fence[instruction, orderResult]
 	target     targetLoad
+	cache      cacheView // has a lock of its own
 	bodies     int64
 	running    map[fleet.RequestID]*job
 	ended      expiry.Map[fleet.RequestID, *job]
@@ -100,6 +101,7 @@
 	}
 	a.usage.node, a.usage.incarnation = a.Announcement.Host, a.Announcement.Incarnation
 	a.usage.keep = a.Control != nil
+	a.cache.sequence = 1 // the empty cache; core/route takes 0 for nothing known
 	a.fence.Incarnation = a.Announcement.Incarnation
 	a.running = make(map[fleet.RequestID]*job)
 	a.ended.MaxEntries, a.ended.MaxBytes = maxRetained, maxRetainedBytes
@@ -119,6 +121,7 @@
 		Log:         a.Log,
 	}
 	link.Handle(server, a.handle, identity.Entry)
+	link.Handle(server, a.pollCache, identity.Entry)
 	a.registerOrders(server)
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
@@ -130,6 +133,9 @@
 			wg.Go(func() { a.readLoads(work) })
 		}
 	}
+	if a.Announcement.Kind == fleet.Engine {
+		wg.Go(func() { a.readCache(work) })
+	}
 	err := server.Serve(ctx)
 	cancel()
 	wg.Wait()
