io/entry, io/serving: place prompts where their prefix is cached

core/route weighed cached prefixes in tables only. The entry now hashes the prefixes of prompts and messages, follows the caches of its region, answers route.Resync with a whole content and passes Request.Prefix to Pick.

The rig gives each agent a target of its own.

--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/url"
 	"time"
@@ -50,13 +49,15 @@
 		promise = defaultPromise
 	}
 	read := r.Method == http.MethodGet || r.Method == http.MethodHead
+	language := readLanguage(a.route, body)
 	request := Request{
 		ID:         id,
 		Customer:   a.customer,
 		Route:      a.route,
 		Idempotent: a.route.Idempotent || a.route.SafeReads && read,
 		BodyBytes:  len(body),
-		MaxOutput:  maxOutput(a.route, body),
+		MaxOutput:  language.maxOutput(),
+		Prefix:     language.prefix(),
 		Arrived:    now,
 		Deadline:   now.Add(promise),
 	}
@@ -73,21 +74,6 @@
 	}
 }
 
-// maxOutput reads the caller's bound on the answer of a language request.
-func maxOutput(route config.Route, body []byte) int {
-	if route.Protocol != config.Language {
-		return 0
-	}
-	var m struct {
-		MaxTokens           int `json:"max_tokens"`
-		MaxCompletionTokens int `json:"max_completion_tokens"`
-	}
-	if json.Unmarshal(body, &m) != nil {
-		return 0 // the engine refuses it
-	}
-	return max(m.MaxTokens, m.MaxCompletionTokens, 0)
-}
-
 // targetPath is the path that the target sees. Engines serve the completion
 // interface at their root, so the prefix of a language route ends at the entry.
 func targetPath(route config.Route, u *url.URL) string {
--- a/io/entry/policy.go
+++ b/io/entry/policy.go
@@ -26,7 +26,8 @@
 	Route      config.Route
 	Idempotent bool
 	BodyBytes  int
-	MaxOutput  int // tokens that the caller allows for the answer; 0 if not said
+	MaxOutput  int      // tokens that the caller allows for the answer; 0 if not said
+	Prefix     []uint64 // hashes of the prompt's beginnings, as in papayarock/core/prefix
 	Arrived    time.Time
 	Deadline   time.Time
 	Tried      []fleet.TargetName // targets of earlier attempts
--- a/io/entry/rig_test.go
+++ b/io/entry/rig_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"net/url"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -147,7 +148,6 @@
 type rig struct {
 	is     *is.I
 	t      *testing.T
-	target http.Handler
 	agents []*agent.Agent
 	entry  *entry.Entry
 	index  atomic.Pointer[config.Index]
@@ -193,7 +193,8 @@
 	s := config.Snapshot{Revision: revision, Document: config.Document{Routes: routes()}, Keys: keys}
 	for i, a := range r.agents {
 		s.Targets = append(s.Targets, fleet.Target{
-			Name: a.Announcement.Name, Pool: "app", Phase: fleet.Ready,
+			Name: a.Announcement.Name, Pool: "app", Phase: fleet.Ready, Kind: a.Announcement.Kind, Role: a.Announcement.Role,
+			Region: a.Announcement.Region, DataCentre: a.Announcement.DataCentre, Slots: a.Announcement.Slots,
 			Agent: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1)),
 		})
 	}
@@ -204,18 +205,31 @@
 	return config.Key{ID: "k1", Digest: sha256.Sum256([]byte(secret)), Customer: "klang"}
 }
 
+// beside is a target and what its agent announces of it.
+type beside struct {
+	handler http.Handler
+	target  fleet.Target // kind, role, place and slots
+}
+
 // newRig starts agents beside one target each; all targets share the handler.
 func newRig(t *testing.T, target http.Handler, agents int) *rig {
-	r := &rig{is: is.New(t), t: t, target: target, log: &lockedLog{}}
+	return newRigOf(t, slices.Repeat([]beside{{handler: target}}, agents)...)
+}
+
+// newRigOf starts an agent beside each target.
+func newRigOf(t *testing.T, targets ...beside) *rig {
+	r := &rig{is: is.New(t), t: t, log: &lockedLog{}}
 	log := hclog.New(&hclog.LoggerOptions{Output: r.log, Level: hclog.Trace})
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stopA = cancel
 	var wg sync.WaitGroup
-	backend := newPipes()
-	backServer := &http.Server{Handler: target}
-	wg.Go(func() { _ = backServer.Serve(backend) })
+	var backServers []*http.Server
 	var transports []*http.Transport
-	for i := range agents {
+	for i, b := range targets {
+		backend := newPipes()
+		backServer := &http.Server{Handler: b.handler, ErrorLog: log.StandardLogger(nil)}
+		wg.Go(func() { _ = backServer.Serve(backend) })
+		backServers = append(backServers, backServer)
 		l := newPipes()
 		r.links = append(r.links, l)
 		tr := &http.Transport{DisableCompression: true, DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
@@ -223,9 +237,10 @@
 			return c, err
 		}}
 		transports = append(transports, tr)
+		b.target.Name, b.target.Host, b.target.Incarnation = fleet.TargetName("t"+string(rune('1'+i))), "h1", 7
 		a := &agent.Agent{
 			Listener: l, Target: &url.URL{Scheme: "http", Host: "127.0.0.1:1"}, Transport: tr, Log: log,
-			Announcement: fleet.Target{Name: fleet.TargetName("t" + string(rune('1'+i))), Host: "h1", Incarnation: 7},
+			Announcement: b.target,
 		}
 		r.agents = append(r.agents, a)
 		wg.Go(func() { _ = a.Serve(ctx) })
@@ -251,7 +266,9 @@
 			tr.CloseIdleConnections()
 		}
 		time.Sleep(10 * time.Minute) // running requests end by their deadlines
-		_ = backServer.Close()
+		for _, s := range backServers {
+			_ = s.Close()
+		}
 		wg.Wait()
 	}
 	return r
--- a/io/serving/pick.go
+++ b/io/serving/pick.go
@@ -27,7 +27,7 @@
 	defer p.mu.Unlock()
 	choice, err := p.router.Pick(now, route.Request{
 		Pool: r.Route.Pool, Customer: r.Customer, PromptTokens: promptTokens(r),
-		FirstTokenBy: firstTokenBy(r), Tried: r.Tried,
+		FirstTokenBy: firstTokenBy(r), Prefix: r.Prefix, Tried: r.Tried,
 	})
 	if err != nil {
 		return fleet.Target{}, false
--- a/io/serving/policy.go
+++ b/io/serving/policy.go
@@ -13,6 +13,7 @@
 	"papayarock/core/admit"
 	"papayarock/core/config"
 	"papayarock/core/fleet"
+	"papayarock/core/prefix"
 	"papayarock/core/retry"
 	"papayarock/core/route"
 	"papayarock/core/state"
@@ -71,6 +72,8 @@
 	pools   map[string]*pool
 	flights map[fleet.RequestID]*flight
 	speeds  map[fleet.TargetName]speed
+	cursors map[fleet.TargetName]cursor // of the caches followed
+	resyncs uint64                      // whole contents asked for after a gap
 	demand  map[demandKey]work
 	asked   time.Time // when the demand was last handed out
 	parts   uint32    // of state.ShareUnit
@@ -102,11 +105,14 @@
 		o.Random = rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
 	}
 	return &Policy{
-		o:       o,
-		router:  route.New(route.Options{DataCentre: o.DataCentre, Region: o.Region, Random: o.Random}),
+		o: o,
+		router: route.New(route.Options{
+			DataCentre: o.DataCentre, Region: o.Region, Random: o.Random, BlockTokens: prefix.BlockTokens,
+		}),
 		pools:   make(map[string]*pool),
 		flights: make(map[fleet.RequestID]*flight),
 		speeds:  make(map[fleet.TargetName]speed),
+		cursors: make(map[fleet.TargetName]cursor),
 		demand:  make(map[demandKey]work),
 		parts:   state.ShareUnit,
 	}
@@ -133,6 +139,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { p.pollLoads(ctx) })
+	wg.Go(func() { p.followCaches(ctx) })
 	if p.Shares != nil {
 		wg.Go(func() { p.renewShare(ctx) })
 	}
@@ -186,6 +193,8 @@
 	ShareUntil time.Time
 	Speeds     map[fleet.TargetName]string
 	Crossed    map[fleet.Customer]uint64 // bytes across regions
+	Caches     int                       // engines whose prefix cache is followed
+	Resyncs    uint64                    // whole contents of caches asked for after a gap
 }
 
 // Dump returns a copy of the state, of type Dump.
@@ -195,7 +204,7 @@
 	d := Dump{
 		Flights: len(p.flights), Waiting: make(map[string]int), Firsts: p.budget.Firsts, Retries: p.budget.Retries,
 		ShareParts: p.parts, ShareUntil: p.share, Speeds: make(map[fleet.TargetName]string),
-		Crossed: make(map[fleet.Customer]uint64),
+		Crossed: make(map[fleet.Customer]uint64), Caches: len(p.cursors), Resyncs: p.resyncs,
 	}
 	if p.index != nil {
 		d.Revision = p.index.Revision
