core/route: weigh the move of KV cache

A hand-over counted as free, so a mixed engine gave its answers away for any gain. Moved events teach the seconds for each prompt token; a mixed engine hands over only where that is less than it saves, a prefill engine is scored with it, and bytes between regions are counted for the customer.

--- a/core/route/event.go
+++ b/core/route/event.go
@@ -8,7 +8,7 @@
 )
 
 // Event is something a Router learns: Configure, Load, Summary, FirstToken,
-// Outcome or Cache.
+// Outcome, Moved or Cache.
 type Event interface{ event() }
 
 // Configure replaces the known targets. Figures of targets that stay under the
@@ -63,6 +63,15 @@
 	Bytes    uint64 // sent and received
 }
 
+// Moved reports that the KV cache of a prompt went from one target to another.
+type Moved struct {
+	From, To fleet.TargetName
+	Customer fleet.Customer
+	Tokens   float64       // of the prompt; 0 when the cache did not arrive whole
+	Bytes    uint64        // sent
+	Took     time.Duration // until it could be used
+}
+
 // Cache reports changes of a target's prefix cache.
 type Cache struct {
 	Target   fleet.TargetName
@@ -77,6 +86,7 @@
 func (Summary) event()    {}
 func (FirstToken) event() {}
 func (Outcome) event()    {}
+func (Moved) event()      {}
 func (Cache) event()      {}
 
 // Resync asks the owner to request the whole cache content of a target, after
--- /dev/null
+++ b/core/route/move_test.go
@@ -0,0 +1,45 @@
+package route_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"papayarock/core/fleet"
+	"papayarock/core/route"
+)
+
+// Guards against a hand-over that takes longer than it saves, and against KV
+// cache that crosses regions uncounted.
+func TestMoved(t *testing.T) {
+	is := is.New(t)
+	r := newRouter()
+	targets := engines(3, 1)
+	targets[0].Role, targets[1].Role, targets[2].Role = fleet.Mixed, fleet.Decode, fleet.Decode
+	targets[2].Region, targets[2].DataCentre = "far", "far"
+	r.Step(start, route.Configure{Targets: targets})
+	load := func(at time.Time, tokens float64) {
+		r.Step(at, route.Load{Target: targets[0].Name, Taken: at, DecodeTokens: tokens, DecodeSpeed: 1000})
+		r.Step(at, route.Load{Target: targets[1].Name, Taken: at, DecodeSpeed: 1000})
+	}
+	pick := func(at time.Time) route.Choice {
+		c, err := r.Pick(at, request(1000, time.Hour))
+		is.NoErr(err)
+		r.Step(at, route.Outcome{Choice: c, Result: route.Cancelled})
+		return c
+	}
+	load(start, 500) // half a second of work to answer beside
+	is.True(pick(start).HandOver)
+	move := route.Moved{From: targets[0].Name, To: targets[1].Name, Customer: "klang", Bytes: 10, Tokens: 1000, Took: 700 * time.Millisecond}
+	r.Step(start, move)
+	is.True(!pick(start).HandOver)
+	is.Equal(r.Crossed["klang"], uint64(0))
+	at := start.Add(time.Second)
+	load(at, 2000)
+	is.True(pick(at).HandOver)
+	move.To, move.Tokens = targets[2].Name, 0 // did not arrive whole
+	r.Step(at, move)
+	is.Equal(r.Crossed["klang"], uint64(10))
+	is.True(pick(at).HandOver)
+}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -141,6 +141,9 @@
 	c.work = t.cost(q, held)
 	queue := t.queue(now, g)
 	c.wait = (ahead(queue, q.Stage) + t.blocked(now, queue) + c.work.prefill) * t.health.slowness
+	if q.Stage == Start && t.Role == fleet.Prefill {
+		c.wait += r.move * q.PromptTokens
+	}
 	c.score = c.wait/t.health.ramp(now) + t.health.rate*failPenalty
 	if c.probe {
 		// A due probe goes first; by its score a target that has failed would
@@ -223,6 +226,12 @@
 		return true
 	}
 	q.Stage = Decode
-	c := r.pickIn(now, q, &r.groups[g.pair], nil, 0)
-	return c.slot >= 0 && r.targets[c.slot].Role == fleet.Decode
+	pair := &r.groups[g.pair]
+	c := r.pickIn(now, q, pair, nil, 0)
+	if c.slot < 0 || r.targets[c.slot].Role != fleet.Decode {
+		return false
+	}
+	here := candidate{slot: -1, score: math.Inf(1)}
+	r.compare(now, q, pair, nil, 0, slot, &here)
+	return r.saves(q, c, here)
 }
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -42,6 +42,7 @@
 	pools   map[string]*pool
 	cache   *cacheTable
 	resync  []Resync
+	move    float64 // seconds to move the KV cache of a prompt token; 0 until seen
 }
 
 // pool lists the groups of one pool by stage, nearest first.
@@ -132,6 +133,8 @@
 		r.firstToken(now, e)
 	case Outcome:
 		r.outcome(now, e)
+	case Moved:
+		r.moved(e)
 	case Cache:
 		r.cached(e)
 	}
