io/agent: process prompts for other engines and move their KV cache

No message let a prompt and its answer go to two engines. An entry can now have an agent process a prompt (Prefill), and another agent fetch its KV cache from the first (KVImport, KVExport) over the links. Nothing of it runs or bills the request. Exports are for agents only.

internal/fake can crash in an export or import, lose its cache before an export and take time for it.

--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -39,6 +39,7 @@
 
 	CacheBlocks     int           // prompt blocks kept in the prefix cache; 0 means none
 	KVBytesPerToken int           // size of exported KV cache
+	KVTime          time.Duration // of one export
 	EventLag        time.Duration // age at which cache events are published
 	EventGapEvery   int           // each n-th cache event is lost; 0 means none
 	LoadLag         time.Duration // age of load reports
@@ -83,6 +84,9 @@
 	ExtraLoadLag     time.Duration // added to LoadLag
 	Silent           bool          // accept requests and never answer
 	FailFast         bool          // answer 500 at once
+	LoseKV           bool          // lose the prefix cache before each export
+	CrashInExport    bool          // crash halfway through the next export of KV cache
+	CrashInImport    bool          // crash before the end of the next import
 }
 
 // EngineCounts says what an engine did since its creation, crashes included.
@@ -101,6 +105,8 @@
 	OldOrdersRun    int // old number, while the engine does not check
 	OrdersRepeated  int // run again under a number that had run
 	OrderConflicts  int // orders that arrived during another order
+	Exports         int // of KV cache, whole
+	Imports         int
 	CacheListings   int // whole listings of the prefix cache
 	ContentConflict int // orders with the number of another content
 }
--- a/internal/fake/engine_cache.go
+++ b/internal/fake/engine_cache.go
@@ -187,12 +187,41 @@
 		return
 	}
 	e.mu.Lock()
+	if e.faults.LoseKV {
+		e.cache.clear()
+	}
 	n := e.cache.match(in.words())
+	crashed := e.crashed
 	e.mu.Unlock()
 	head := kvHeader{Blocks: blockHashes(in.words())[:n/blockTokens], Bytes: n * e.KVBytesPerToken}
 	w.Header().Set("Content-Type", "application/octet-stream")
-	if json.NewEncoder(w).Encode(head) == nil {
-		_, _ = io.CopyN(w, zeros{}, int64(head.Bytes))
+	if json.NewEncoder(w).Encode(head) != nil {
+		return
+	}
+	_, _ = io.CopyN(w, zeros{}, int64(head.Bytes/2))
+	_ = http.NewResponseController(w).Flush()
+	wait(e.KVTime, crashed)
+	e.crashOnce(func(f *EngineFaults) *bool { return &f.CrashInExport }, crashed)
+	if _, err := io.CopyN(w, zeros{}, int64(head.Bytes-head.Bytes/2)); err == nil {
+		e.mu.Lock()
+		e.counts.Exports++
+		e.mu.Unlock()
+	}
+}
+
+// crashOnce crashes the engine if a fault is set, and ends the call of an engine
+// that has crashed.
+func (e *Engine) crashOnce(fault func(f *EngineFaults) *bool, crashed <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if set := fault(&e.faults); *set {
+		*set = false
+		e.crash()
+	}
+	select {
+	case <-crashed:
+		panic(http.ErrAbortHandler)
+	default:
 	}
 }
 
@@ -213,6 +242,11 @@
 		return
 	}
 	e.mu.Lock()
+	crashed := e.crashed
+	e.mu.Unlock()
+	e.crashOnce(func(f *EngineFaults) *bool { return &f.CrashInImport }, crashed)
+	e.mu.Lock()
+	e.counts.Imports++
 	e.cache.add(head.Blocks, e.CacheBlocks, e.EventGapEvery)
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, map[string]any{"blocks": len(head.Blocks)})
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -56,6 +56,7 @@
 	Target       *url.URL              // base URL on a loopback address
 	Announcement fleet.Target          // announced to control, with Host and Incarnation
 	Control      Control               // nil without control
+	Links        *link.Pool            // to other agents; nil takes no KV cache from them
 	Transport    http.RoundTripper     // to the target; set by tests
 	StopTimeout  time.Duration         // DefaultStopTimeout if zero
 	Log          hclog.Logger
@@ -76,6 +77,7 @@
 	fence      authority.Fence[instruction, orderResult]
 	target     targetLoad
 	cache      cacheView // has a lock of its own
+	prompts    prompts
 	bodies     int64
 	running    map[fleet.RequestID]*job
 	ended      expiry.Map[fleet.RequestID, *job]
@@ -106,6 +108,7 @@
 	a.running = make(map[fleet.RequestID]*job)
 	a.ended.MaxEntries, a.ended.MaxBytes = maxRetained, maxRetainedBytes
 	a.unread.MaxEntries = maxRetained
+	a.prompts.bodies.MaxEntries, a.prompts.bodies.MaxBytes = maxPrompts, maxPromptBytes
 	a.known.MaxEntries, a.recent.MaxEntries = maxKnown, maxKnown
 }
 
@@ -122,6 +125,9 @@
 	}
 	link.Handle(server, a.handle, identity.Entry)
 	link.Handle(server, a.pollCache, identity.Entry)
+	link.Handle(server, a.prefill, identity.Entry)
+	link.Handle(server, a.importKV, identity.Entry)
+	link.Handle(server, a.exportKV, identity.Agent)
 	a.registerOrders(server)
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
--- a/io/daemon/roles.go
+++ b/io/daemon/roles.go
@@ -86,7 +86,7 @@
 		return errors.Wrapf(ErrStart, "agent: %v", err)
 	}
 	a := &agent.Agent{
-		Listener: l, Identity: p.credentials, Target: s.Target, StopTimeout: p.s.Shutdown, Log: p.log.Named("agent"),
+		Listener: l, Identity: p.credentials, Links: p.links, Target: s.Target, StopTimeout: p.s.Shutdown, Log: p.log.Named("agent"),
 		Announcement: fleet.Target{
 			Name: s.Name, Host: p.s.Host, Region: p.s.Region, DataCentre: p.s.DataCentre,
 			Agent: netip.AddrPortFrom(p.s.Addresses[0], s.Listen.Port()), Kind: s.Kind, Pool: s.Pool, Role: s.Role,
