io/entry, io/serving: hand prompts from prefill to decode engines

A Choice with HandOver was ignored: a prompt sent to a prefill engine came back with its status 409. The entry now has the prompt processed there, chooses the answering target with the figures of that moment, has the KV cache moved and then runs the request at the answering target only. Whatever becomes of the hand-over, that target processes what it lacks, so that the request runs and is billed once. Without an engine for prompts the decode engines process them; the router has no start candidate then and requests were refused with 503.

Conclusion: answers are whole, or refused truthfully where the request was not handed over. A decode engine that crashes in its answer cuts it visibly, as before.

--- a/io/entry/affinity_test.go
+++ b/io/entry/affinity_test.go
@@ -49,15 +49,21 @@
 	return newRigOf(t, targets...)
 }
 
-// decide lets the entry decide by a policy, until the returned function is
-// called.
-func (r *rig) decide(seed uint64) (*serving.Policy, func()) {
+// policy lets the entry decide by a policy that polls nothing.
+func (r *rig) policy(seed uint64) *serving.Policy {
 	p := serving.New(serving.Options{
 		Region: "klang", DataCentre: "klang", Links: r.entry.Links,
 		Random: rand.New(rand.NewPCG(seed, 1)), Log: hclog.NewNullLogger(),
 	})
 	p.Configured(r.index.Load())
 	r.entry.Picker, r.entry.Admitter, r.entry.Retrier = p, p, p
+	return p
+}
+
+// decide lets the entry decide by a policy, until the returned function is
+// called.
+func (r *rig) decide(seed uint64) (*serving.Policy, func()) {
+	p := r.policy(seed)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = p.Serve(ctx) })
@@ -75,8 +81,13 @@
 
 // ask streams an answer and returns when its first byte came.
 func (r *rig) ask(prompt string, tokens int) (first time.Duration, got reply) {
+	return r.askOn("", prompt, tokens)
+}
+
+// askOn uses the route with a prefix.
+func (r *rig) askOn(prefix, prompt string, tokens int) (first time.Duration, got reply) {
 	body := fmt.Sprintf(`{"prompt": %q, "max_tokens": %d, "stream": true}`, prompt, tokens)
-	req, err := http.NewRequest(http.MethodPost, "http://entry/v1/completions", strings.NewReader(body))
+	req, err := http.NewRequest(http.MethodPost, "http://entry"+prefix+"/v1/completions", strings.NewReader(body))
 	r.is.NoErr(err)
 	req.Header.Set("Authorization", "Bearer "+secret)
 	sent := time.Now()
@@ -87,7 +98,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	var one [1]byte
 	if _, err := io.ReadFull(resp.Body, one[:]); err != nil {
-		return 0, reply{err: err}
+		return 0, reply{status: resp.StatusCode, err: err}
 	}
 	first = time.Since(sent)
 	rest, err := io.ReadAll(resp.Body)
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -145,8 +145,7 @@
 func (c *call) attempts(out *Outcome) *Refusal {
 	last := refuseNoTarget
 	for {
-		index := c.e.Config.Load()
-		t, ok := c.e.Picker.Pick(c.request, index.Pool(c.admitted.route.Pool))
+		t, ok := c.pick()
 		if !ok {
 			return c.truthful(last)
 		}
@@ -257,9 +256,7 @@
 	return Cancelled, ran, err
 }
 
-func (c *call) address() link.Address {
-	return link.Address{Host: c.target.Host, AddrPort: c.target.Agent}
-}
+func (c *call) address() link.Address { return addressOf(c.target) }
 
 // handOver sends request and body. Without a stream the agent has certainly
 // not run the request, since it starts only when it has all of the body.
@@ -270,20 +267,25 @@
 		return nil, err
 	}
 	c.incarnation = s.Peer.Incarnation
+	last, err := c.sendParts(s)
+	if err != nil && !last || errors.Is(err, link.ErrRefused) {
+		_ = s.Close()
+		return nil, err
+	}
+	return s, err
+}
+
+// sendParts sends the body. It returns whether it came to the last part, which
+// may have arrived also after an error.
+func (c *call) sendParts(s *link.Stream) (last bool, err error) {
 	body := c.body
 	for len(body) > bodyPartBytes {
 		if err := s.Send(&wire.BodyPart{Data: body[:bodyPartBytes]}); err != nil {
-			_ = s.Close()
-			return nil, err
+			return false, err
 		}
 		body = body[bodyPartBytes:]
 	}
-	err = s.Send(&wire.BodyPart{Data: body, Last: true})
-	if errors.Is(err, link.ErrRefused) {
-		_ = s.Close()
-		return nil, err
-	}
-	return s, err
+	return true, s.Send(&wire.BodyPart{Data: body, Last: true})
 }
 
 // part ends the stream, and the work at the agent if nobody wants it.
--- a/io/entry/claim.go
+++ b/io/entry/claim.go
@@ -85,7 +85,7 @@
 	}
 	// The target is chosen before the claim, so that the claim tells others
 	// where the request runs.
-	t, ok := c.e.Picker.Pick(c.request, c.e.Config.Load().Pool(c.admitted.route.Pool))
+	t, ok := c.pick()
 	if !ok {
 		return c.sure(refuseNoTarget)
 	}
--- /dev/null
+++ b/io/entry/handover_test.go
@@ -0,0 +1,195 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"papayarock/core/fleet"
+	"papayarock/internal/fake"
+	"papayarock/io/agent"
+	"papayarock/io/entry"
+	"papayarock/io/serving"
+)
+
+// splitEngines returns one engine for prompts and two for answers.
+func splitEngines() []*fake.Engine {
+	engines := mixedEngines(3)
+	for i, e := range engines {
+		e.Role, e.KVBytesPerToken, e.EventGapEvery = fleet.Decode, 100, 0
+		if i == 0 {
+			e.Role = fleet.Prefill
+		}
+	}
+	return engines
+}
+
+// billed is the number of usage records that the agents made.
+func (r *rig) billed() (n uint64) {
+	for _, a := range r.agents {
+		n += a.Dump().(agent.Dump).UsageSequence
+	}
+	return n
+}
+
+// ran is how often the engines ran a request.
+func ran(engines []*fake.Engine, id string) (n int) {
+	for _, e := range engines {
+		n += e.Runs(id)
+	}
+	return n
+}
+
+// Guards against a prompt that is not processed at the prefill engine, whose KV
+// cache does not reach the decode engine, and against a request that runs or is
+// billed at both.
+func TestHandOver(t *testing.T) {
+	for _, prefix := range []string{"", "/letters"} {
+		t.Run("route "+prefix, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				engines := splitEngines()
+				r := engineRig(t, engines...)
+				defer r.stop()
+				p, stop := r.decide(*affinitySeed)
+				defer stop()
+				time.Sleep(time.Second)
+				prompt := words("c", 1024)
+				_, got := r.askOn(prefix, prompt, 5)
+				r.is.NoErr(got.err)
+				r.is.True(whole(got.body, prompt, 5))
+				id := got.header.Get("Request-Id")
+				r.is.Equal(engines[0].Counts().Exports, 1)
+				r.is.Equal(engines[1].Counts().Imports+engines[2].Counts().Imports, 1)
+				r.is.Equal(cachedTokens(engines), 1024) // not processed again
+				r.is.Equal(engines[0].Runs(id), 0)
+				r.is.Equal(ran(engines, id), 1)
+				r.is.Equal(r.billed(), uint64(1))
+				r.is.Equal(p.Dump().(serving.Dump).Moves, uint64(1))
+				_, got = r.askOn(prefix, "short", 1) // answered by the prefill engine itself
+				r.is.NoErr(got.err)
+				r.is.Equal(engines[0].Runs(got.header.Get("Request-Id")), 1)
+			})
+		})
+	}
+}
+
+// Guards against an answer that is cut, mixed up, run twice or billed twice when
+// a part of a hand-over fails.
+func TestHandOverFails(t *testing.T) {
+	set := func(f func(*fake.EngineFaults)) func(*fake.Engine) { return func(e *fake.Engine) { e.Set(f) } }
+	for name, c := range map[string]struct {
+		prefill, decode func(*fake.Engine)
+		unclaimed       bool // a request that must not run twice may fail
+	}{
+		"prefill engine crashes in export": {prefill: set(func(f *fake.EngineFaults) { f.CrashInExport = true })},
+		"prefill engine loses KV cache":    {prefill: set(func(f *fake.EngineFaults) { f.LoseKV = true })},
+		"prefill engine is down":           {prefill: (*fake.Engine).Crash},
+		"prefill engine is silent":         {prefill: set(func(f *fake.EngineFaults) { f.Silent = true })},
+		"prefill engine fails":             {prefill: set(func(f *fake.EngineFaults) { f.FailFast = true })},
+		"export takes too long":            {prefill: func(e *fake.Engine) { e.KVTime = time.Minute }},
+		"decode engine has no room":        {decode: func(e *fake.Engine) { e.CacheBlocks = 0 }},
+		"decode engine crashes in import":  {decode: set(func(f *fake.EngineFaults) { f.CrashInImport = true }), unclaimed: true},
+	} {
+		for _, prefix := range []string{"", "/letters"} {
+			t.Run(name+", route "+prefix, func(t *testing.T) {
+				bubble(t, func(t *testing.T) {
+					engines := splitEngines()
+					if c.prefill != nil {
+						c.prefill(engines[0])
+					}
+					if c.decode != nil {
+						c.decode(engines[1])
+					}
+					r := engineRig(t, engines...)
+					defer r.stop()
+					_, stop := r.decide(*affinitySeed)
+					defer stop()
+					r.entry.Retrier = entry.MaxAttempts(3)
+					time.Sleep(time.Second)
+					answered := uint64(0)
+					for i := range 4 { // both decode engines are chosen
+						prompt := words(fmt.Sprintf("c%d.", i), 600)
+						_, got := r.askOn(prefix, prompt, 5)
+						if got.status != http.StatusOK && c.unclaimed && prefix != "" {
+							r.is.True(strings.Contains(got.body, `"not-run":"unknown"`))
+							continue
+						}
+						r.is.NoErr(got.err)
+						r.is.Equal(got.status, http.StatusOK)
+						r.is.True(whole(got.body, prompt, 5))
+						r.is.Equal(ran(engines, got.header.Get("Request-Id")), 1)
+						answered++
+						r.is.Equal(r.billed(), answered)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against an answer that looks whole, or runs again, when the decode
+// engine crashes in it.
+func TestDecodeEngineCrashesInAnswer(t *testing.T) {
+	for _, prefix := range []string{"", "/letters"} {
+		bubble(t, func(t *testing.T) {
+			engines := splitEngines()
+			for _, e := range engines[1:] {
+				e.Set(func(f *fake.EngineFaults) { f.CrashAfterFrames = 2 })
+			}
+			r := engineRig(t, engines...)
+			defer r.stop()
+			_, stop := r.decide(*affinitySeed)
+			defer stop()
+			time.Sleep(time.Second)
+			_, got := r.askOn(prefix, words("c", 600), 5)
+			r.is.True(got.err != nil)
+			r.is.True(!strings.Contains(got.body, "[DONE]"))
+			r.is.Equal(engines[1].Counts().Started+engines[2].Counts().Started, 1)
+			r.is.Equal(r.billed(), uint64(0))
+		})
+	}
+}
+
+// Guards against an answer that is lost or mixed up when the n-th link of a
+// hand-over fails after each frame in turn: of the entry to the prefill engine's
+// agent, to the decode engine's, and between them.
+func TestHandOverOverBrokenLinks(t *testing.T) {
+	for _, closed := range []bool{false, true} {
+		for link := range 3 {
+			for cut, hit := int64(1), true; hit; cut++ {
+				t.Run(fmt.Sprintf("link %d, closed %v after %d frames", link, closed, cut), func(t *testing.T) {
+					bubble(t, func(t *testing.T) {
+						engines := splitEngines()
+						r := engineRig(t, engines[:2]...)
+						defer r.stop()
+						r.policy(*affinitySeed)
+						f := &fault{close: closed}
+						f.left.Store(cut)
+						r.damage = func(n int) *fault {
+							if n == link {
+								return f
+							}
+							return nil
+						}
+						prompt := words("c", 600)
+						_, got := r.ask(prompt, 5)
+						hit = f.hit.Load()
+						if got.status == http.StatusOK {
+							r.is.NoErr(got.err)
+							r.is.True(whole(got.body, prompt, 5))
+							r.is.Equal(r.billed(), uint64(1))
+						} else { // only where the request was never handed over
+							r.is.True(strings.Contains(got.body, `"not-run":`))
+						}
+						r.is.True(ran(engines, got.header.Get("Request-Id")) <= 1)
+					})
+				})
+				if cut > 500 {
+					t.Fatal("fault was never passed")
+				}
+			}
+		}
+	}
+}
--- a/io/entry/rig_test.go
+++ b/io/entry/rig_test.go
@@ -185,6 +185,7 @@
 		{Name: "orders", Prefix: "/orders", Pool: "app", Promise: time.Minute, SafeReads: true},
 		{Name: "reads", Prefix: "/reads", Pool: "app", Promise: time.Minute, Idempotent: true},
 		{Name: "chat", Prefix: "/v1", Pool: "app", Promise: time.Minute, Idempotent: true, Protocol: config.Language, Class: fleet.Urgent},
+		{Name: "letters", Prefix: "/letters", Pool: "app", Promise: time.Minute, Protocol: config.Language},
 		{Name: "open", Prefix: "/open", Pool: "app", Promise: time.Minute, Idempotent: true, Open: true},
 	}
 }
@@ -239,7 +240,7 @@
 		transports = append(transports, tr)
 		b.target.Name, b.target.Host, b.target.Incarnation = fleet.TargetName("t"+string(rune('1'+i))), "h1", 7
 		a := &agent.Agent{
-			Listener: l, Target: &url.URL{Scheme: "http", Host: "127.0.0.1:1"}, Transport: tr, Log: log,
+			Listener: l, Links: &link.Pool{Dial: r.dialLink}, Target: &url.URL{Scheme: "http", Host: "127.0.0.1:1"}, Transport: tr, Log: log,
 			Announcement: b.target,
 		}
 		r.agents = append(r.agents, a)
@@ -261,6 +262,9 @@
 		out.CloseIdleConnections()
 		_ = frontServer.Close()
 		links.Close()
+		for _, a := range r.agents {
+			a.Links.Close()
+		}
 		cancel()
 		for _, tr := range transports {
 			tr.CloseIdleConnections()
--- a/io/serving/admit.go
+++ b/io/serving/admit.go
@@ -93,7 +93,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	if f := p.flights[id]; f != nil && f.chosen && !f.began {
+	// The time to the first token at a target that got the KV cache of a prompt
+	// says little about the target.
+	if f := p.flights[id]; f != nil && f.chosen && !f.began && !f.decode {
 		f.began = true
 		p.router.Step(now, route.FirstToken{Choice: f.choice, Took: now.Sub(f.choice.Sent)})
 	}
--- /dev/null
+++ b/io/serving/handover.go
@@ -0,0 +1,56 @@
+package serving
+
+import (
+	"time"
+
+	"papayarock/core/fleet"
+	"papayarock/core/route"
+	"papayarock/io/entry"
+)
+
+// HandsOver says whether the target chosen last processes the prompt only. A
+// target that processes prompts gives an answer of one token itself.
+func (p *Policy) HandsOver(r entry.Request) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f := p.flights[r.ID]
+	if f == nil || !f.chosen || !f.choice.HandOver || r.MaxOutput == 1 {
+		return 0, false
+	}
+	return f.choice.Expected, true
+}
+
+// PickDecode chooses the target that answers.
+func (p *Policy) PickDecode(r entry.Request, prefill fleet.Target, targets []fleet.Target) (fleet.Target, bool) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	choice, err := p.router.Pick(now, route.Request{
+		Pool: r.Route.Pool, Customer: r.Customer, Stage: route.Decode, Near: prefill.DataCentre, PromptTokens: promptTokens(r),
+		OutputTokens: float64(r.MaxOutput), FirstTokenBy: firstTokenBy(r), Tried: r.Tried,
+	})
+	if err != nil {
+		return fleet.Target{}, false
+	}
+	for _, t := range targets {
+		if t.Name == choice.Target {
+			p.chose(now, r.ID, choice)
+			p.flights[r.ID].decode = true
+			return t, true
+		}
+	}
+	p.router.Step(now, route.Outcome{Choice: choice, Result: route.Cancelled})
+	return fleet.Target{}, false
+}
+
+// Moved tells the router what it cost to move KV cache.
+func (p *Policy) Moved(r entry.Request, from, to fleet.TargetName, bytes uint64, took time.Duration, whole bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := route.Moved{From: from, To: to, Customer: r.Customer, Bytes: bytes, Took: took}
+	if whole {
+		m.Tokens = promptTokens(r)
+	}
+	p.moves++
+	p.router.Step(time.Now(), m)
+}
--- a/io/serving/pick.go
+++ b/io/serving/pick.go
@@ -25,10 +25,16 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	choice, err := p.router.Pick(now, route.Request{
+	q := route.Request{
 		Pool: r.Route.Pool, Customer: r.Customer, PromptTokens: promptTokens(r),
 		FirstTokenBy: firstTokenBy(r), Prefix: r.Prefix, Tried: r.Tried,
-	})
+	}
+	choice, err := p.router.Pick(now, q)
+	if err != nil && isLanguage(r) {
+		// Without an engine for prompts, a decode engine processes them too.
+		q.Stage = route.Decode
+		choice, err = p.router.Pick(now, q)
+	}
 	if err != nil {
 		return fleet.Target{}, false
 	}
@@ -55,7 +61,7 @@
 		f = &flight{}
 		p.flights[id] = f
 	}
-	f.choice, f.chosen, f.began = c, true, false
+	f.choice, f.chosen, f.began, f.decode = c, true, false, false
 	f.firstBy = now.Add(c.Expected + c.Expected/2)
 }
 
@@ -69,6 +75,10 @@
 		return
 	}
 	f.chosen = false
+	if f.choice.HandOver && o.Ending == entry.Answered && !f.began {
+		f.began = true // the prompt has been processed
+		p.router.Step(now, route.FirstToken{Choice: f.choice, Took: now.Sub(f.choice.Sent)})
+	}
 	p.router.Step(now, route.Outcome{
 		Choice: f.choice, Result: resultOf(o), Began: f.began, Customer: r.Customer, Bytes: o.Bytes + uint64(r.BodyBytes),
 	})
--- a/io/serving/policy.go
+++ b/io/serving/policy.go
@@ -73,6 +73,7 @@
 	flights map[fleet.RequestID]*flight
 	speeds  map[fleet.TargetName]speed
 	cursors map[fleet.TargetName]cursor // of the caches followed
+	moves   uint64                      // of KV cache between engines
 	resyncs uint64                      // whole contents asked for after a gap
 	demand  map[demandKey]work
 	asked   time.Time // when the demand was last handed out
@@ -92,6 +93,7 @@
 	decided chan admit.Action
 	choice  route.Choice
 	chosen  bool
+	decode  bool      // another target processed the prompt
 	began   bool      // the router knows of the first token of this choice
 	first   bool      // the first token has been noted
 	firstBy time.Time // when it is taken as sent, for an answer that is not streamed
@@ -194,6 +196,7 @@
 	Speeds     map[fleet.TargetName]string
 	Crossed    map[fleet.Customer]uint64 // bytes across regions
 	Caches     int                       // engines whose prefix cache is followed
+	Moves      uint64                    // of KV cache between engines, tried
 	Resyncs    uint64                    // whole contents of caches asked for after a gap
 }
 
@@ -204,7 +207,7 @@
 	d := Dump{
 		Flights: len(p.flights), Waiting: make(map[string]int), Firsts: p.budget.Firsts, Retries: p.budget.Retries,
 		ShareParts: p.parts, ShareUntil: p.share, Speeds: make(map[fleet.TargetName]string),
-		Crossed: make(map[fleet.Customer]uint64), Caches: len(p.cursors), Resyncs: p.resyncs,
+		Crossed: make(map[fleet.Customer]uint64), Caches: len(p.cursors), Resyncs: p.resyncs, Moves: p.moves,
 	}
 	if p.index != nil {
 		d.Revision = p.index.Revision
