io/daemon: let idempotent requests end when the process stops

kratos bases the contexts of HTTP requests on the context that the app was started with. TestStopLetsRequestsEnd used a non-idempotent request, which is detached; it now runs both kinds and fails on GET without the change.

Servers are started with a context that is not cancelled; they end by Stop.

--- a/io/daemon/daemon_test.go
+++ b/io/daemon/daemon_test.go
@@ -52,6 +52,7 @@
 prefix = "/orders"
 pool = "repair-log"
 promise = "30s"
+safe-reads = true
 
 [[pool]]
 name = "repair-log"
--- a/io/daemon/server.go
+++ b/io/daemon/server.go
@@ -28,7 +28,9 @@
 func (s *sequence) Start(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	for _, x := range s.servers {
-		g.Go(func() error { return x.Start(ctx) })
+		// kratos bases the contexts of HTTP requests on ctx; cancelled with it,
+		// the requests that a stop waits for would end at once.
+		g.Go(func() error { return x.Start(context.WithoutCancel(ctx)) })
 	}
 	return g.Wait()
 }
--- a/io/daemon/stop_test.go
+++ b/io/daemon/stop_test.go
@@ -18,8 +18,15 @@
 )
 
 // Guards against a process that interrupts a running request when it is told to
-// stop. The target answers only after the stop has begun.
+// stop, whether the request goes on without its caller (POST) or not (GET). The
+// target answers only after the stop has begun.
 func TestStopLetsRequestsEnd(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		t.Run(method, func(t *testing.T) { stopDuring(t, method) })
+	}
+}
+
+func stopDuring(t *testing.T, method string) {
 	is := is.New(t)
 	entered, release := make(chan struct{}), make(chan struct{})
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -41,7 +48,7 @@
 
 	answers := make(chan string, 1)
 	go func() {
-		req, err := http.NewRequest(http.MethodPost, base+"/orders", strings.NewReader("stone"))
+		req, err := http.NewRequest(method, base+"/orders", strings.NewReader("stone"))
 		if err != nil {
 			answers <- err.Error()
 			return
