internal/scenario: run scripts beyond their first stop

testscript has a command stop of its own, which ends a script as passed and hides the one of this package. Ten scripts ran only to their first stop, among them those of promises 1, 6, 11 and 12.

The command is now end; a script with stop fails its test.

--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -21,7 +21,7 @@
 //	hold-open NAME, drop NAME  make the open connections of a proxy silent, close them
 //	start NAME SETTINGS        run a process inside the test
 //	spawn NAME SETTINGS        run a process of its own
-//	stop NAME, restart NAME    shut a process down gracefully, start it again
+//	end NAME, restart NAME     shut a process down gracefully, start it again
 //	signal NAME SIG            send KILL, STOP or CONT to a spawned process
 //	request [-key K] [-header H:V] [-status N] [-retry] METHOD URL [BODY | @FILE]
 //	                           send a request; the answer goes to stdout; with
@@ -48,7 +48,7 @@
 //	leader NAME [NOT]          wait for a leader, not the host NOT; set $NAME to it
 //	phase TARGET PHASE...      wait until a target is in one of the phases
 //	role TARGET ROLE...        wait until control knows an engine in one of the roles
-//	stop HOST, again HOST, restart HOST
+//	end HOST, again HOST, restart HOST
 //	                           end a process gracefully, start it again, both
 //	isolate HOST, rejoin HOST  make all links of a control replica silent, undo it
 //	pause DURATION             let a fault last
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -29,7 +30,7 @@
 	commands := map[string]Command{
 		"ports": ports, "digest": digest, "expand": expand, "exits": exits,
 		"fake": startFake, "fault": fault, "crash": crash, "recover": recoverEngine, "count": count, "await": await,
-		"start": start, "spawn": spawn, "stop": stop, "restart": restart, "signal": sendSignal,
+		"start": start, "spawn": spawn, "end": end, "restart": restart, "signal": sendSignal,
 		"request": request, "log": showLog, "proxy": startProxy, "drop": drop, "hold-open": holdOpen,
 		"control": startControl, "deploy": startDeployment, "key": issueKey, "leader": leader, "phase": phase, "role": role,
 		"isolate": isolate, "rejoin": rejoin, "again": restartHost, "pause": pause, "lose-answer": loseAnswer, "seen": seen,
@@ -39,6 +40,7 @@
 	for name, c := range more {
 		commands[name] = c
 	}
+	refuseStop(t, dir)
 	testscript.Run(t, testscript.Params{
 		Dir:                 dir,
 		Cmds:                commands,
@@ -53,6 +55,27 @@
 	})
 }
 
+// refuseStop fails the test of a script with the command stop of testscript. It
+// ends a script as passed, and a command of this package cannot replace it.
+func refuseStop(t *testing.T, dir string) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.txtar"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		script, _, _ := strings.Cut(string(text), "\n-- ")
+		for line := range strings.Lines(script) {
+			if words := strings.Fields(line); len(words) > 0 && words[0] == "stop" {
+				t.Fatalf("%s: %q would end the script as passed; use end", file, strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
 // common gives a script the answers that all scripts of its directory share.
 func common(dir, work string) error {
 	text, err := os.ReadFile(filepath.Join(dir, "answers.toml"))
