io/agent, io/entry: wait for prompts in stops and drains, test claims and regions

A drain or order did not wait for prompts that an engine processes for others; the request was only slower, but its prompt was processed twice. They count as running now. Prefill checks path and class as Run does.

Tests: a claimed request names the decode engine, so that a repetition attaches and replays; KV cache that crosses regions is counted for the customer.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -182,7 +182,7 @@
 	for until := time.Now().Add(timeout); time.Now().Before(until); time.Sleep(stopPoll) {
 		a.mu.Lock()
 		a.unread.Expire(time.Now())
-		n := len(a.running) + a.unread.Len()
+		n := a.working() + a.unread.Len()
 		a.mu.Unlock()
 		if n == 0 {
 			break
--- a/io/agent/kv.go
+++ b/io/agent/kv.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -82,6 +83,9 @@
 	if err != nil {
 		return err
 	}
+	if !strings.HasPrefix(m.GetPath(), "/") || m.GetClass() > uint32(fleet.Urgent) {
+		return errors.Wrapf(wire.ErrMessage, "path %q, class %d", m.GetPath(), m.GetClass())
+	}
 	deadline := time.Unix(0, m.GetDeadlineUnixNanos())
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -97,7 +97,7 @@
 			Detail:  fmt.Sprintf("order %s: %s, newest order is %s", o.Number, verdict, a.fence.Highest()),
 		}
 	}
-	if n := len(a.running); n > 0 {
+	if n := a.working(); n > 0 {
 		// A request may have arrived after the agent reported that none runs.
 		r := orderResult{wire.ControlOrderAnswer_FAILED, fmt.Sprintf("%d requests are running", n)}
 		a.fence.Finish(o.Number, r)
--- a/io/agent/sign.go
+++ b/io/agent/sign.go
@@ -50,7 +50,7 @@
 	defer a.mu.Unlock()
 	s := watch.Sign{
 		Name: a.Announcement.Name, Incarnation: a.Announcement.Incarnation,
-		Ready: a.answers && !a.stopping, Running: uint32(len(a.running)), Refusing: a.refusing(),
+		Ready: a.answers && !a.stopping, Running: uint32(a.working()), Refusing: a.refusing(),
 	}
 	// A figure that is no number would spoil what the leader learns.
 	if t := a.target; t.PrefillSpeed > 0 && t.DecodeSpeed >= 0 || t.DecodeSpeed > 0 && t.PrefillSpeed >= 0 {
@@ -64,6 +64,11 @@
 	return a.stopping || a.changing || a.phase == fleet.Draining || a.phase == fleet.Leaving
 }
 
+// working is the number of requests that run, and of prompts that are processed
+// for other engines. Stops, drains and orders wait for both. The caller holds
+// the mutex.
+func (a *Agent) working() int { return len(a.running) + a.prompts.prefills }
+
 // Configured tells the agent of a new configuration. It takes over the phase of
 // its target, so that no request starts at a target that is drained.
 func (a *Agent) Configured(x *config.Index) {
--- a/io/daemon/metrics.go
+++ b/io/daemon/metrics.go
@@ -89,6 +89,8 @@
 			}
 			return float64(n)
 		},
+		"serving-kv-moves-total":      func(d serving.Dump) float64 { return float64(d.Moves) },
+		"serving-cache-resyncs-total": func(d serving.Dump) float64 { return float64(d.Resyncs) },
 		"serving-cross-region-bytes-total": func(d serving.Dump) float64 {
 			n := uint64(0)
 			for _, b := range d.Crossed {
--- a/io/entry/handover_test.go
+++ b/io/entry/handover_test.go
@@ -129,6 +129,73 @@
 	}
 }
 
+// Guards against a request with an Idempotency-Key whose claim names the prefill
+// engine, which has no answer to attach to or replay.
+func TestHandOverOfClaimedRequest(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		engines := splitEngines()
+		r := engineRig(t, engines...)
+		defer r.stop()
+		control := &register{}
+		r.entry.Control = control
+		_, stop := r.decide(*affinitySeed)
+		defer stop()
+		time.Sleep(time.Second)
+		body := fmt.Sprintf(`{"prompt": %q, "max_tokens": 5}`, words("c", 600))
+		send := func() reply {
+			return r.do(http.MethodPost, "/letters/v1/completions", body, "Idempotency-Key", "letter 7")
+		}
+		first := make(chan reply)
+		go func() { first <- send() }()
+		time.Sleep(85 * time.Millisecond) // the prompt takes 75 ms, the answer runs
+		attached, got := send(), <-first
+		r.is.NoErr(got.err)
+		r.is.Equal(got.status, http.StatusOK)
+		r.is.Equal(attached.body, got.body)
+		time.Sleep(time.Second)
+		r.is.Equal(send().body, got.body)
+		r.is.Equal(ran(engines, got.header.Get("Request-Id")), 1)
+		r.is.Equal(engines[1].Counts().Completed+engines[2].Counts().Completed, 1)
+		for _, held := range control.claims {
+			r.is.True(held.claim.Target != "t1")
+		}
+		r.is.Equal(r.billed(), uint64(1))
+	})
+}
+
+// Guards against KV cache that crosses regions uncounted: the decode engine
+// beside the prefill engine is down, so that one elsewhere answers.
+func TestHandOverAcrossRegions(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		engines := splitEngines()
+		var targets []beside
+		for i, e := range engines {
+			place := []string{"klang", "klang", "kinabalu"}[i]
+			targets = append(targets, beside{e, fleet.Target{
+				Kind: fleet.Engine, Role: e.Role, Region: fleet.Region(place), DataCentre: fleet.DataCentre(place), Slots: 8,
+			}})
+		}
+		r := newRigOf(t, targets...)
+		defer r.stop()
+		p, stop := r.decide(*affinitySeed)
+		defer stop()
+		time.Sleep(time.Second)
+		prompt := words("c", 600)
+		_, got := r.ask(prompt, 5)
+		r.is.NoErr(got.err)
+		r.is.Equal(len(p.Dump().(serving.Dump).Crossed), 0)
+		engines[1].Crash()
+		r.entry.Retrier = entry.MaxAttempts(2) // the budget allows none yet
+		_, got = r.ask(prompt, 5)
+		r.is.NoErr(got.err)
+		r.is.True(whole(got.body, prompt, 5))
+		r.is.Equal(engines[2].Counts().Imports, 1)
+		kv := 592 * engines[0].KVBytesPerToken // whole blocks of 16 tokens
+		crossed := p.Dump().(serving.Dump).Crossed["klang"]
+		r.is.True(crossed > uint64(kv) && crossed < uint64(2*kv)) // and prompt and answer
+	})
+}
+
 // Guards against an answer that looks whole, or runs again, when the decode
 // engine crashes in it.
 func TestDecodeEngineCrashesInAnswer(t *testing.T) {
