--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -56,6 +56,7 @@
 	Target       *url.URL              // base URL on a loopback address
 	Announcement fleet.Target          // announced to control, with Host and Incarnation
 	Control      Control               // nil without control
+	Links        *link.Pool            // to other agents; nil takes no KV cache from them
 	Transport    http.RoundTripper     // to the target; set by tests
 	StopTimeout  time.Duration         // DefaultStopTimeout if zero
 	Log          hclog.Logger
@@ -75,6 +76,8 @@
 	registered bool
 	fence      authority.Fence[instruction, orderResult]
 	target     targetLoad
+	cache      cacheView // has a lock of its own
+	prompts    prompts
 	bodies     int64
 	running    map[fleet.RequestID]*job
 	ended      expiry.Map[fleet.RequestID, *job]
@@ -100,10 +103,12 @@
 	}
 	a.usage.node, a.usage.incarnation = a.Announcement.Host, a.Announcement.Incarnation
 	a.usage.keep = a.Control != nil
+	a.cache.sequence = 1 // the empty cache; core/route takes 0 for nothing known
 	a.fence.Incarnation = a.Announcement.Incarnation
 	a.running = make(map[fleet.RequestID]*job)
 	a.ended.MaxEntries, a.ended.MaxBytes = maxRetained, maxRetainedBytes
 	a.unread.MaxEntries = maxRetained
+	a.prompts.bodies.MaxEntries, a.prompts.bodies.MaxBytes = maxPrompts, maxPromptBytes
 	a.known.MaxEntries, a.recent.MaxEntries = maxKnown, maxKnown
 }
 
@@ -119,6 +124,10 @@
 		Log:         a.Log,
 	}
 	link.Handle(server, a.handle, identity.Entry)
+	link.Handle(server, a.pollCache, identity.Entry)
+	link.Handle(server, a.prefill, identity.Entry)
+	link.Handle(server, a.importKV, identity.Entry)
+	link.Handle(server, a.exportKV, identity.Agent)
 	a.registerOrders(server)
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
@@ -130,6 +139,9 @@
 			wg.Go(func() { a.readLoads(work) })
 		}
 	}
+	if a.Announcement.Kind == fleet.Engine {
+		wg.Go(func() { a.readCache(work) })
+	}
 	err := server.Serve(ctx)
 	cancel()
 	wg.Wait()
@@ -170,7 +182,7 @@
 	for until := time.Now().Add(timeout); time.Now().Before(until); time.Sleep(stopPoll) {
 		a.mu.Lock()
 		a.unread.Expire(time.Now())
-		n := len(a.running) + a.unread.Len()
+		n := a.working() + a.unread.Len()
 		a.mu.Unlock()
 		if n == 0 {
 			break
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/url"
 	"time"
@@ -50,13 +49,15 @@
 		promise = defaultPromise
 	}
 	read := r.Method == http.MethodGet || r.Method == http.MethodHead
+	language := readLanguage(a.route, body)
 	request := Request{
 		ID:         id,
 		Customer:   a.customer,
 		Route:      a.route,
 		Idempotent: a.route.Idempotent || a.route.SafeReads && read,
 		BodyBytes:  len(body),
-		MaxOutput:  maxOutput(a.route, body),
+		MaxOutput:  language.maxOutput(),
+		Prefix:     language.prefix(),
 		Arrived:    now,
 		Deadline:   now.Add(promise),
 	}
@@ -73,21 +74,6 @@
 	}
 }
 
-// maxOutput reads the caller's bound on the answer of a language request.
-func maxOutput(route config.Route, body []byte) int {
-	if route.Protocol != config.Language {
-		return 0
-	}
-	var m struct {
-		MaxTokens           int `json:"max_tokens"`
-		MaxCompletionTokens int `json:"max_completion_tokens"`
-	}
-	if json.Unmarshal(body, &m) != nil {
-		return 0 // the engine refuses it
-	}
-	return max(m.MaxTokens, m.MaxCompletionTokens, 0)
-}
-
 // targetPath is the path that the target sees. Engines serve the completion
 // interface at their root, so the prefix of a language route ends at the entry.
 func targetPath(route config.Route, u *url.URL) string {
@@ -159,8 +145,7 @@
 func (c *call) attempts(out *Outcome) *Refusal {
 	last := refuseNoTarget
 	for {
-		index := c.e.Config.Load()
-		t, ok := c.e.Picker.Pick(c.request, index.Pool(c.admitted.route.Pool))
+		t, ok := c.pick()
 		if !ok {
 			return c.truthful(last)
 		}
@@ -271,9 +256,7 @@
 	return Cancelled, ran, err
 }
 
-func (c *call) address() link.Address {
-	return link.Address{Host: c.target.Host, AddrPort: c.target.Agent}
-}
+func (c *call) address() link.Address { return addressOf(c.target) }
 
 // handOver sends request and body. Without a stream the agent has certainly
 // not run the request, since it starts only when it has all of the body.
@@ -284,20 +267,25 @@
 		return nil, err
 	}
 	c.incarnation = s.Peer.Incarnation
+	last, err := c.sendParts(s)
+	if err != nil && !last || errors.Is(err, link.ErrRefused) {
+		_ = s.Close()
+		return nil, err
+	}
+	return s, err
+}
+
+// sendParts sends the body. It returns whether it came to the last part, which
+// may have arrived also after an error.
+func (c *call) sendParts(s *link.Stream) (last bool, err error) {
 	body := c.body
 	for len(body) > bodyPartBytes {
 		if err := s.Send(&wire.BodyPart{Data: body[:bodyPartBytes]}); err != nil {
-			_ = s.Close()
-			return nil, err
+			return false, err
 		}
 		body = body[bodyPartBytes:]
 	}
-	err = s.Send(&wire.BodyPart{Data: body, Last: true})
-	if errors.Is(err, link.ErrRefused) {
-		_ = s.Close()
-		return nil, err
-	}
-	return s, err
+	return true, s.Send(&wire.BodyPart{Data: body, Last: true})
 }
 
 // part ends the stream, and the work at the agent if nobody wants it.
