io/daemon: let idempotent requests end during a shutdown

Cause: the HTTP server hands its context to running requests, and that was the context of the process, which SIGTERM ends. An entry that was told to stop cancelled every idempotent request, completions among them, with status 504; non-idempotent ones are detached from their caller and were not hit. Change: servers start under a context that is not cancelled and end by Stop only; the test sends a request of each kind.

--- a/io/daemon/daemon_test.go
+++ b/io/daemon/daemon_test.go
@@ -53,6 +53,13 @@
 pool = "repair-log"
 promise = "30s"
 
+[[route]]
+name = "log"
+prefix = "/log"
+pool = "repair-log"
+promise = "30s"
+idempotent = true
+
 [[pool]]
 name = "repair-log"
 minimum = 1
--- a/io/daemon/server.go
+++ b/io/daemon/server.go
@@ -24,9 +24,12 @@
 // an entry must end its requests before the links below it close.
 type sequence struct{ servers []server }
 
-// Start runs the servers until they have all ended, or one has failed.
+// Start runs the servers until they have all ended, or one has failed. They end
+// by Stop only: an HTTP server hands its context to running requests, which must
+// outlive the context of the process during a graceful shutdown.
 func (s *sequence) Start(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
+	ctx = context.WithoutCancel(ctx)
+	var g errgroup.Group
 	for _, x := range s.servers {
 		g.Go(func() error { return x.Start(ctx) })
 	}
--- a/io/daemon/stop_test.go
+++ b/io/daemon/stop_test.go
@@ -18,8 +18,20 @@
 )
 
 // Guards against a process that interrupts a running request when it is told to
-// stop. The target answers only after the stop has begun.
+// stop. The target answers only after the stop has begun. An entry detaches a
+// non-idempotent request from its caller, but not an idempotent one.
 func TestStopLetsRequestsEnd(t *testing.T) {
+	cases := map[string]struct{ path string }{
+		"non-idempotent": {"/orders"},
+		"idempotent":     {"/log"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { stopLetsRequestEnd(t, c.path) })
+	}
+}
+
+func stopLetsRequestEnd(t *testing.T, path string) {
+	t.Helper()
 	is := is.New(t)
 	entered, release := make(chan struct{}), make(chan struct{})
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -41,7 +53,7 @@
 
 	answers := make(chan string, 1)
 	go func() {
-		req, err := http.NewRequest(http.MethodPost, base+"/orders", strings.NewReader("stone"))
+		req, err := http.NewRequest(http.MethodPost, base+path, strings.NewReader("stone"))
 		if err != nil {
 			answers <- err.Error()
 			return
