internal/scenario: run scripts past their first shutdown

Cause: the command "stop" of scripts was never reached. testscript has a command of that name, which ends a script early as passed, and looks its own commands up first. Ten scripts ended there, among them those of promises 1, 6, 11 and 12, of a restart and of a second lost host, and operations. Change: the command is called shutdown, and Run refuses a script that uses stop or skip. Scripts that could not fail are stronger: promise 1 slows orders down so that a second one would meet the first, 3 keeps a replaced leader within reach of the agents with orders open, 4 sends a key on an open route and in a second header, 5 counts duplicate starts where they arise, 6 spreads requests over windows, 11 stops an agent while its target runs a request, 12 withdraws a key while entries hear nothing and while they reach only an old replica, late load reports require an even spread over two engines.

--- a/internal/deploy/proxy.go
+++ b/internal/deploy/proxy.go
@@ -87,8 +87,9 @@
 	return all
 }
 
-// Isolate makes the links of a control replica silent in both directions, or
-// lets them pass again. Its operators still reach it.
+// Isolate makes the links between a control replica and the others and from
+// nodes to it silent in both directions, or lets them pass again. Operators
+// still reach it, and it reaches agents and the platform.
 func (d *Deployment) Isolate(host fleet.Host, silent bool) {
 	for way, p := range d.between {
 		if way[0] == host || way[1] == host {
@@ -96,3 +97,15 @@
 		}
 	}
 }
+
+// IsolateFrom makes the links silent that one control replica, or all entries
+// and agents under the name "nodes", have opened to another replica. It returns
+// an error if there are none.
+func (d *Deployment) IsolateFrom(from, to fleet.Host) error {
+	p := d.between[[2]fleet.Host{from, to}]
+	if p == nil {
+		return errors.Wrapf(ErrDeploy, "no links from %q to %q", from, to)
+	}
+	p.Set(func(f *fake.ProxyFaults) { f.Hold = true })
+	return nil
+}
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -79,6 +79,7 @@
 	CrashInOrder     bool          // crash halfway through the next order
 	CrashKeepsChange bool          // the order in progress is in effect after that crash
 	LoseOrderAnswers int           // so many orders are done without an answer
+	SlowOrders       time.Duration // added to the time of an order
 	Slowdown         float64       // batch steps take so many times as long; 0 means 1
 	ExtraLoadLag     time.Duration // added to LoadLag
 	Silent           bool          // accept requests and never answer
--- a/internal/fake/engine_order.go
+++ b/internal/fake/engine_order.go
@@ -171,6 +171,9 @@
 	if o.Kind == "change-role" {
 		length = e.RoleChangeTime
 	}
+	e.mu.Lock()
+	length += e.faults.SlowOrders
+	e.mu.Unlock()
 	wait(length/2, crashed)
 	e.mu.Lock()
 	if e.faults.CrashInOrder && e.generation == generation {
--- a/internal/scenario/deployment.go
+++ b/internal/scenario/deployment.go
@@ -267,6 +267,18 @@
 	awaitTarget(ts, args[0], args[1:], func(t operator.Target) string { return t.Role })
 }
 
+// ordered is the command "ordered TARGET": it waits until control has an order
+// open for a target.
+func ordered(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 1, "ordered TARGET")
+	awaitTarget(ts, args[0], []string{"open"}, func(t operator.Target) string {
+		if t.Order == "" {
+			return "without an order"
+		}
+		return "open"
+	})
+}
+
 func awaitTarget(ts *testscript.TestScript, name string, wanted []string, field func(operator.Target) string) {
 	d, last := deployed(ts), ""
 	ctx, cancel := context.WithTimeout(context.Background(), awaitLimit)
@@ -288,12 +300,20 @@
 	}
 }
 
-// isolate and rejoin make the links of a control replica silent and whole.
+// isolate is the command "isolate HOST [FROM...]": it makes all links of a
+// control replica silent, or only those that the hosts FROM have opened to it.
 func isolate(ts *testscript.TestScript, neg bool, args []string) {
-	positive(ts, neg, args, 1, "isolate HOST")
-	deployed(ts).Isolate(fleet.Host(args[0]), true)
+	positive(ts, neg, args, 1, "isolate HOST [FROM...]")
+	d := deployed(ts)
+	if len(args) == 1 {
+		d.Isolate(fleet.Host(args[0]), true)
+	}
+	for _, from := range args[1:] {
+		ts.Check(d.IsolateFrom(fleet.Host(from), fleet.Host(args[0])))
+	}
 }
 
+// rejoin is the command "rejoin HOST": it ends every isolation of a replica.
 func rejoin(ts *testscript.TestScript, neg bool, args []string) {
 	positive(ts, neg, args, 1, "rejoin HOST")
 	deployed(ts).Isolate(fleet.Host(args[0]), false)
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -21,7 +21,8 @@
 //	hold-open NAME, drop NAME  make the open connections of a proxy silent, close them
 //	start NAME SETTINGS        run a process inside the test
 //	spawn NAME SETTINGS        run a process of its own
-//	stop NAME, restart NAME    shut a process down gracefully, start it again
+//	shutdown NAME              shut a process down gracefully
+//	restart NAME               shut a process down gracefully, start it again
 //	signal NAME SIG            send KILL, STOP or CONT to a spawned process
 //	request [-key K] [-header H:V] [-status N] [-retry] METHOD URL [BODY | @FILE]
 //	                           send a request; the answer goes to stdout; with
@@ -48,9 +49,12 @@
 //	leader NAME [NOT]          wait for a leader, not the host NOT; set $NAME to it
 //	phase TARGET PHASE...      wait until a target is in one of the phases
 //	role TARGET ROLE...        wait until control knows an engine in one of the roles
-//	stop HOST, again HOST, restart HOST
+//	shutdown HOST, again HOST, restart HOST
 //	                           end a process gracefully, start it again, both
-//	isolate HOST, rejoin HOST  make all links of a control replica silent, undo it
+//	ordered TARGET             wait until control has an order open for a target
+//	isolate HOST [FROM...]     make all links of a control replica silent, or those
+//	                           that other replicas, or "nodes", opened to it
+//	rejoin HOST                let all links of a control replica pass again
 //	pause DURATION             let a fault last
 //	mark NAME FIELD VARIABLE   set a variable to a count
 //	completion NAME TOKENS PROMPT
--- a/internal/scenario/process.go
+++ b/internal/scenario/process.go
@@ -219,8 +219,8 @@
 	}
 }
 
-func stop(ts *testscript.TestScript, neg bool, args []string) {
-	positive(ts, neg, args, 1, "stop NAME")
+func shutDown(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 1, "shutdown NAME")
 	w := of(ts)
 	if d := w.deployment; d != nil && d.Has(fleet.Host(args[0])) {
 		d.stopHost(ts, args[0])
@@ -249,7 +249,7 @@
 	if !ok {
 		ts.Fatalf("process %q does not run", args[0])
 	}
-	stop(ts, false, args)
+	shutDown(ts, false, args)
 	again := start
 	if p.own != nil {
 		again = spawn
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/rogpeppe/go-internal/txtar"
 
 	freeport "papayarock/internal/ports"
 )
@@ -29,9 +30,9 @@
 	commands := map[string]Command{
 		"ports": ports, "digest": digest, "expand": expand, "exits": exits,
 		"fake": startFake, "fault": fault, "crash": crash, "recover": recoverEngine, "count": count, "await": await,
-		"start": start, "spawn": spawn, "stop": stop, "restart": restart, "signal": sendSignal,
+		"start": start, "spawn": spawn, "shutdown": shutDown, "restart": restart, "signal": sendSignal,
 		"request": request, "log": showLog, "proxy": startProxy, "drop": drop, "hold-open": holdOpen,
-		"control": startControl, "deploy": startDeployment, "key": issueKey, "leader": leader, "phase": phase, "role": role,
+		"control": startControl, "deploy": startDeployment, "key": issueKey, "leader": leader, "phase": phase, "role": role, "ordered": ordered,
 		"isolate": isolate, "rejoin": rejoin, "again": restartHost, "pause": pause, "lose-answer": loseAnswer, "seen": seen,
 		"send": send, "answer": answer, "keep": keep,
 		"mark": mark, "completion": completion, "keys": issueKeys,
@@ -39,6 +40,7 @@
 	for name, c := range more {
 		commands[name] = c
 	}
+	runToEnd(t, dir)
 	testscript.Run(t, testscript.Params{
 		Dir:                 dir,
 		Cmds:                commands,
@@ -53,6 +55,29 @@
 	})
 }
 
+// early finds the commands of testscript that end a script as passed. They go
+// before a command of the same name here.
+var early = regexp.MustCompile(`(?m)^\s*(\[[^\]]*\]\s*)*(stop|skip)\b`)
+
+// runToEnd refuses scripts that would end early and leave their last steps
+// unchecked.
+func runToEnd(t *testing.T, dir string) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(dir, "*.txtar"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		a, err := txtar.ParseFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if found := early.Find(a.Comment); found != nil {
+			t.Fatalf("%s: the command %q ends the script as passed", f, found)
+		}
+	}
+}
+
 // common gives a script the answers that all scripts of its directory share.
 func common(dir, work string) error {
 	text, err := os.ReadFile(filepath.Join(dir, "answers.toml"))
