--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -10,11 +10,11 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
-	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/rogpeppe/go-internal/txtar"
 
 	freeport "papayarock/internal/ports"
 )
@@ -30,9 +30,9 @@
 	commands := map[string]Command{
 		"ports": ports, "digest": digest, "expand": expand, "exits": exits,
 		"fake": startFake, "fault": fault, "crash": crash, "recover": recoverEngine, "count": count, "await": await,
-		"start": start, "spawn": spawn, "end": end, "restart": restart, "signal": sendSignal,
+		"start": start, "spawn": spawn, "shutdown": shutDown, "restart": restart, "signal": sendSignal,
 		"request": request, "log": showLog, "proxy": startProxy, "drop": drop, "hold-open": holdOpen,
-		"control": startControl, "deploy": startDeployment, "key": issueKey, "leader": leader, "phase": phase, "role": role,
+		"control": startControl, "deploy": startDeployment, "key": issueKey, "leader": leader, "phase": phase, "role": role, "ordered": ordered,
 		"isolate": isolate, "rejoin": rejoin, "again": restartHost, "pause": pause, "lose-answer": loseAnswer, "seen": seen,
 		"send": send, "answer": answer, "keep": keep,
 		"mark": mark, "completion": completion, "keys": issueKeys,
@@ -40,7 +40,7 @@
 	for name, c := range more {
 		commands[name] = c
 	}
-	refuseStop(t, dir)
+	runToEnd(t, dir)
 	testscript.Run(t, testscript.Params{
 		Dir:                 dir,
 		Cmds:                commands,
@@ -55,23 +55,25 @@
 	})
 }
 
-// refuseStop fails the test of a script with the command stop of testscript. It
-// ends a script as passed, and a command of this package cannot replace it.
-func refuseStop(t *testing.T, dir string) {
+// early finds the commands of testscript that end a script as passed. They go
+// before a command of the same name here.
+var early = regexp.MustCompile(`(?m)^\s*(\[[^\]]*\]\s*)*(stop|skip)\b`)
+
+// runToEnd refuses scripts that would end early and leave their last steps
+// unchecked.
+func runToEnd(t *testing.T, dir string) {
+	t.Helper()
 	files, err := filepath.Glob(filepath.Join(dir, "*.txtar"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, file := range files {
-		text, err := os.ReadFile(file)
+	for _, f := range files {
+		a, err := txtar.ParseFile(f)
 		if err != nil {
 			t.Fatal(err)
 		}
-		script, _, _ := strings.Cut(string(text), "\n-- ")
-		for line := range strings.Lines(script) {
-			if words := strings.Fields(line); len(words) > 0 && words[0] == "stop" {
-				t.Fatalf("%s: %q would end the script as passed; use end", file, strings.TrimSpace(line))
-			}
+		if found := early.Find(a.Comment); found != nil {
+			t.Fatalf("%s: the command %q ends the script as passed", f, found)
 		}
 	}
 }
--- a/io/daemon/daemon_test.go
+++ b/io/daemon/daemon_test.go
@@ -54,6 +54,13 @@
 promise = "30s"
 safe-reads = true
 
+[[route]]
+name = "log"
+prefix = "/log"
+pool = "repair-log"
+promise = "30s"
+idempotent = true
+
 [[pool]]
 name = "repair-log"
 minimum = 1
--- a/io/daemon/server.go
+++ b/io/daemon/server.go
@@ -10,7 +10,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/thejerf/suture/v4"
-	"golang.org/x/sync/errgroup"
 )
 
 // server is a part of the process with a life of its own. Start returns when it
@@ -24,15 +23,21 @@
 // an entry must end its requests before the links below it close.
 type sequence struct{ servers []server }
 
-// Start runs the servers until they have all ended, or one has failed.
+// Start runs the servers until they have all ended, or one has failed. They end
+// by Stop only: an HTTP server hands its context to running requests, which must
+// outlive the context of the process during a graceful shutdown.
 func (s *sequence) Start(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
+	ctx = context.WithoutCancel(ctx)
+	ended := make(chan error, len(s.servers))
 	for _, x := range s.servers {
-		// kratos bases the contexts of HTTP requests on ctx; cancelled with it,
-		// the requests that a stop waits for would end at once.
-		g.Go(func() error { return x.Start(context.WithoutCancel(ctx)) })
+		go func() { ended <- x.Start(ctx) }()
 	}
-	return g.Wait()
+	for range s.servers {
+		if err := <-ended; err != nil {
+			return err // kratos stops the others
+		}
+	}
+	return nil
 }
 
 // Stop stops the servers in reverse order.
--- a/io/daemon/stop_test.go
+++ b/io/daemon/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -18,15 +19,20 @@
 )
 
 // Guards against a process that interrupts a running request when it is told to
-// stop, whether the request goes on without its caller (POST) or not (GET). The
-// target answers only after the stop has begun.
+// stop. The target answers only after the stop has begun. An entry detaches a
+// non-idempotent request from its caller, but not an idempotent one.
 func TestStopLetsRequestsEnd(t *testing.T) {
-	for _, method := range []string{http.MethodPost, http.MethodGet} {
-		t.Run(method, func(t *testing.T) { stopDuring(t, method) })
+	cases := map[string]struct{ path string }{
+		"non-idempotent": {"/orders"},
+		"idempotent":     {"/log"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { stopLetsRequestEnd(t, c.path) })
 	}
 }
 
-func stopDuring(t *testing.T, method string) {
+func stopLetsRequestEnd(t *testing.T, path string) {
+	t.Helper()
 	is := is.New(t)
 	entered, release := make(chan struct{}), make(chan struct{})
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -48,7 +54,7 @@
 
 	answers := make(chan string, 1)
 	go func() {
-		req, err := http.NewRequest(method, base+"/orders", strings.NewReader("stone"))
+		req, err := http.NewRequest(http.MethodPost, base+path, strings.NewReader("stone"))
 		if err != nil {
 			answers <- err.Error()
 			return
@@ -84,3 +90,15 @@
 	is.Equal(<-answers, "whole answer")
 	is.NoErr(<-done)
 }
+
+// Guards against a process that goes on without its callers' address because
+// another process holds it.
+func TestTakenAddressEndsTheProcess(t *testing.T) {
+	is := is.New(t)
+	s := oneProcess(t, &url.URL{Scheme: "http", Host: "127.0.0.1:1"})
+	l, err := net.Listen("tcp", s.Entry.Listen.String())
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	err = daemon.Run(context.Background(), s, hclog.NewNullLogger())
+	is.True(err != nil && strings.Contains(err.Error(), "address already in use"))
+}
