core/watch, io/controller: relays list changed subscribers only

Cause: each relay lists all its subscribers each 250 ms, 416 B/s for each subscriber, 626 KB/s at the leader with 1,505 of them.

Change: a report lists subscribers that changed, with a sum over the whole list. The rest has polled within 1.2 s; a node that has not is listed once as quiet. A lost answer, another run of the relay, another leader or a sum that differs leads to a whole list; until then the revision of the relay does not count for a change being in force. The leader keeps the earliest and the latest time at which a node may have polled, for what must not be late and what must not be early.

--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -61,7 +61,9 @@
 	Host     fleet.Host
 	Via      fleet.Host // relay that reported it; empty for a direct poll
 	Revision uint64     // held when it last polled
-	Seen     time.Time  // of its last poll, on the tracker's clock
+	Seen     time.Time  // of its last poll, on the tracker's clock; at the latest, if a relay reports it
+	Heard    time.Time  // of its last poll at the earliest; zero means Seen
+	Quiet    bool       // a relay reports that it no longer polls
 	Target   Sign       // of an agent
 }
 
@@ -100,13 +102,22 @@
 }
 
 // Record notes a poll. A report older than what is known is ignored, since a
-// node that changes relay is reported by both for a while.
+// node that changes relay is reported by both for a while. Only the time at which
+// it polled at the latest is kept: it may not be taken for expired too early.
 func (t *Tracker) Record(s Subscriber) {
 	if t.subscribers == nil {
 		t.subscribers = make(map[fleet.Host]Subscriber)
 	}
+	if s.Heard.IsZero() {
+		s.Heard = s.Seen
+	}
 	old, ok := t.subscribers[s.Host]
-	if ok && s.Seen.Before(old.Seen) {
+	if ok && old.Seen.After(s.Seen) {
+		s.Seen = old.Seen
+	}
+	if ok && s.Heard.Before(old.Heard) {
+		old.Seen = s.Seen
+		t.subscribers[s.Host] = old
 		return
 	}
 	if ok && s.Revision < old.Revision && s.Via != old.Via {
--- a/io/controller/confirm.go
+++ b/io/controller/confirm.go
@@ -54,12 +54,18 @@
 		c.tracker.Since = now
 	}
 	c.tracker.Forget(now.Add(-forgetAfter))
+	for host, v := range c.relays {
+		if now.Sub(v.Last) >= forgetAfter {
+			delete(c.relays, host)
+		}
+	}
 }
 
 func (c *Controller) follow() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leading = 0
+	clear(c.relays) // relays list all to the next leader
 	c.tracker.Forget(time.Now().Add(-forgetAfter))
 }
 
@@ -89,7 +95,8 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	sent := time.Now()
-	answer, err := link.Call[wire.ControlConfirmAnswer](ctx, c.links, addr, c.confirmation(sent))
+	answer, err := link.Call[wire.ControlConfirmAnswer](ctx, c.links, addr, c.confirmation(sent, leader))
+	c.answered(err == nil && answer.GetLeading() && answer.GetComplete())
 	if err != nil {
 		return err
 	}
@@ -100,19 +107,22 @@
 	return nil
 }
 
-// confirmation lists the subscribers of this replica.
-func (c *Controller) confirmation(now time.Time) *wire.ControlConfirm {
+// answered notes whether the leader holds the list of this relay.
+func (c *Controller) answered(complete bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sender.Answered(complete)
+}
+
+// confirmation reports the subscribers of this replica to a leader.
+func (c *Controller) confirmation(now time.Time, leader fleet.Host) *wire.ControlConfirm {
 	index, _ := c.machine.config()
 	m := &wire.ControlConfirm{
 		Self: wire.EncodeSubscriber(watch.Subscriber{Host: c.self, Revision: index.Revision, Seen: now}, now),
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, s := range c.tracker.Subscribers() {
-		if s.Via == "" {
-			m.Subscribers = append(m.Subscribers, wire.EncodeSubscriber(s, now))
-		}
-	}
+	wire.EncodeReport(m, c.sender.Report(now, leader, c.tracker.Subscribers()), now)
 	for _, r := range c.reports {
 		m.Demand = append(m.Demand, wire.EncodeDemand(r, now))
 	}
@@ -132,24 +142,38 @@
 		answer.Leader = string(leader)
 	}
 	if held {
-		c.recordReport(now, host, m)
+		answer.Complete = c.recordReport(now, host, m)
 		answer.Summaries = c.totals(now, host, m)
 	}
 	return s.Send(answer)
 }
 
-func (c *Controller) recordReport(now time.Time, host fleet.Host, m *wire.ControlConfirm) {
+// recordReport takes in the report of a relay and says whether its list is
+// complete. Only then the relay itself counts as holding its revision: a change
+// is in force at a relay only with all its subscribers known.
+func (c *Controller) recordReport(now time.Time, host fleet.Host, m *wire.ControlConfirm) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	self := wire.DecodeSubscriber(m.GetSelf(), now)
-	self.Host = host
-	c.tracker.Record(self)
-	for _, x := range m.GetSubscribers() {
-		s := wire.DecodeSubscriber(x, now)
+	v := c.relays[host]
+	if v == nil {
+		if c.relays == nil {
+			c.relays = make(map[fleet.Host]*watch.Receiver)
+		}
+		v = &watch.Receiver{}
+		c.relays[host] = v
+	}
+	subscribers, complete := v.Apply(now, wire.DecodeReport(m, now))
+	if complete {
+		self := wire.DecodeSubscriber(m.GetSelf(), now)
+		self.Host = host
+		c.tracker.Record(self)
+	}
+	for _, s := range subscribers {
 		s.Via = host
 		c.tracker.Record(s)
 	}
 	for _, d := range m.GetDemand() {
 		c.report(wire.DecodeDemand(d, now))
 	}
+	return complete
 }
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -68,9 +68,11 @@
 
 	mu      sync.Mutex
 	tracker watch.Tracker
-	copy    watch.Copy        // of a replica that does not lead
-	leading uint64            // term this replica leads, as far as the tracker goes
-	reports []capacity.Report // of demand, not yet passed on or taken in
+	sender  watch.Sender                   // of reports, of a replica that does not lead
+	relays  map[fleet.Host]*watch.Receiver // of reports, of the leader
+	copy    watch.Copy                     // of a replica that does not lead
+	leading uint64                         // term this replica leads, as far as the tracker goes
+	reports []capacity.Report              // of demand, not yet passed on or taken in
 	board   summary.Board
 	summed  time.Time // when summaries were last sent to a leader
 
@@ -85,6 +87,7 @@
 		o: o, self: o.Self, log: o.Log, links: o.Links, machine: newMachine(),
 		done: make(chan dispatch.Key, maxDone),
 	}
+	c.sender.Run = uint64(time.Now().UnixNano())
 	c.send = &transport{c: c}
 	if o.Platform != nil {
 		c.platform = &platform{base: o.Platform, client: boundedClient(), host: o.Self}
--- a/io/controller/lead.go
+++ b/io/controller/lead.go
@@ -99,7 +99,7 @@
 	out := make(map[fleet.TargetName]dispatch.Seen)
 	for _, s := range c.tracker.Subscribers() {
 		if s.Target.Name != "" {
-			out[s.Target.Name] = dispatch.Seen{Sign: s.Target, At: s.Seen}
+			out[s.Target.Name] = dispatch.Seen{Sign: s.Target, At: s.Heard}
 		}
 	}
 	return out
