internal/measure/slopes: measure subset and summaries

Cause: the capacity page works out sessions and polls of an entry from slopes of single sessions.

Change: tables of an idle entry with the agents of 10, 100 and 1,100 targets and of the summaries in the answer to a poll; agents of the subscriber tables send their load.

--- a/internal/measure/slopes/slopes.go
+++ b/internal/measure/slopes/slopes.go
@@ -82,7 +82,7 @@
 	// table of targets is the last with c, since it leaves them in the state.
 	for _, f := range []func(context.Context, plan) (Table, error){
 		measureConfiguration, measureDelta, measurePick, measureWaiting, measureClaimMemory,
-		measureEntry, measurePaced, measureLoadPolls, measureSessions,
+		measureEntry, measurePaced, measureLoadPolls, measureSessions, measureSubset, measureSummaries,
 		c.measureAtLeader, c.measureAtRelay, c.measureCommits, c.measureUsage, c.measureJoin, c.measureTargets, measureReplicas,
 	} {
 		t, err := f(ctx, p)
--- a/internal/measure/slopes/subscribers.go
+++ b/internal/measure/slopes/subscribers.go
@@ -22,6 +22,9 @@
 // 1,100 agents at design scale.
 const entryEvery = 4
 
+// loadAge is that of an engine's load in a poll of control.
+const loadAge = 100 * time.Millisecond
+
 // nodes are subscribers that poll one control replica.
 type nodes struct {
 	clients []*subscribe.Client
@@ -61,7 +64,10 @@
 			o.Demand = demand
 		} else {
 			sign := watch.Sign{Name: fleet.TargetName(host), Incarnation: 1, Ready: true, Running: 8}
-			o.Sign = func() watch.Sign { return sign }
+			o.Sign = func() watch.Sign {
+				sign.Load = watch.Load{Taken: time.Now().Add(-loadAge), PrefillTokens: 12_345, DecodeTokens: 6789, Waiting: 3}
+				return sign
+			}
 		}
 		client := subscribe.New(o)
 		s.clients, s.pools = append(s.clients, client), append(s.pools, pool)
--- a/internal/measure/slopes/use.go
+++ b/internal/measure/slopes/use.go
@@ -65,6 +65,14 @@
 	return n, err
 }
 
+// dialTo dials another address in place of the one that is asked for, and notes it.
+func dialTo(dial func(context.Context, link.Address) (net.Conn, error), to link.Address, note func(link.Address)) func(context.Context, link.Address) (net.Conn, error) {
+	return func(ctx context.Context, a link.Address) (net.Conn, error) {
+		note(a)
+		return dial(ctx, to)
+	}
+}
+
 // dialCounted returns a Dial of a link.Pool that counts into t.
 func dialCounted(t func(a link.Address) *traffic) func(context.Context, link.Address) (net.Conn, error) {
 	return func(ctx context.Context, a link.Address) (net.Conn, error) {
