io/link: keep the interval of idle heartbeats

Cause: ticks jitter, so that a heartbeat due at the third one was sometimes sent at the fourth.

Change: the comparison allows half a tick.

--- a/io/link/heartbeat.go
+++ b/io/link/heartbeat.go
@@ -27,7 +27,9 @@
 		case <-s.CloseChan():
 			return
 		case now := <-tick.C:
-			if s.NumStreams() == 0 && now.Sub(last) < idleInterval {
+			// Half a tick less: a tick that comes early must not delay the
+			// heartbeat to the next one.
+			if s.NumStreams() == 0 && now.Sub(last) < idleInterval-heartbeatInterval/2 {
 				continue
 			}
 			last = now
