--- a/io/link/heartbeat.go
+++ b/io/link/heartbeat.go
@@ -34,7 +34,9 @@
 				_ = s.Close()
 				return
 			}
-			if s.NumStreams() == 0 && now.Sub(last) < idleInterval {
+			// Half a tick less: a tick that comes early must not delay the
+			// heartbeat to the next one.
+			if s.NumStreams() == 0 && now.Sub(last) < idleInterval-heartbeatInterval/2 {
 				continue
 			}
 			last = now
