internal/memlink: share the connections in memory of io/entry's tests

The search over the whole request path needs the same connections and faults as the tests of io/entry. They move to a package of their own; the tests use them from there.

io/entry tests pass unchanged in what they check (go test -race ./io/entry, 9.0 s).

--- a/io/entry/claim_test.go
+++ b/io/entry/claim_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"papayarock/core/config"
+	"papayarock/internal/memlink"
 	"papayarock/io/entry"
 )
 
@@ -62,16 +63,16 @@
 	} {
 		for cut, hit := int64(0), true; hit; cut++ {
 			t.Run(fmt.Sprintf("%+v after %d frames", kind, cut), func(t *testing.T) {
-				bubble(t, func(t *testing.T) {
+				memlink.Bubble(t, func(t *testing.T) {
 					service := &counter{delay: time.Second, size: 1000}
 					r := newRig(t, service, 2)
 					defer r.stop()
 					r.entry.Control = &register{}
-					faults := []*fault{{close: kind.closed}, {close: kind.closed}}
+					faults := []*memlink.Fault{{Close: kind.closed}, {Close: kind.closed}}
 					for _, f := range faults {
-						f.left.Store(cut)
+						f.Left.Store(cut)
 					}
-					r.damage = func(n int) *fault {
+					r.damage = func(n int) *memlink.Fault {
 						if n == 0 || kind.lost {
 							return faults[min(n, 1)]
 						}
@@ -82,7 +83,7 @@
 						header = []string{"Idempotency-Key", "a"}
 					}
 					got := r.do(http.MethodPost, "/orders", "stone", header...)
-					hit = faults[0].hit.Load()
+					hit = faults[0].Hit.Load()
 					time.Sleep(time.Minute) // late messages
 					runs := service.count("stone")
 					r.is.True(runs <= 1) // ran twice
@@ -114,7 +115,7 @@
 
 // Guards against a caller's key that does not attach, replay or refuse.
 func TestIdempotencyKey(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	memlink.Bubble(t, func(t *testing.T) {
 		service := &counter{delay: 5 * time.Second}
 		r := newRig(t, service, 1)
 		defer r.stop()
@@ -163,7 +164,7 @@
 // request under the same key has run, and against one that says unknown although
 // none has.
 func TestRefusalUnderLoadIsTrueForTheKey(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	memlink.Bubble(t, func(t *testing.T) {
 		service := &counter{}
 		r := newRig(t, service, 1)
 		defer r.stop()
@@ -204,7 +205,7 @@
 // key that is served after the freshness deadline, and against a cut that
 // leaves requests running.
 func TestWithdrawnKey(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	memlink.Bubble(t, func(t *testing.T) {
 		service := &counter{delay: 10 * time.Second}
 		r := newRig(t, service, 1)
 		defer r.stop()
@@ -252,7 +253,7 @@
 // Guards against an idempotent request that fails although another target is
 // there, and against a second attempt after the caller has seen a part.
 func TestRetriesOnAnotherTarget(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	memlink.Bubble(t, func(t *testing.T) {
 		var calls atomic.Int32
 		r := newRig(t, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 			if calls.Add(1) == 1 {
@@ -279,7 +280,7 @@
 // Guards against a refusal that says not run because the last target tried has
 // not run the request, although an earlier one may have.
 func TestRefusalCountsEarlierAttempts(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	memlink.Bubble(t, func(t *testing.T) {
 		var r *rig
 		r = newRig(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 			r.refuse.Store(true)
--- a/io/entry/frames_test.go
+++ b/io/entry/frames_test.go
@@ -12,6 +12,7 @@
 
 	"papayarock/core/config"
 	"papayarock/core/fleet"
+	"papayarock/internal/memlink"
 	"papayarock/io/entry"
 	"papayarock/io/link"
 	"papayarock/io/wire"
@@ -36,7 +37,7 @@
 // scripted is an agent that answers each Run with the frames of a script and
 // retains nothing.
 func (r *rig) scripted(script func(id []byte) []*wire.Frame) (stop func()) {
-	l := newPipes()
+	l := memlink.NewListener()
 	s := &link.Server{Listener: l}
 	link.Handle(s, func(_ context.Context, s *link.Stream, open *wire.Open) {
 		if m := open.GetResume(); m != nil {
@@ -60,7 +61,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(ctx) }()
-	r.links = []*pipes{l}
+	r.links = []*memlink.Listener{l}
 	snapshot := r.snapshot(2, key())
 	snapshot.Targets = []fleet.Target{{Name: "t1", Pool: "app", Phase: fleet.Ready, Agent: netip.MustParseAddrPort("127.0.0.1:1")}}
 	r.index.Store(config.NewIndex(snapshot))
@@ -72,7 +73,7 @@
 
 // Guards against late and crossed frames that reach the wrong caller.
 func TestCrossedFrames(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	memlink.Bubble(t, func(t *testing.T) {
 		r := newRig(t, &counter{}, 0)
 		defer r.stop()
 		defer r.scripted(func(id []byte) []*wire.Frame {
@@ -112,7 +113,7 @@
 		}
 		for n := range len(parts) + 3 {
 			t.Run(fmt.Sprintf("%s, %d frames", name, n), func(t *testing.T) {
-				bubble(t, func(t *testing.T) {
+				memlink.Bubble(t, func(t *testing.T) {
 					r := newRig(t, &counter{}, 0)
 					defer r.stop()
 					defer r.scripted(func(id []byte) []*wire.Frame {
@@ -135,7 +136,7 @@
 // Guards against callers over HTTP/2 that are served differently, and against a
 // cut answer that ends their stream cleanly.
 func TestHTTP2(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	memlink.Bubble(t, func(t *testing.T) {
 		r := newRig(t, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 			_, _ = w.Write(make([]byte, 100_000))
 			if q.URL.Path == "/reads/cut" {
--- a/io/entry/hostile_test.go
+++ b/io/entry/hostile_test.go
@@ -17,6 +17,7 @@
 
 	"papayarock/core/config"
 	"papayarock/core/fleet"
+	"papayarock/internal/memlink"
 	"papayarock/io/entry"
 	"papayarock/io/link"
 	"papayarock/io/wire"
@@ -65,7 +66,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			bubble(t, func(t *testing.T) {
+			memlink.Bubble(t, func(t *testing.T) {
 				service := &counter{}
 				r := newRig(t, service, 1)
 				defer r.stop()
--- a/io/entry/rig_test.go
+++ b/io/entry/rig_test.go
@@ -4,18 +4,15 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
-	"encoding/binary"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
-	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -24,6 +21,7 @@
 	"papayarock/core/config"
 	"papayarock/core/fleet"
 	"papayarock/core/state"
+	"papayarock/internal/memlink"
 	"papayarock/io/agent"
 	"papayarock/io/entry"
 	"papayarock/io/link"
@@ -31,118 +29,6 @@
 
 const secret = "pk-5d1f0c8e9a7b"
 
-// bubble runs f under synctest. yamux keeps timers in a global pool; two
-// collections empty it, so that no timer passes from one bubble to the next.
-func bubble(t *testing.T, f func(t *testing.T)) {
-	t.Helper()
-	empty := func() { runtime.GC(); runtime.GC() }
-	empty()
-	synctest.Test(t, f)
-	empty()
-}
-
-// pipes is a listener whose connections are made in memory.
-type pipes struct {
-	conns chan net.Conn
-	once  sync.Once
-	done  chan struct{}
-}
-
-func newPipes() *pipes { return &pipes{conns: make(chan net.Conn), done: make(chan struct{})} }
-
-func (p *pipes) Accept() (net.Conn, error) {
-	select {
-	case c := <-p.conns:
-		return c, nil
-	case <-p.done:
-		return nil, net.ErrClosed
-	}
-}
-func (p *pipes) Close() error   { p.once.Do(func() { close(p.done) }); return nil }
-func (p *pipes) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
-
-func (p *pipes) dial(ctx context.Context) (net.Conn, net.Conn, error) {
-	a, b := net.Pipe()
-	return a, b, p.give(ctx, b)
-}
-
-func (p *pipes) give(ctx context.Context, c net.Conn) error {
-	select {
-	case p.conns <- c:
-		return nil
-	case <-p.done:
-		return net.ErrClosed
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// fault damages a connection: after left yamux frames in both directions
-// together, writes are swallowed while the connection stays open, or it is
-// closed.
-type fault struct {
-	left  atomic.Int64
-	close bool
-	hit   atomic.Bool
-}
-
-// faulty begins to swallow between frames only. Inside a frame, yamux blocks
-// its readers on a mutex, which stops the clock of a bubble.
-type faulty struct {
-	net.Conn
-	f     *fault
-	muted bool
-	skip  int // bytes until the next frame header
-}
-
-// prefaceBytes come before the first frame.
-const prefaceBytes = 16
-
-func newFaulty(c net.Conn, f *fault) *faulty { return &faulty{Conn: c, f: f, skip: prefaceBytes} }
-
-// intact returns how much of b comes before the fault. A frame header is
-// always in one write.
-func (c *faulty) intact(b []byte) int {
-	const headerBytes, lengthAt = 12, 8
-	at := min(c.skip, len(b))
-	c.skip -= at
-	for at < len(b) {
-		if c.f.left.Add(-1) < 0 {
-			c.muted = true
-			return at
-		}
-		h := b[at:]
-		at += headerBytes
-		if h[1] == 0 { // a data frame has a body
-			body := int(binary.BigEndian.Uint32(h[lengthAt:]))
-			c.skip = max(0, at+body-len(b))
-			at = min(at+body, len(b))
-		}
-	}
-	return at
-}
-
-func (c *faulty) Write(b []byte) (int, error) {
-	n := 0
-	if !c.muted {
-		n = c.intact(b)
-	}
-	if n > 0 {
-		if _, err := c.Conn.Write(b[:n]); err != nil {
-			return 0, err
-		}
-	}
-	if !c.muted {
-		return len(b), nil
-	}
-	c.f.hit.Store(true)
-	if c.f.close {
-		_ = c.Close()
-		return 0, net.ErrClosed
-	}
-	return len(b), nil
-}
-
 // rig is a whole path in memory: caller, entry, link, agent and target.
 type rig struct {
 	is     *is.I
@@ -153,9 +39,9 @@
 	index  atomic.Pointer[config.Index]
 	client *http.Client
 	log    *lockedLog
-	links  []*pipes
+	links  []*memlink.Listener
 	// damage makes the faults of the n-th link connection, from 0; nil for none.
-	damage func(n int) *fault
+	damage func(n int) *memlink.Fault
 	dials  atomic.Int32
 	refuse atomic.Bool // further dials
 	stop   func()
@@ -211,16 +97,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stopA = cancel
 	var wg sync.WaitGroup
-	backend := newPipes()
+	backend := memlink.NewListener()
 	backServer := &http.Server{Handler: target}
 	wg.Go(func() { _ = backServer.Serve(backend) })
 	var transports []*http.Transport
 	for i := range agents {
-		l := newPipes()
+		l := memlink.NewListener()
 		r.links = append(r.links, l)
 		tr := &http.Transport{DisableCompression: true, DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-			c, _, err := backend.dial(ctx)
-			return c, err
+			return backend.Dial(ctx)
 		}}
 		transports = append(transports, tr)
 		a := &agent.Agent{
@@ -233,13 +118,12 @@
 	links := &link.Pool{Dial: r.dialLink}
 	r.entry = &entry.Entry{Config: &r.index, Links: links, Log: log}
 	r.index.Store(config.NewIndex(r.snapshot(1, key())))
-	front := newPipes()
+	front := memlink.NewListener()
 	frontServer := &http.Server{Handler: r.entry, ErrorLog: log.StandardLogger(nil)}
 	entry.Limits{}.Apply(frontServer)
 	wg.Go(func() { _ = frontServer.Serve(front) })
 	out := &http.Transport{DisableCompression: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-		c, _, err := front.dial(ctx)
-		return c, err
+		return front.Dial(ctx)
 	}}
 	r.client = &http.Client{Transport: out}
 	r.stop = func() {
@@ -265,10 +149,10 @@
 	near, far := net.Pipe()
 	if r.damage != nil {
 		if f := r.damage(n); f != nil {
-			near, far = newFaulty(near, f), newFaulty(far, f)
+			near, far = memlink.Damage(near, f), memlink.Damage(far, f)
 		}
 	}
-	return near, r.links[a.AddrPort.Port()-1].give(ctx, far)
+	return near, r.links[a.AddrPort.Port()-1].Give(ctx, far)
 }
 
 type reply struct {
