io/entry: do not call a request with a used key and another body not run

A request whose Idempotency-Key was used with another body was refused with not-run: true, although the request that holds the key may have run. A refusal with a key speaks for all requests under it.

The refusal says unknown: the answer to a claim does not tell whether the holder has run. TestIdempotencyKey requires it. go test -race ./io/entry passes.

--- a/io/entry/refusal.go
+++ b/io/entry/refusal.go
@@ -45,7 +45,7 @@
 	refuseIdemKey   = &Refusal{Status: http.StatusBadRequest, Type: "idempotency-key", Title: "Idempotency-Key must be one value of at most 256 bytes"}
 	refuseNoTarget  = &Refusal{Status: http.StatusServiceUnavailable, Type: "no-target", Title: "no target can take the request", RetryAfter: time.Second}
 	refuseClaim     = &Refusal{Status: http.StatusServiceUnavailable, Type: "no-claim", Title: "the Idempotency-Key cannot be recorded at the moment", RetryAfter: time.Second}
-	refuseMismatch  = &Refusal{Status: http.StatusUnprocessableEntity, Type: "idempotency-key-mismatch", Title: "the Idempotency-Key was used with another request"}
+	refuseMismatch  = &Refusal{Status: http.StatusUnprocessableEntity, Type: "idempotency-key-mismatch", Title: "the Idempotency-Key was used with another request", NotRun: notRunUnknown}
 	refuseRan       = &Refusal{Status: http.StatusConflict, Type: "already-run", Title: "the request ran; its answer is not kept", NotRun: notRunFalse}
 	refuseRunning   = &Refusal{Status: http.StatusConflict, Type: "already-running", Title: "a request with this Idempotency-Key has not ended", NotRun: notRunUnknown, RetryAfter: time.Second}
 	refuseUnknown   = &Refusal{Status: http.StatusConflict, Type: "outcome-unknown", Title: "whether the request with this Idempotency-Key ran is not known", NotRun: notRunUnknown}
