io/entry, io/agent: allow a dump while a process starts

Dump, and Cut of an entry, read fields that the first request or Serve sets up without a lock, so a dump at start was a data race. The search over the request path found it under -race. Both now set up the process first, as other calls do.

TestDumpWhileStarting of both packages reports the race without the change (go test -race -count 20) and passes with it.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -250,6 +250,7 @@
 
 // Dump returns the state of a, without request content.
 func (a *Agent) Dump() any {
+	a.once.Do(a.init)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	d := Dump{
--- a/io/agent/agent_test.go
+++ b/io/agent/agent_test.go
@@ -19,6 +19,7 @@
 
 	"papayarock/core/fleet"
 	"papayarock/core/state"
+	"papayarock/internal/memlink"
 	"papayarock/io/agent"
 	"papayarock/io/identity"
 	"papayarock/io/link"
@@ -273,3 +274,14 @@
 		})
 	}
 }
+
+// Guards against a dump that races with the start of the agent.
+func TestDumpWhileStarting(t *testing.T) {
+	a := &agent.Agent{Listener: memlink.NewListener(), Target: &url.URL{}, StopTimeout: time.Millisecond}
+	var wg sync.WaitGroup
+	ctx, cancel := context.WithCancel(t.Context())
+	wg.Go(func() { _ = a.Serve(ctx) })
+	wg.Go(func() { _ = a.Dump() })
+	cancel()
+	wg.Wait()
+}
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"net/url"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -74,3 +75,15 @@
 		is.Equal(h.Get("Papayarock-Customer"), "klang-north")
 	}
 }
+
+// Guards against a dump, or a cut of a key, that races with the first request.
+func TestDumpWhileStarting(_ *testing.T) {
+	e := &entry.Entry{Config: &atomic.Pointer[config.Index]{}}
+	var wg sync.WaitGroup
+	ctx, cancel := context.WithCancel(context.Background())
+	wg.Go(func() { _ = e.Serve(ctx) })
+	wg.Go(func() { _ = e.Dump() })
+	wg.Go(func() { e.Cut("k1") })
+	cancel()
+	wg.Wait()
+}
--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -69,6 +69,7 @@
 
 // Cut ends the running requests of a key that was withdrawn with interruption.
 func (e *Entry) Cut(keyID string) {
+	e.once.Do(e.init)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for f := range e.running {
@@ -144,6 +145,7 @@
 
 // Dump returns the state of e, without keys or request content.
 func (e *Entry) Dump() any {
+	e.once.Do(e.init)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	d := Dump{
