--- /dev/null
+++ b/internal/pathsearch/relay_test.go
@@ -0,0 +1,76 @@
+package pathsearch
+
+import (
+	"context"
+	"net"
+
+	"google.golang.org/protobuf/types/known/emptypb"
+
+	"papayarock/internal/memlink"
+	"papayarock/io/link"
+	"papayarock/io/wire"
+)
+
+// startRelay passes the calls of entries on to an agent and lets the variant
+// alter queries.
+func (w *world) startRelay(l *life, front, behind *memlink.Listener) {
+	pool := &link.Pool{Dial: func(ctx context.Context, _ link.Address) (net.Conn, error) {
+		near, far := net.Pipe()
+		l.keep(near)
+		return near, behind.Give(ctx, far)
+	}}
+	server := &link.Server{Listener: front, Incarnation: uint64(l.number)}
+	link.Handle(server, func(ctx context.Context, s *link.Stream, open *wire.Open) {
+		q := open.GetQuery()
+		if q == nil {
+			relay(ctx, pool, s, open)
+			return
+		}
+		alter := w.v.relay(q)
+		if f, err := link.Call[wire.Frame](ctx, pool, link.Address{}, open); err == nil {
+			if o := f.GetOutcome(); o != nil {
+				alter(o)
+			}
+			_ = s.Send(f)
+		}
+	})
+	go func() { _ = server.Serve(l.ctx) }()
+	go func() {
+		<-l.ctx.Done()
+		pool.Close()
+		_ = behind.Close()
+	}()
+}
+
+// relay copies messages in both directions. An empty message keeps the fields
+// that it does not know.
+func relay(ctx context.Context, pool *link.Pool, s *link.Stream, open *wire.Open) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	to, err := pool.Open(ctx, link.Address{}, open)
+	if err != nil {
+		return
+	}
+	defer func() { _ = to.Close() }()
+	s.Bind(ctx)
+	s.Patience, to.Patience = -1, -1
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		defer cancel()
+		for {
+			var m emptypb.Empty
+			if s.Receive(&m) != nil || to.Send(&m) != nil {
+				return
+			}
+		}
+	}()
+	for {
+		var m emptypb.Empty
+		if to.Receive(&m) != nil || s.Send(&m) != nil {
+			break
+		}
+	}
+	cancel()
+	<-gone
+}
--- a/io/entry/claim_test.go
+++ b/io/entry/claim_test.go
@@ -133,8 +133,8 @@
 		r.is.Equal(replayed.header.Get("Idempotency-Replayed"), "true")
 		other := r.do(http.MethodPost, "/orders", "brick", "Idempotency-Key", "a")
 		r.is.Equal(other.status, http.StatusUnprocessableEntity)
-	// The request that holds the key has run, and this refusal speaks for it too.
-	r.is.True(strings.Contains(other.body, `"not-run":"unknown"`))
+		// The request that holds the key has run, and this refusal speaks for it too.
+		r.is.True(strings.Contains(other.body, `"not-run":"unknown"`))
 		r.is.Equal(service.count("brick"), 0)
 		service.set(0, 20<<10) // too large to keep
 		r.is.Equal(r.do(http.MethodPost, "/orders", "wall", "Idempotency-Key", "b").status, http.StatusOK)
