--- a/io/entry/handover_test.go
+++ b/io/entry/handover_test.go
@@ -9,6 +9,7 @@
 
 	"papayarock/core/fleet"
 	"papayarock/internal/fake"
+	"papayarock/internal/memlink"
 	"papayarock/io/agent"
 	"papayarock/io/entry"
 	"papayarock/io/serving"
@@ -48,7 +49,7 @@
 func TestHandOver(t *testing.T) {
 	for _, prefix := range []string{"", "/letters"} {
 		t.Run("route "+prefix, func(t *testing.T) {
-			bubble(t, func(t *testing.T) {
+			memlink.Bubble(t, func(t *testing.T) {
 				engines := splitEngines()
 				r := engineRig(t, engines...)
 				defer r.stop()
@@ -94,7 +95,7 @@
 	} {
 		for _, prefix := range []string{"", "/letters"} {
 			t.Run(name+", route "+prefix, func(t *testing.T) {
-				bubble(t, func(t *testing.T) {
+				memlink.Bubble(t, func(t *testing.T) {
 					engines := splitEngines()
 					if c.prefill != nil {
 						c.prefill(engines[0])
@@ -132,7 +133,7 @@
 // Guards against a request with an Idempotency-Key whose claim names the prefill
 // engine, which has no answer to attach to or replay.
 func TestHandOverOfClaimedRequest(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	memlink.Bubble(t, func(t *testing.T) {
 		engines := splitEngines()
 		r := engineRig(t, engines...)
 		defer r.stop()
@@ -166,7 +167,7 @@
 // Guards against KV cache that crosses regions uncounted: the decode engine
 // beside the prefill engine is down, so that one elsewhere answers.
 func TestHandOverAcrossRegions(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	memlink.Bubble(t, func(t *testing.T) {
 		engines := splitEngines()
 		var targets []beside
 		for i, e := range engines {
@@ -200,7 +201,7 @@
 // engine crashes in it.
 func TestDecodeEngineCrashesInAnswer(t *testing.T) {
 	for _, prefix := range []string{"", "/letters"} {
-		bubble(t, func(t *testing.T) {
+		memlink.Bubble(t, func(t *testing.T) {
 			engines := splitEngines()
 			for _, e := range engines[1:] {
 				e.Set(func(f *fake.EngineFaults) { f.CrashAfterFrames = 2 })
@@ -227,14 +228,14 @@
 		for link := range 3 {
 			for cut, hit := int64(1), true; hit; cut++ {
 				t.Run(fmt.Sprintf("link %d, closed %v after %d frames", link, closed, cut), func(t *testing.T) {
-					bubble(t, func(t *testing.T) {
+					memlink.Bubble(t, func(t *testing.T) {
 						engines := splitEngines()
 						r := engineRig(t, engines[:2]...)
 						defer r.stop()
 						r.policy(*affinitySeed)
-						f := &fault{close: closed}
-						f.left.Store(cut)
-						r.damage = func(n int) *fault {
+						f := &memlink.Fault{Close: closed}
+						f.Left.Store(cut)
+						r.damage = func(n int) *memlink.Fault {
 							if n == link {
 								return f
 							}
@@ -242,7 +243,7 @@
 						}
 						prompt := words("c", 600)
 						_, got := r.ask(prompt, 5)
-						hit = f.hit.Load()
+						hit = f.Hit.Load()
 						if got.status == http.StatusOK {
 							r.is.NoErr(got.err)
 							r.is.True(whole(got.body, prompt, 5))
