io/entry: process the prompt of a claimed request after its claim

Each repetition of a request with an Idempotency-Key had its prompt processed at the prefill engine before control said that the answer is known. The decode engine is now chosen first, since the claim names it, and the prompt is processed once the claim is granted.

KV cache is for agents, polls and imports are for entries: tested by role.

--- /dev/null
+++ b/io/agent/kv_test.go
@@ -0,0 +1,95 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"papayarock/core/fleet"
+	"papayarock/internal/fake"
+	"papayarock/io/agent"
+	"papayarock/io/identity"
+	"papayarock/io/link"
+	"papayarock/io/wire"
+)
+
+// Guards against an agent that gives the KV cache of prompts to a peer which is
+// no agent, or fills caches for one which is no entry.
+func TestKVByRole(t *testing.T) {
+	r := newRig(t, nil)
+	other := &link.Pool{Identity: r.creds("a2", identity.Agent), Roles: []identity.Role{identity.Agent}}
+	defer other.Close()
+	id := fleet.RequestID{1}
+	served := func(p *link.Pool, m proto.Message) bool {
+		// The type of the answer does not matter: an empty one is received as any.
+		_, err := link.Call[wire.KVPart](t.Context(), p, r.address, m)
+		return err == nil
+	}
+	r.is.True(served(other, &wire.KVExport{RequestId: id[:]}))
+	r.is.True(!served(r.links, &wire.KVExport{RequestId: id[:]}))
+	for _, m := range []proto.Message{&wire.CachePoll{}, &wire.KVImport{RequestId: id[:]}} {
+		r.is.True(served(r.links, m))
+		r.is.True(!served(other, m))
+	}
+	r.is.True(!served(other, &wire.Prefill{RequestId: id[:]}))
+}
+
+// BenchmarkMoveKV moves 64 MiB of KV cache between two engines through their
+// agents, over loopback without certificates.
+func BenchmarkMoveKV(b *testing.B) {
+	const tokens, bytesPerToken = 1024, 64 << 10
+	links := &link.Pool{}
+	defer links.Close()
+	var addresses []link.Address
+	for range 2 {
+		engine := &fake.Engine{CacheBlocks: 1024, KVBytesPerToken: bytesPerToken}
+		target := httptest.NewServer(engine)
+		defer target.Close()
+		u, err := url.Parse(target.URL)
+		if err != nil {
+			b.Fatal(err)
+		}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		a := &agent.Agent{Listener: l, Target: u, Links: links, StopTimeout: time.Millisecond, Announcement: fleet.Target{Kind: fleet.Engine}}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go func() { _ = a.Serve(ctx) }()
+		addresses = append(addresses, link.Address{AddrPort: netip.MustParseAddrPort(l.Addr().String())})
+	}
+	ctx := context.Background()
+	id := fleet.RequestID{1}
+	s, err := links.OpenQueued(ctx, addresses[0], &wire.Prefill{
+		RequestId: id[:], Path: "/v1/completions", DeadlineUnixNanos: time.Now().Add(time.Minute).UnixNano(),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	body := fmt.Sprintf(`{"prompt": %q}`, strings.Repeat("w ", tokens))
+	if err := s.Send(&wire.BodyPart{Data: []byte(body), Last: true}); err != nil {
+		b.Fatal(err)
+	}
+	var done wire.Prefilled
+	if err := s.Receive(&done); err != nil || done.GetFailure() != "" {
+		b.Fatal(err, done.GetFailure())
+	}
+	_ = s.Close()
+	b.SetBytes(tokens * bytesPerToken)
+	for b.Loop() {
+		m := &wire.KVImport{RequestId: id[:], Address: addresses[0].AddrPort.String()}
+		answer, err := link.Call[wire.KVImported](ctx, links, addresses[1], m)
+		if err != nil || answer.GetFailure() != "" {
+			b.Fatal(err, answer.GetFailure())
+		}
+	}
+}
--- a/io/entry/claim.go
+++ b/io/entry/claim.go
@@ -85,7 +85,7 @@
 	}
 	// The target is chosen before the claim, so that the claim tells others
 	// where the request runs.
-	t, ok := c.pick()
+	t, process, ok := c.pickClaimed()
 	if !ok {
 		return c.sure(refuseNoTarget)
 	}
@@ -104,6 +104,7 @@
 	}
 	switch result.Outcome {
 	case state.ClaimGranted:
+		process()
 		return c.runGranted(t, result.Index, out)
 	case state.ClaimRunning:
 		return c.attach(result, out)
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -52,7 +52,7 @@
 	if !over {
 		return t, true
 	}
-	err := c.prefill(t, max(minPrefill, prefillSlack*expected))
+	err := c.prefill(t, prefillLimit(expected))
 	out := Outcome{Ending: Answered, Status: 200, Ended: time.Now()}
 	switch {
 	case c.ctx.Err() != nil:
@@ -65,13 +65,41 @@
 	if !ok {
 		return fleet.Target{}, false
 	}
-	if err == nil && decode.Name != t.Name {
-		err = c.moveKV(h, t, decode)
+	c.moved(h, t, decode, err)
+	return decode, true
+}
+
+func prefillLimit(expected time.Duration) time.Duration {
+	return max(minPrefill, prefillSlack*expected)
+}
+
+// moved moves the KV cache of a prompt unless it was not processed.
+func (c *call) moved(h HandOverPicker, from, to fleet.Target, err error) {
+	if err == nil && to.Name != from.Name {
+		err = c.moveKV(h, from, to)
 	}
 	if err != nil {
-		c.e.Log.Info("prompt not handed over", "request", c.request.ID, "from", t.Name, "to", decode.Name, "error", err)
+		c.e.Log.Info("prompt not handed over", "request", c.request.ID, "from", from.Name, "to", to.Name, "error", err)
 	}
-	return decode, true
+}
+
+// pickClaimed is pick for a request that needs a claim, which names the target.
+// The prompt is processed by the returned function once the claim is granted:
+// a repetition of an answered request would cost as much as the first.
+func (c *call) pickClaimed() (target fleet.Target, process func(), ok bool) {
+	pool := c.e.Config.Load().Pool(c.admitted.route.Pool)
+	t, ok := c.e.Picker.Pick(c.request, pool)
+	h, can := c.e.Picker.(HandOverPicker)
+	if !ok || !can {
+		return t, func() {}, ok
+	}
+	expected, over := h.HandsOver(c.request)
+	if !over {
+		return t, func() {}, true
+	}
+	h.Ended(c.request, t.Name, Outcome{Ending: Cancelled, Ended: time.Now()})
+	decode, ok := h.PickDecode(c.request, t, pool)
+	return decode, func() { c.moved(h, t, decode, c.prefill(t, prefillLimit(expected))) }, ok
 }
 
 // prefill has a target process the prompt.
--- a/io/entry/handover_test.go
+++ b/io/entry/handover_test.go
@@ -160,6 +160,7 @@
 			r.is.True(held.claim.Target != "t1")
 		}
 		r.is.Equal(r.billed(), uint64(1))
+		r.is.Equal(engines[0].Counts().Started, 1) // repetitions process no prompt
 	})
 }
 
