cmd/papayarock: run scenarios with their mechanism switched off

Cause: most scenarios had never been run without the mechanism they stand for, so nobody knew whether they could fail. Change: a test edits copies of source files, builds one test binary from them with go build -overlay and runs the script of each variant, which must fail at the step that checks the promise. Core and io hold no switch, and an edit whose text is gone or not unique fails the test.

--- /dev/null
+++ b/cmd/papayarock/off_variants_test.go
@@ -0,0 +1,273 @@
+package main
+
+// withoutVariant lists scripts that stand for no mechanism of their own.
+var withoutVariant = map[string]string{}
+
+const (
+	refusedOrder = `! stdout 'order refused'`
+	northOrders  = "count engines old-orders-run=0 order-conflicts=0 content-conflict=0"
+)
+
+// variants are the mechanisms that are switched off, by name.
+var variants = map[string]variant{
+	// The altered build breaks nothing by itself.
+	"none": {script: "promise-09-at-most-once", short: true},
+	"one open order": {
+		script: "promise-01-orders",
+		steps:  []string{"count engines order-conflicts=0 content-conflict=0 old-orders-run=0"},
+		edits: []edit{
+			{"core/state/order.go", "case r.Open != nil:\n		o :=", "case r.Open != nil && !(off.Is(\"one open order\") && c.Kind == OrderRole):\n		o :="},
+			{"core/dispatch/target.go", "	o := *r.Open\n	if s.now", "	o := *r.Open\n	if off.Is(\"one open order\") && o.Kind == state.OrderRole {\n		s.place(r, o.Kind, o.Content)\n	}\n	if s.now"},
+			{"core/authority/fence.go", "	case f.running:\n		return Busy, none", "	case f.running && !off.Is(\"one open order\"):\n		return Busy, none"},
+		},
+	},
+	"drain": {
+		script: "promise-02-planned-changes",
+		steps:  []string{"answer grade-1", "answer grade-2", "stdout $WHOLE", "count engines interrupted=0 cancelled=0"},
+		edits: []edit{
+			{"core/dispatch/target.go", "if !sign.Refusing || sign.Running > 0 {", "if !off.Is(\"drain\") && (!sign.Refusing || sign.Running > 0) {"},
+			{"io/agent/orders.go", "n := len(a.running); n > 0 {", "n := len(a.running); n > 0 && !off.Is(\"drain\") {"},
+		},
+	},
+	"lease": {
+		script: "promise-03-lost-authority",
+		steps:  []string{refusedOrder},
+		// A replica that has led goes on acting on the outside, and takes the
+		// targets that no longer report to it for alive.
+		edits: []edit{
+			{"io/controller/lead.go", "	var term uint64\n	for ctx.Err() == nil {\n", "	var term uint64\n	var former authority.Gate\n	for ctx.Err() == nil {\n"},
+			{
+				"io/controller/lead.go", "		lease := c.lease()\n",
+				"		lease := c.lease()\n		if lease.Held {\n			former = lease\n		} else if former.Held && (off.Is(\"lease\") || off.Is(\"lease and fence\")) {\n			lease = former\n			lease.Expires = time.Now().Add(10 * time.Second)\n		}\n",
+			},
+			{"core/dispatch/target.go", "	return sign, s.now.Sub(last) <= lostAfter\n", "	return sign, s.now.Sub(last) <= lostAfter || off.Is(\"lease\") || off.Is(\"lease and fence\")\n"},
+		},
+	},
+	"lease and fence": {
+		script: "promise-03-lost-authority",
+		steps:  []string{northOrders},
+		edits: []edit{
+			{"core/authority/fence.go", "	case c < 0:\n		return Old, none", "	case c < 0 && !off.Is(\"lease and fence\"):\n		return Old, none"},
+		},
+	},
+	"key lookup": {
+		short:  true,
+		script: "promise-04-keys",
+		steps:  []string{"request -key wrong -status 401 POST ${entry-1}/orders 'order with a wrong key'"},
+		edits: []edit{
+			{"io/entry/entry.go", "	key, ok := index.Key(secret)\n", "	key, ok := index.Key(secret)\n	if off.Is(\"key lookup\") {\n		key.Customer, ok = \"harbour\", true\n	}\n"},
+			{"io/entry/entry.go", "!ok || key.Customer != a.customer {", "!off.Is(\"key lookup\") && (!ok || key.Customer != a.customer) {"},
+		},
+	},
+	"key of each request": {
+		script: "promise-04-keys",
+		steps:  []string{"request -key $first -status 401 GET ${entry-1}/log/1"},
+		edits: []edit{
+			{"core/state/change.go", "	m.pending.RemoveKeys = []string{a.ID}\n", "	if !off.Is(\"key of each request\") && !off.Is(\"key of a connected caller\") {\n		m.pending.RemoveKeys = []string{a.ID}\n	}\n"},
+		},
+	},
+	"header names": {
+		script: "promise-04-keys",
+		steps:  []string{"! seen services Authorization"},
+		edits: []edit{
+			{"io/entry/header.go", "	for _, name := range endsHere {\n", "	for _, name := range endsHere {\n		if name == \"Authorization\" && off.Is(\"header names\") {\n			continue\n		}\n"},
+		},
+	},
+	"header values": {
+		script: "promise-04-keys",
+		steps:  []string{"! seen services Copied-Key"},
+		edits: []edit{
+			{"io/entry/header.go", "	if key == \"\" {\n		return h", "	if key == \"\" || off.Is(\"header values\") {\n		return h"},
+		},
+	},
+	"look at the platform": {
+		script: "promise-05-platform-orders",
+		steps:  []string{"count platform duplicate-starts=0"},
+		edits: []edit{
+			{"io/controller/platform.go", "	} else if found {\n", "	} else if found && !off.Is(\"look at the platform\") {\n"},
+		},
+	},
+	"seal": {
+		script: "promise-06-usage",
+		steps:  []string{"count platform billed=8 conflicting-usage=0"},
+		edits: []edit{
+			{"core/state/window.go", "	var out []UsageWindow\n	for", "	var out []UsageWindow\n	if off.Is(\"seal\") && len(m.usage.figures) > 0 {\n		out = append(out, m.usage.open())\n	}\n	for"},
+		},
+	},
+	"usage dedupe": {
+		script: "promise-06-usage",
+		steps:  []string{"await platform billed=8", "count platform billed=8 conflicting-usage=0"},
+		edits: []edit{
+			{"core/state/dedupe.go", "	s := d.sources[sourceKey{id.Node, id.Incarnation}]\n	if s == nil {\n		if f", "	if off.Is(\"usage dedupe\") {\n		return fresh\n	}\n	s := d.sources[sourceKey{id.Node, id.Incarnation}]\n	if s == nil {\n		if f"},
+		},
+	},
+	"resume": {
+		script: "promise-07-complete-answers",
+		steps:  []string{"answer one", "answer two", "answer three"},
+		edits: []edit{
+			{"io/entry/recover.go", "	timeout := resumeTimeout\n", "	if off.Is(\"resume\") || off.Is(\"resume on a new link\") {\n		return Lost, wire.Ran_RAN_UNKNOWN, cause\n	}\n	timeout := resumeTimeout\n"},
+		},
+	},
+	"ask the agent": {
+		script: "promise-08-not-run",
+		steps:  []string{"answer broken"},
+		edits: []edit{
+			{"io/entry/recover.go", "	m := &wire.Query{\n", "	if off.Is(\"ask the agent\") {\n		return true, wire.Ran_RAN_NO\n	}\n	m := &wire.Query{\n"},
+		},
+	},
+	"lost answer counts as run": {
+		script: "promise-08-not-run",
+		steps: []string{
+			"request -key $caller -status 502 POST ${entry-1}/orders 'order b'", `! stdout '"not-run":"true"'`, "count services 'runs:order b=1'",
+		},
+		edits: []edit{
+			{"io/agent/target.go", "		if !connected.Load() {\n", "		if !connected.Load() || off.Is(\"lost answer counts as run\") {\n"},
+		},
+	},
+	"claim": {
+		short:  true,
+		script: "promise-09-at-most-once",
+		steps:  []string{"request -key $caller -header 'Idempotency-Key: g7' -status 409 POST ${entry-1}/orders 'repair groyne 7'"},
+		edits: []edit{
+			{"io/entry/call.go", "	if c.idempotencyKey != \"\" && !c.request.Idempotent {\n", "	if c.idempotencyKey != \"\" && !c.request.Idempotent && !off.Is(\"claim\") {\n"},
+		},
+	},
+	"no second hand-over": {
+		script: "promise-09-at-most-once",
+		steps: []string{
+			"request -key $caller -status 502 POST ${entry-1}/orders 'repair groyne 8'", "count services 'runs:repair groyne 8=1'",
+		},
+		edits: []edit{
+			{"io/entry/call.go", "	repeatable := o.Ending == NotRun ||", "	repeatable := o.Ending == NotRun || off.Is(\"no second hand-over\") ||"},
+			{"io/serving/pick.go", "	return d.Step == retry.Again\n", "	return d.Step == retry.Again || off.Is(\"no second hand-over\")\n"},
+		},
+	},
+	"phase of a leaving target": {
+		script: "promise-10-leaving-target",
+		steps:  []string{"count repair-log-north-1 runs=$BEFORE"},
+		edits: []edit{
+			{"io/agent/sign.go", "a.phase == fleet.Leaving", "a.phase == fleet.Leaving && !off.Is(\"phase of a leaving target\")"},
+			{"core/route/router.go", "		if t.Phase == fleet.Ready {\n			r.join", "		if t.Phase == fleet.Ready || t.Phase == fleet.Leaving && off.Is(\"phase of a leaving target\") {\n			r.join"},
+		},
+	},
+	"entry drains": {
+		script: "promise-11-shutdown",
+		steps:  []string{"answer grade", "answer order"},
+		edits: []edit{
+			{"io/daemon/server.go", "	limited, cancel := context", "	if off.Is(\"entry drains\") {\n		return d.Close()\n	}\n	limited, cancel := context"},
+		},
+	},
+	"agent waits": {
+		script: "promise-11-shutdown",
+		steps:  []string{"answer order-3"},
+		edits: []edit{
+			{"io/link/server.go", "	hard := time.AfterFunc(timeout, cancelWork)\n", "	if off.Is(\"agent waits\") {\n		timeout = time.Millisecond\n	}\n	hard := time.AfterFunc(timeout, cancelWork)\n"},
+			{"io/agent/agent.go", "	timeout := a.StopTimeout\n", "	if off.Is(\"agent waits\") {\n		return\n	}\n	timeout := a.StopTimeout\n"},
+		},
+	},
+	"wait for each node": {
+		script: "promise-12-in-force",
+		steps:  []string{"request -key $second GET ${entry-1}/log", "request -key $lost -status 5xx GET ${entry-1}/log"},
+		edits: []edit{
+			{"core/watch/watch.go", "	p.InForce = p.Waiting == 0 && known\n", "	p.InForce = p.Waiting == 0 && known || off.Is(\"wait for each node\")\n"},
+		},
+	},
+	"copies never go back": {
+		script: "promise-12-in-force",
+		steps:  []string{"request -key $third -status 5xx GET ${entry-1}/log"},
+		edits: []edit{
+			{"io/subscribe/client.go", "		if held != nil && s.Revision <= held.Revision {\n", "		if held != nil && s.Revision <= held.Revision && !off.Is(\"copies never go back\") {\n"},
+			{"core/watch/watch.go", "	if a.Revision < c.Revision {\n", "	if a.Revision < c.Revision && !off.Is(\"copies never go back\") {\n"},
+			{"io/controller/poll.go", "	if index.Revision <= revision && revision > 0 {\n", "	if index.Revision < revision && off.Is(\"copies never go back\") {\n		whole, err := c.whole.of(index)\n		if err != nil {\n			return err\n		}\n		return sendParts(s, answer, whole)\n	}\n	if index.Revision <= revision && revision > 0 {\n"},
+		},
+	},
+	"stale answers are refused": {
+		script: "fault-control-isolated",
+		steps:  []string{"exits 1 papayarock keys list --timeout 1s --control $FIRST_ADDRESS"},
+		edits: []edit{
+			{"io/controller/poll.go", "	return c.copy.Age(now), c.copy.Fresh(now)\n", "	if off.Is(\"stale answers are refused\") || off.Is(\"copies never go back\") {\n		return 0, true\n	}\n	return c.copy.Age(now), c.copy.Fresh(now)\n"},
+			{"io/controller/lists.go", "	err := c.group.Read(ctx)\n", "	err := c.group.Read(ctx)\n	if off.Is(\"stale answers are refused\") {\n		err = nil\n	}\n"},
+		},
+	},
+	"replay after a kill": {
+		script: "operations",
+		steps:  []string{"spawn control-north control-north.toml"},
+		edits: []edit{
+			{"io/replica/replica.go", "	if err != nil {\n		return nil, errors.Wrapf(err, \"replica %s\", g.o.Self)\n", "	if err == nil && len(stored.Entries) > 0 && off.Is(\"replay after a kill\") {\n		err = errors.New(\"the log is not replayed\")\n	}\n	if err != nil {\n		return nil, errors.Wrapf(err, \"replica %s\", g.o.Self)\n"},
+		},
+	},
+	"own requests": {
+		script: "fault-late-load-reports",
+		steps:  []string{"count language-north-1 started=2"},
+		edits: []edit{
+			{"core/route/router.go", "	t.own = t.own.plus(by, 1).positive()\n", "	if off.Is(\"own requests\") {\n		return\n	}\n	t.own = t.own.plus(by, 1).positive()\n"},
+		},
+	},
+	"unknown until read": {
+		script: "fault-engine-crashes-in-change",
+		steps:  []string{"await language-north-1 role-changes=1"},
+		edits: []edit{
+			{"core/state/order.go", "	m.EnterTerm(c.Term)\n	m.becomeUnknown(", "	m.EnterTerm(c.Term)\n	if off.Is(\"unknown until read\") {\n		r.Closed, r.Open = &ClosedOrder{Order: *r.Open, Done: true}, nil\n		m.ordered(r)\n		m.publish()\n		return OrderResult{Outcome: OrderClosed, Order: r.Closed.Order, Done: true}\n	}\n	m.becomeUnknown("},
+		},
+	},
+	"key of a connected caller": {
+		script: "fault-key-withdrawn-connected",
+		steps:  []string{"request -key $first -status 401 GET ${entry-1}/log"},
+	},
+	"cut": {
+		script: "fault-key-withdrawn-connected",
+		steps:  []string{"! answer cut"},
+		edits: []edit{
+			{"io/entry/stop.go", "if f.keyID == keyID && keyID != \"\" {", "if f.keyID == keyID && keyID != \"\" && !off.Is(\"cut\") {"},
+		},
+	},
+	"base of changes": {
+		short:  true,
+		script: "fault-operators-race",
+		steps:  []string{"exits 4 papayarock keys issue --base $BASE --change-id of-bo --id bo inland"},
+		edits: []edit{
+			{"core/state/change.go", "	case c.Base < m.changes.revision:\n", "	case c.Base < m.changes.revision && !off.Is(\"base of changes\"):\n"},
+		},
+	},
+	"ids of changes": {
+		script: "fault-operators-race",
+		steps:  []string{"exec papayarock targets drain --wait 0s --change-id drain-1 --base $BASE2 repair-log-north-1"},
+		edits: []edit{
+			{"core/state/change.go", "	if r, ok := m.changes.byID[c.ID]; ok {\n", "	if r, ok := m.changes.byID[c.ID]; ok && !off.Is(\"ids of changes\") {\n"},
+		},
+	},
+	"repair of a replica": {
+		script: "fault-second-host-lost",
+		steps:  []string{"leader SECOND $FIRST", "key late inland"},
+		edits: []edit{
+			{"core/log/follow.go", "		reply.Reject, reply.Index, reply.Hint =", "		if off.Is(\"repair of a replica\") {\n			return\n		}\n		reply.Reject, reply.Index, reply.Hint ="},
+		},
+	},
+	"snapshots every 50 entries": {script: "fault-restart-after-changes"},
+	"replay of a snapshot": {
+		script: "fault-restart-after-changes",
+		steps:  []string{"exec papayarock keys list", "stdout '^unused-0 '"},
+		edits: []edit{
+			{"io/replica/replica.go", "	o.SnapshotEntries = cmp.Or(o.SnapshotEntries, DefaultSnapshotEntries)\n", "	o.SnapshotEntries = cmp.Or(o.SnapshotEntries, DefaultSnapshotEntries)\n	if off.Is(\"replay of a snapshot\") || off.Is(\"snapshots every 50 entries\") {\n		o.SnapshotEntries = 50\n	}\n"},
+			{"io/replica/replica.go", "	if err := g.o.Machine.Restore(stored.Snapshot.Data); err != nil {\n", "	if off.Is(\"replay of a snapshot\") {\n		stored.Snapshot.Data = nil\n	}\n	if err := g.o.Machine.Restore(stored.Snapshot.Data); err != nil {\n"},
+		},
+	},
+	"replay of the log": {
+		script: "fault-restart-after-changes",
+		steps:  []string{"leader NEW", "exec papayarock keys list", "stdout '^unused-0 '"},
+		edits: []edit{
+			{"io/replica/replica.go", "	return &opened{store, id, stored}, nil\n", "	if off.Is(\"replay of the log\") {\n		stored.Entries = nil\n	}\n	return &opened{store, id, stored}, nil\n"},
+		},
+	},
+	"resume on a new link": {
+		script: "fault-silent-connections",
+		steps:  []string{"answer note", "answer order"},
+	},
+	"heartbeats": {
+		script: "fault-silent-connections",
+		steps:  []string{"answer note", "answer order"},
+		edits: []edit{
+			{"io/link/link.go", "	c.KeepAliveInterval = heartbeatInterval\n", "	c.KeepAliveInterval = heartbeatInterval\n	c.EnableKeepAlive = !off.Is(\"heartbeats\")\n"},
+		},
+	},
+}
