--- a/cmd/papayarock/off_variants_test.go
+++ b/cmd/papayarock/off_variants_test.go
@@ -26,7 +26,7 @@
 		steps:  []string{"answer grade-1", "answer grade-2", "stdout $WHOLE", "count engines interrupted=0 cancelled=0"},
 		edits: []edit{
 			{"core/dispatch/target.go", "if !sign.Refusing || sign.Running > 0 {", "if !off.Is(\"drain\") && (!sign.Refusing || sign.Running > 0) {"},
-			{"io/agent/orders.go", "n := len(a.running); n > 0 {", "n := len(a.running); n > 0 && !off.Is(\"drain\") {"},
+			{"io/agent/orders.go", "n := a.working(); n > 0 {", "n := a.working(); n > 0 && !off.Is(\"drain\") {"},
 		},
 	},
 	"lease": {
@@ -275,7 +275,7 @@
 		script: "fault-silent-connections",
 		steps:  []string{"answer note", "answer order"},
 		edits: []edit{
-			{"io/link/link.go", "	c.KeepAliveInterval = heartbeatInterval\n", "	c.KeepAliveInterval = heartbeatInterval\n	c.EnableKeepAlive = !off.Is(\"heartbeats\")\n"},
+			{"io/link/heartbeat.go", "if _, err := s.Ping(); err != nil {", "if _, err := s.Ping(); err != nil && !off.Is(\"heartbeats\") {"},
 		},
 	},
 }
