internal/measure/slopes: measure idle sessions over two heartbeats

Cause: idle sessions send heartbeats each 3 s; a window of 4 s holds one or two.

Change: the window is 6 s in the full form.

--- a/internal/measure/slopes/path.go
+++ b/internal/measure/slopes/path.go
@@ -283,7 +283,8 @@
 	time.Sleep(p.settle)
 	size := memory() - before
 	bytes, idle := count.bytes(), used()
-	time.Sleep(p.window)
+	// 6 s in the full form: two heartbeats, which idle sessions send each 3 s.
+	time.Sleep(p.window + p.window/2)
 	cores, seconds := idle.cores(), time.Since(idle.wall).Seconds()
 	return []float64{float64(n), size, cores, (count.bytes() - bytes) / seconds, setUp}, nil
 }
