core/watch, io/serving: take whole lists of older relays, test a large fleet

Cause: a leader that is replaced before its relays would ignore their reports, which have no sequence, and take their nodes for lost.

Change: a report without a sequence is a whole list. A test of io/serving covers the wiring of subset and summaries.

--- a/core/watch/report.go
+++ b/core/watch/report.go
@@ -136,6 +136,10 @@
 // listed holds by itself, nothing is known of the others, and the relay has to
 // list all.
 func (v *Receiver) Apply(now time.Time, r Report) ([]Subscriber, bool) {
+	if r.Sequence == 0 { // a relay of the version before lists all each time
+		v.Last, v.held = now, nil
+		return r.Listed, true
+	}
 	if r.Run == v.run && r.Sequence <= v.sequence {
 		return nil, false // overtaken by a newer report
 	}
--- a/core/watch/report_test.go
+++ b/core/watch/report_test.go
@@ -218,4 +218,16 @@
 	}
 }
 
+// Guards against a leader that takes the nodes of a relay for lost because the
+// relay still runs the version before.
+func TestReceiverTakesWholeLists(t *testing.T) {
+	is := is.New(t)
+	var v watch.Receiver
+	for i := range 3 {
+		known, ok := v.Apply(at(float64(i)), watch.Report{Listed: []watch.Subscriber{{Host: "a", Seen: at(float64(i))}}})
+		is.True(ok)
+		is.Equal(len(known), 1)
+	}
+}
+
 func late(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
--- /dev/null
+++ b/io/serving/subset_test.go
@@ -0,0 +1,71 @@
+package serving_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"papayarock/core/fleet"
+	"papayarock/core/route"
+	"papayarock/core/summary"
+	"papayarock/io/link"
+	"papayarock/io/serving"
+)
+
+// Guards against an entry that polls every target of a large fleet, or another
+// subset than the one it chooses from, and against one that ignores summaries or
+// asks for them in a small fleet.
+func TestLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var targets []fleet.Target
+		for i := range 300 {
+			x := ready(fleet.TargetName(fmt.Sprint("t", i)))
+			x.DataCentre, x.Region = fleet.DataCentre(fmt.Sprint("dc", i/150)), "r"
+			x.Agent = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1+i))
+			targets = append(targets, x)
+		}
+		var mu sync.Mutex
+		polled := make(map[uint16]bool)
+		p := serving.New(serving.Options{
+			Host: "e1", DataCentre: "dc0", Region: "r", Random: rand.New(rand.NewPCG(1, 1)), Log: hclog.NewNullLogger(),
+			Links: &link.Pool{Dial: func(_ context.Context, a link.Address) (net.Conn, error) {
+				mu.Lock()
+				defer mu.Unlock()
+				polled[a.AddrPort.Port()] = true
+				return nil, errors.New("no agents")
+			}},
+		})
+		p.Configured(configuration(targets[:route.SubsetSize]...))
+		is.True(!p.WantsSummaries())
+		x := configuration(targets...)
+		x.Revision = 2
+		p.Configured(x)
+		is.True(p.WantsSummaries())
+		stop := serve(p)
+		time.Sleep(12 * time.Second)
+		stop()
+		is.Equal(len(polled), route.SubsetSize)
+		p.Summarised([]summary.Row{
+			{Key: summary.Key{Pool: "language", DataCentre: "dc0"}, Targets: 150, Work: 150 * 20, Taken: time.Now()},
+			{Key: summary.Key{Pool: "language", DataCentre: "dc1"}, Targets: 150, Taken: time.Now()},
+		})
+		for i := range 50 {
+			r := request(byte(i), "klang-port", 40)
+			r.Route.FirstToken = time.Second
+			chosen, ok := p.Pick(r, targets)
+			is.True(ok)
+			is.Equal(chosen.DataCentre, fleet.DataCentre("dc1")) // the own one is known to be busy
+		}
+	})
+}
