core/route: learn from moves that fail, and forget old ones

A move that was given up taught nothing, so that a way that always times out looked as good as before; a way that looked slow was never tried again. A failed move now counts if it took longer than expected, and what was learned loses 63% of its weight in a minute. An entry gives a move 2 s in place of 5.

--- a/core/route/event.go
+++ b/core/route/event.go
@@ -63,13 +63,14 @@
 	Bytes    uint64 // sent and received
 }
 
-// Moved reports that the KV cache of a prompt went from one target to another.
+// Moved reports a move of the KV cache of a prompt from one target to another.
 type Moved struct {
 	From, To fleet.TargetName
 	Customer fleet.Customer
-	Tokens   float64       // of the prompt; 0 when the cache did not arrive whole
+	Tokens   float64       // of the prompt
 	Bytes    uint64        // sent
-	Took     time.Duration // until it could be used
+	Took     time.Duration // until the cache could be used, or the move was given up
+	Whole    bool          // the cache can be used
 }
 
 // Cache reports changes of a target's prefix cache.
--- a/core/route/move_test.go
+++ b/core/route/move_test.go
@@ -31,15 +31,23 @@
 	}
 	load(start, 500) // half a second of work to answer beside
 	is.True(pick(start).HandOver)
-	move := route.Moved{From: targets[0].Name, To: targets[1].Name, Customer: "klang", Bytes: 10, Tokens: 1000, Took: 700 * time.Millisecond}
+	move := route.Moved{From: targets[0].Name, To: targets[1].Name, Customer: "klang", Bytes: 10, Tokens: 1000, Took: 700 * time.Millisecond, Whole: true}
 	r.Step(start, move)
 	is.True(!pick(start).HandOver)
 	is.Equal(r.Crossed["klang"], uint64(0))
 	at := start.Add(time.Second)
 	load(at, 2000)
 	is.True(pick(at).HandOver)
-	move.To, move.Tokens = targets[2].Name, 0 // did not arrive whole
+	move.To, move.Whole, move.Took = targets[2].Name, false, time.Millisecond
 	r.Step(at, move)
 	is.Equal(r.Crossed["klang"], uint64(10))
-	is.True(pick(at).HandOver)
+	load(at, 500)
+	is.True(!pick(at).HandOver) // the move that failed at once was not a fast one
+	move.Took = time.Minute
+	r.Step(at, move)
+	load(at, 2000)
+	is.True(!pick(at).HandOver) // a move that was given up is a slow one
+	at = at.Add(10 * time.Minute)
+	load(at, 2000)
+	is.True(pick(at).HandOver) // tried again
 }
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -142,7 +142,7 @@
 	queue := t.queue(now, g)
 	c.wait = (ahead(queue, q.Stage) + t.blocked(now, queue) + c.work.prefill) * t.health.slowness
 	if q.Stage == Start && t.Role == fleet.Prefill {
-		c.wait += r.move * q.PromptTokens
+		c.wait += r.moveCost(now, q.PromptTokens)
 	}
 	c.score = c.wait/t.health.ramp(now) + t.health.rate*failPenalty
 	if c.probe {
@@ -233,5 +233,5 @@
 	}
 	here := candidate{slot: -1, score: math.Inf(1)}
 	r.compare(now, q, pair, nil, 0, slot, &here)
-	return r.saves(q, c, here)
+	return r.saves(now, q, c, here)
 }
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -43,6 +43,7 @@
 	cache   *cacheTable
 	resync  []Resync
 	move    float64 // seconds to move the KV cache of a prompt token; 0 until seen
+	movedAt time.Time
 }
 
 // pool lists the groups of one pool by stage, nearest first.
@@ -134,7 +135,7 @@
 	case Outcome:
 		r.outcome(now, e)
 	case Moved:
-		r.moved(e)
+		r.moved(now, e)
 	case Cache:
 		r.cached(e)
 	}
--- a/io/agent/kv.go
+++ b/io/agent/kv.go
@@ -29,7 +29,7 @@
 	promptTime      = 30 * time.Second
 	maxPrompts      = 1024
 	maxPromptBytes  = 64 << 20
-	moveTimeout     = 10 * time.Second
+	moveTimeout     = 5 * time.Second
 	kvPartBytes     = 64 << 10
 	maxPromptAnswer = 1 << 20 // bytes of the answer of one token
 )
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -16,8 +16,9 @@
 	// minPrefill, is left to the target that answers.
 	prefillSlack = 4
 	minPrefill   = 2 * time.Second
-	// moveTimeout bounds the move of KV cache between two targets.
-	moveTimeout = 5 * time.Second
+	// moveTimeout bounds the move of KV cache between two targets. A request on a
+	// silent link between them loses this time.
+	moveTimeout = 2 * time.Second
 )
 
 // ErrPrompt reports a prompt that was not processed, or whose KV cache did not
@@ -136,15 +137,15 @@
 	start := time.Now()
 	m := &wire.KVImport{RequestId: c.request.ID[:], Host: string(from.Host), Address: from.Agent.String()}
 	answer, err := link.Call[wire.KVImported](ctx, c.e.Links, addressOf(to), m)
-	if err != nil {
-		return err
+	whole := err == nil && answer.GetFailure() == ""
+	if c.ctx.Err() != nil {
+		return c.ctx.Err()
 	}
-	whole := answer.GetFailure() == ""
 	h.Moved(c.request, from.Name, to.Name, answer.GetBytes(), time.Since(start), whole)
-	if !whole {
-		return errors.Wrap(ErrPrompt, answer.GetFailure())
+	if err == nil && !whole {
+		err = errors.Wrap(ErrPrompt, answer.GetFailure())
 	}
-	return nil
+	return err
 }
 
 func addressOf(t fleet.Target) link.Address { return link.Address{Host: t.Host, AddrPort: t.Agent} }
--- a/io/serving/handover.go
+++ b/io/serving/handover.go
@@ -47,9 +47,8 @@
 func (p *Policy) Moved(r entry.Request, from, to fleet.TargetName, bytes uint64, took time.Duration, whole bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	m := route.Moved{From: from, To: to, Customer: r.Customer, Bytes: bytes, Took: took}
-	if whole {
-		m.Tokens = promptTokens(r)
+	m := route.Moved{
+		From: from, To: to, Customer: r.Customer, Tokens: promptTokens(r), Bytes: bytes, Took: took, Whole: whole,
 	}
 	p.moves++
 	p.router.Step(time.Now(), m)
