io/entry, io/agent: call a request run only once its target has answered

An agent answered Query with RAN for every non-idempotent request that it had started, and an entry took RUNNING for the same. A target that broke off before its answer may not have run the request, so after the loss of the agent the caller was told not-run: false, and its key answered already-run although the order was never carried out.

The agent now keeps how a request ended and answers UNKNOWN where it cannot tell. The entry takes RUNNING for not known yet and asks again; a claim whose request still runs at the deadline stays open as before. The stand-in for control in the tests of io/entry now tells an unknown end from a run, as the state machine does.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -81,9 +81,9 @@
 	// unread holds the ended requests whose answer no entry has taken to its
 	// end. A stop waits for them, since an entry may be resuming.
 	unread expiry.Map[fleet.RequestID, struct{}]
-	// known holds the non-idempotent requests that were started (true) or
-	// barred (false); recent holds the idempotent ones that were started.
-	known  expiry.Map[fleet.RequestID, bool]
+	// known holds what became of the non-idempotent requests that were started
+	// or barred; recent holds the idempotent ones that were started.
+	known  expiry.Map[fleet.RequestID, wire.Outcome_State]
 	recent expiry.Map[fleet.RequestID, struct{}]
 }
 
--- a/io/agent/agent_test.go
+++ b/io/agent/agent_test.go
@@ -45,8 +45,11 @@
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		r.runs.Add(1)
 		body, _ := io.ReadAll(q.Body)
-		if q.URL.Path == "/held" {
+		switch q.URL.Path {
+		case "/held":
 			<-r.release
+		case "/broken":
+			panic(http.ErrAbortHandler)
 		}
 		_, _ = fmt.Fprintf(w, "%s %s %s", body, q.Header.Get("Papayarock-Class"), q.Header.Get("User-Agent"))
 	}))
@@ -137,7 +140,7 @@
 }
 
 // Guards against a barred request that starts after all, and against an agent
-// that calls a request not run of which it cannot know.
+// that calls a request not run, or run, of which it cannot know.
 func TestBar(t *testing.T) {
 	r := newRig(t, nil)
 	r.is.Equal(r.query(1, false, incarnation), wire.Outcome_UNKNOWN)
@@ -156,6 +159,10 @@
 	_, last = r.read(s)
 	r.is.True(last.GetEnd() != nil)
 	r.is.Equal(r.query(3, true, incarnation), wire.Outcome_RAN)
+
+	_, last = r.read(r.open(request(4, "/broken"))) // may or may not have run
+	r.is.Equal(last.GetFailed().GetRan(), wire.Ran_RAN_UNKNOWN)
+	r.is.Equal(r.query(4, true, incarnation), wire.Outcome_UNKNOWN)
 }
 
 // Guards against requests that an agent starts although it must not.
--- a/io/agent/calls.go
+++ b/io/agent/calls.go
@@ -156,7 +156,7 @@
 	}
 	if r.Idempotent {
 		a.recent.Put(now, r.ID, struct{}{}, 0, r.Deadline.Add(retention))
-	} else if !a.known.Add(now, r.ID, true, 0, r.Deadline.Add(memory)) {
+	} else if !a.known.Add(now, r.ID, wire.Outcome_RUNNING, 0, r.Deadline.Add(memory)) {
 		return errors.Wrapf(ErrFull, "%d request ids are kept", maxKnown)
 	}
 	return nil
@@ -175,8 +175,8 @@
 	}
 	a.mu.Lock()
 	delete(a.running, j.request.ID)
-	if ran == wire.Ran_RAN_NO && !j.request.Idempotent {
-		a.known.Put(now, j.request.ID, false, 0, j.request.Deadline.Add(memory))
+	if !j.request.Idempotent {
+		a.known.Put(now, j.request.ID, outcomeOf(ran), 0, j.request.Deadline.Add(memory))
 	}
 	if end != nil {
 		a.unread.Put(now, j.request.ID, struct{}{}, 0, now.Add(orphanAfter))
@@ -186,6 +186,18 @@
 	j.conclude(end, failed)
 }
 
+// outcomeOf says what became of a request that has ended. One whose target broke
+// off before its answer may not have run.
+func outcomeOf(ran wire.Ran) wire.Outcome_State {
+	switch ran {
+	case wire.Ran_RAN_NO:
+		return wire.Outcome_NOT_RUN_AND_BARRED
+	case wire.Ran_RAN_YES:
+		return wire.Outcome_RAN
+	}
+	return wire.Outcome_UNKNOWN
+}
+
 func (a *Agent) endOf(j *job, now time.Time) *wire.End {
 	end := &wire.End{RequestId: j.request.ID[:], Length: j.answer.Length, Checksum: j.answer.Checksum(), Load: a.load()}
 	if j.head.GetStatus() >= 400 { // the target did not serve the request
@@ -308,11 +320,8 @@
 	if a.running[id] != nil {
 		return wire.Outcome_RUNNING
 	}
-	if ran, ok := a.known.Get(now, id); ok {
-		if ran {
-			return wire.Outcome_RAN
-		}
-		return wire.Outcome_NOT_RUN_AND_BARRED
+	if o, ok := a.known.Get(now, id); ok {
+		return o
 	}
 	if _, ok := a.recent.Get(now, id); ok {
 		return wire.Outcome_RAN
@@ -320,7 +329,7 @@
 	if !m.GetBar() || now.After(deadline.Add(memory-time.Minute)) {
 		return wire.Outcome_UNKNOWN
 	}
-	if !a.known.Add(now, id, false, 0, deadline.Add(memory)) {
+	if !a.known.Add(now, id, wire.Outcome_NOT_RUN_AND_BARRED, 0, deadline.Add(memory)) {
 		return wire.Outcome_UNKNOWN
 	}
 	return wire.Outcome_NOT_RUN_AND_BARRED
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -32,6 +32,7 @@
 	body           []byte
 	idempotencyKey string
 	ran            wire.Ran // by all attempts so far
+	running        bool     // at the agent, when it was asked last
 
 	sink     *sink
 	assembly *answer.Assembly
--- a/io/entry/claim.go
+++ b/io/entry/claim.go
@@ -141,7 +141,7 @@
 		c.settle(c.assembly.ID, state.SettledRan, c.sink.keep)
 	case refusal.notRun() == notRunTrue:
 		c.settle(c.assembly.ID, state.SettledBarred, nil)
-	case o.Ending == Cancelled && refusal.NotRun == notRunFalse:
+	case o.Ending == Cancelled && (c.running || refusal.NotRun == notRunFalse):
 	case refusal.NotRun == notRunFalse:
 		c.settle(c.assembly.ID, state.SettledRan, nil)
 	default:
--- a/io/entry/claim_test.go
+++ b/io/entry/claim_test.go
@@ -294,3 +294,42 @@
 		r.is.True(strings.Contains(got.body, `"not-run":"unknown"`))
 	})
 }
+
+// Guards against a refusal that says that a request ran because the agent had
+// started it, although the target broke off before it ran it. The link is lost
+// after the hand-over, and the next one for good at each frame in turn.
+func TestStartedIsNotRan(t *testing.T) {
+	const handedOver = 8 // frames
+	for _, pause := range []time.Duration{time.Millisecond, 30 * time.Second} {
+		for cut, hit := int64(0), true; hit; cut++ {
+			t.Run(fmt.Sprintf("breaks off after %s, next link after %d frames", pause, cut), func(t *testing.T) {
+				memlink.Bubble(t, func(t *testing.T) {
+					r := newRig(t, http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+						_, _ = io.ReadAll(q.Body)
+						time.Sleep(pause)
+						panic(http.ErrAbortHandler)
+					}), 1)
+					defer r.stop()
+					r.entry.Control = &register{}
+					faults := []*memlink.Fault{{Close: true}, {Close: true}}
+					faults[0].Left.Store(handedOver)
+					faults[1].Left.Store(cut)
+					r.damage = func(n int) *memlink.Fault {
+						r.refuse.Store(n > 0)
+						return faults[min(n, 1)]
+					}
+					order := func() reply { return r.do(http.MethodPost, "/orders", "stone", "Idempotency-Key", "a") }
+					r.is.True(!strings.Contains(order().body, `"not-run":"false"`))
+					hit = faults[1].Hit.Load()
+					time.Sleep(time.Minute)
+					r.damage = nil
+					r.refuse.Store(false)
+					r.is.True(!strings.Contains(order().body, `"not-run":"false"`))
+				})
+			})
+			if cut > 500 {
+				t.Fatal("fault was never passed")
+			}
+		}
+	}
+}
--- a/io/entry/recover.go
+++ b/io/entry/recover.go
@@ -37,7 +37,7 @@
 				continue
 			case state == wire.Ran_RAN_NO:
 				return NotRun, state, cause
-			case state == wire.Ran_RAN_UNKNOWN:
+			case state == wire.Ran_RAN_UNKNOWN && !c.running:
 				return Lost, state, cause
 			}
 			ran = state
@@ -81,8 +81,10 @@
 }
 
 // ask returns whether the request ran, and bars it if it did not. It returns
-// false if the agent could not be reached.
+// false if the agent could not be reached. A request that runs at the agent sets
+// c.running: whether its target runs it is not known yet.
 func (c *call) ask(ctx context.Context) (reached bool, ran wire.Ran) {
+	c.running = false
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	m := &wire.Query{
@@ -99,10 +101,11 @@
 	if o == nil || string(o.GetRequestId()) != string(c.request.ID[:]) {
 		return false, wire.Ran_RAN_UNKNOWN
 	}
+	c.running = o.GetState() == wire.Outcome_RUNNING
 	switch o.GetState() {
 	case wire.Outcome_NOT_RUN_AND_BARRED:
 		return true, wire.Ran_RAN_NO
-	case wire.Outcome_RUNNING, wire.Outcome_RAN:
+	case wire.Outcome_RAN:
 		return true, wire.Ran_RAN_YES
 	}
 	return true, wire.Ran_RAN_UNKNOWN
--- a/io/entry/rig_test.go
+++ b/io/entry/rig_test.go
@@ -211,6 +211,8 @@
 		result.Outcome = state.ClaimMismatch
 	case held.settled == nil:
 		result.Outcome = state.ClaimRunning
+	case held.settled.Settlement == state.SettledUnknown:
+		result.Outcome = state.ClaimUnknown
 	case held.settled.Answer != nil:
 		result.Outcome, result.Answer = state.ClaimAnswered, *held.settled.Answer
 	default:
