internal/pathsearch: require that completed orders are billed, and run repeated messages

An order that the service completed for an agent that lives on must be billed, whatever the caller got.

--- a/internal/pathsearch/check_test.go
+++ b/internal/pathsearch/check_test.go
@@ -96,9 +96,10 @@
 	}
 }
 
-// checkUsage requires that each run is billed at most once, and that each one
-// whose answer a caller got is billed unless both processes that report it were
-// killed.
+// checkUsage requires that each run is billed at most once, that each order is
+// billed whose answer the service completed for an agent that lives on, and that
+// each answer that a caller got is billed unless both processes that report it
+// were killed.
 func (w *world) checkUsage() {
 	image := w.control.m.Image()
 	windows := append(w.control.m.Unreported(), image.Usage.Open)
@@ -120,6 +121,12 @@
 			}
 		}
 	}
+	for _, r := range w.runs {
+		if r.completed && r.send.kind != read && r.agent != nil && r.agent.ctx.Err() == nil && r.service.ctx.Err() == nil &&
+			billed[fleet.Customer(r.customer)]&(1<<r.number) == 0 {
+			w.fault("run %d of send %d is completed but not billed", r.number, r.send.id)
+		}
+	}
 	for _, s := range w.sends {
 		if s.err != nil || s.status != http.StatusOK || s.refused() || s.header.Get("Idempotency-Replayed") != "" {
 			continue
--- a/internal/pathsearch/control_test.go
+++ b/internal/pathsearch/control_test.go
@@ -180,7 +180,9 @@
 	defer cancel()
 	defer context.AfterFunc(e.l.ctx, cancel)()
 	for {
-		e.l.process.wait()
+		// An agent holds a mutex while it reports; a killed one must not wait here,
+		// since a goroutine that waits for a mutex stops the clock of a bubble.
+		e.l.process.waitUntil(ctx.Done())
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
--- a/internal/pathsearch/process_test.go
+++ b/internal/pathsearch/process_test.go
@@ -75,12 +75,19 @@
 }
 
 // wait returns once the process is not paused.
-func (p *process) wait() {
+func (p *process) wait() { p.waitUntil(nil) }
+
+// waitUntil is wait that also returns once done is closed.
+func (p *process) waitUntil(done <-chan struct{}) {
 	p.mu.Lock()
 	c := p.resumed
 	p.mu.Unlock()
-	if c != nil {
-		<-c
+	if c == nil {
+		return
+	}
+	select {
+	case <-c:
+	case <-done:
 	}
 }
 
@@ -269,7 +276,7 @@
 	}
 	l.agent.Configured(config.NewIndex(config.Snapshot{Revision: 1, Targets: []fleet.Target{target}}))
 	listener := l.listener
-	if w.v.relay != nil {
+	if w.v.relay != nil || w.v.run != nil {
 		// The relay takes the connections of entries and has its own to the agent.
 		behind := memlink.NewListener()
 		l.agent.Listener = behind
--- a/internal/pathsearch/relay_test.go
+++ b/internal/pathsearch/relay_test.go
@@ -12,7 +12,7 @@
 )
 
 // startRelay passes the calls of entries on to an agent and lets the variant
-// alter queries.
+// alter requests and queries.
 func (w *world) startRelay(l *life, front, behind *memlink.Listener) {
 	pool := &link.Pool{Dial: func(ctx context.Context, _ link.Address) (net.Conn, error) {
 		near, far := net.Pipe()
@@ -21,8 +21,11 @@
 	}}
 	server := &link.Server{Listener: front, Incarnation: uint64(l.number)}
 	link.Handle(server, func(ctx context.Context, s *link.Stream, open *wire.Open) {
+		if m := open.GetRun(); m != nil && w.v.run != nil {
+			w.v.run(m)
+		}
 		q := open.GetQuery()
-		if q == nil {
+		if q == nil || w.v.relay == nil {
 			relay(ctx, pool, s, open)
 			return
 		}
--- a/internal/pathsearch/service_test.go
+++ b/internal/pathsearch/service_test.go
@@ -16,6 +16,7 @@
 	send      *send
 	customer  string
 	agent     *life
+	service   *life
 	at        time.Time
 	answer    string
 	completed bool // the service wrote the whole answer, with status 200
@@ -42,7 +43,7 @@
 		if l.ctx.Err() != nil {
 			return // the service died before it ran the request
 		}
-		run := w.carryOut(i, r, b)
+		run := w.carryOut(i, l, r, b)
 		w.step()
 		if run == nil || b.crash == crashAfter {
 			panic(http.ErrAbortHandler)
@@ -68,7 +69,7 @@
 	}
 }
 
-func (w *world) carryOut(i int, r *http.Request, b behaviour) *run {
+func (w *world) carryOut(i int, l *life, r *http.Request, b behaviour) *run {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	id, err := strconv.Atoi(r.Header.Get("Send"))
@@ -76,7 +77,7 @@
 		w.fault("request without a send: %q", r.Header.Get("Send"))
 		return nil
 	}
-	x := &run{number: len(w.runs), send: w.sends[id], customer: r.Header.Get("Papayarock-Customer"), at: time.Now()}
+	x := &run{number: len(w.runs), send: w.sends[id], customer: r.Header.Get("Papayarock-Customer"), service: l, at: time.Now()}
 	_, port, _ := strings.Cut(r.Host, ":")
 	for _, l := range w.lives {
 		if l.process == w.agents[i] && strconv.Itoa(l.number) == port {
--- a/internal/pathsearch/variants_test.go
+++ b/internal/pathsearch/variants_test.go
@@ -1,6 +1,7 @@
 package pathsearch
 
 import (
+	"sync"
 	"testing"
 
 	"github.com/hashicorp/go-hclog"
@@ -12,12 +13,13 @@
 
 // variant breaks one rule, from outside of the product code.
 type variant struct {
-	finds      string                                             // part of the fault that shows the broken rule
-	grant      func(state.Claim) bool                             // grants without control
-	claimed    func(*state.ClaimResult)                           // alters the answer to a claim
-	command    func(*state.Machine, state.Command) state.Command  // alters a command
-	relay      func(q *wire.Query) (answer func(o *wire.Outcome)) // alters queries to agents
-	idempotent bool                                               // orders are taken for idempotent
+	finds      string                                            // part of the fault that shows the broken rule
+	grant      func(state.Claim) bool                            // grants without control
+	claimed    func(*state.ClaimResult)                          // alters the answer to a claim
+	command    func(*state.Machine, state.Command) state.Command // alters a command
+	relay      func(*wire.Query) func(*wire.Outcome)             // alters queries to agents and their answers
+	run        func(*wire.Run)                                   // alters requests to agents
+	idempotent bool                                              // orders are taken for idempotent
 }
 
 var variants = map[string]variant{
@@ -53,7 +55,24 @@
 		q.RequestId = make([]byte, len(id))
 		return func(o *wire.Outcome) { o.RequestId = id }
 	}},
-	"retry after unknown": {finds: "unkeyed order", idempotent: true},
+	"repeated message runs again": {finds: "order", run: renameRepeated()},
+	"retry after unknown":         {finds: "unkeyed order", idempotent: true},
+}
+
+// renameRepeated gives a request that comes again another id, so that the agent
+// does not know it.
+func renameRepeated() func(*wire.Run) {
+	var mu sync.Mutex
+	seen := make(map[string]bool)
+	return func(m *wire.Run) {
+		mu.Lock()
+		defer mu.Unlock()
+		id := string(m.RequestId)
+		if seen[id] {
+			m.RequestId = append([]byte{^id[0]}, id[1:]...)
+		}
+		seen[id] = true
+	}
 }
 
 // Guards against a search that would not notice a broken rule.
