io/agent: let a stop wait for another usage report only as long as for its own

A report that began while another ran waited for a mutex, which neither its timeout nor a cancelled stop ended, and which stops the clock of tests under testing/synctest. It now waits for a semaphore under its own timeout.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/semaphore"
 
 	"papayarock/core/authority"
 	"papayarock/core/expiry"
@@ -100,6 +101,7 @@
 	}
 	a.usage.node, a.usage.incarnation = a.Announcement.Host, a.Announcement.Incarnation
 	a.usage.keep = a.Control != nil
+	a.usage.turn = semaphore.NewWeighted(1)
 	a.fence.Incarnation = a.Announcement.Incarnation
 	a.running = make(map[fleet.RequestID]*job)
 	a.ended.MaxEntries, a.ended.MaxBytes = maxRetained, maxRetainedBytes
--- a/io/agent/usage.go
+++ b/io/agent/usage.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
 
 	"papayarock/core/fleet"
 	"papayarock/core/state"
@@ -32,7 +33,8 @@
 	mu      sync.Mutex
 	next    uint64
 	pending []state.UsageRecord
-	turn    sync.Mutex // held while reporting, so that a batch is dropped once
+	// turn is held while reporting, so that a batch is dropped once.
+	turn *semaphore.Weighted
 }
 
 func (l *ledger) add(r state.UsageRecord) state.UsageRecord {
@@ -59,10 +61,12 @@
 }
 
 func (l *ledger) report(ctx context.Context, c Control) error {
-	l.turn.Lock()
-	defer l.turn.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	if err := l.turn.Acquire(ctx, 1); err != nil {
+		return errors.Wrap(err, "wait for another report")
+	}
+	defer l.turn.Release(1)
 	l.mu.Lock()
 	batch := append([]state.UsageRecord(nil), l.pending[:min(len(l.pending), usageBatch)]...)
 	l.mu.Unlock()
