internal/pathsearch: add stops in order, cut keys, timed faults and large bodies

A process may also end in order and start again, the requests of a key may be interrupted, faults may be drawn by time as well as by step, and orders may have bodies that are handed over in parts.

--- a/internal/pathsearch/caller_test.go
+++ b/internal/pathsearch/caller_test.go
@@ -56,7 +56,7 @@
 
 func (w *world) send(n int, o order, p sendPlan) *send {
 	l := w.entries[p.entry].current()
-	s := &send{order: n, kind: o.kind, customer: customers[o.customer], body: fmt.Sprintf("order %d", n), entry: l, began: time.Now()}
+	s := &send{order: n, kind: o.kind, customer: customers[o.customer], body: fmt.Sprintf("order %d", n) + strings.Repeat(".", o.body), entry: l, began: time.Now()}
 	if p.otherBody && o.kind == keyed {
 		s.body += " changed"
 	}
--- a/internal/pathsearch/plan_test.go
+++ b/internal/pathsearch/plan_test.go
@@ -18,6 +18,7 @@
 // plan is all that a seed draws.
 type plan struct {
 	actions  map[int64]action // by step
+	timed    map[time.Duration]action
 	links    [nDials]linkFault
 	commands [nCommands]fate
 	runs     [nRuns]behaviour
@@ -34,11 +35,21 @@
 	controlProcess
 )
 
-// action kills or pauses a process for a time.
+// verb is what happens to a process.
+type verb int
+
+const (
+	kill  verb = iota
+	pause      // stands still and goes on
+	stop       // ends in order, and starts again
+	cut        // of an entry: the requests of one customer's key are interrupted
+)
+
+// action does something to a process, for a time.
 type action struct {
 	kind processKind
 	i    int
-	kill bool
+	verb verb
 	down time.Duration
 }
 
@@ -102,6 +113,7 @@
 	customer int
 	start    time.Duration
 	twin     bool // a second caller sends under the same key at the same time
+	body     int  // bytes; a large one is handed over in parts
 	sends    []sendPlan
 }
 
@@ -128,10 +140,13 @@
 
 func newPlan(seed uint64) *plan {
 	d := drawer{rand.New(rand.NewPCG(seed, 0))}
-	p := &plan{actions: make(map[int64]action)}
+	p := &plan{actions: make(map[int64]action), timed: make(map[time.Duration]action)}
 	for range d.IntN(4) {
 		at := d.Int64N([]int64{40, 120, maxSteps}[d.IntN(3)])
-		p.actions[at] = action{kind: processKind(d.IntN(4)), i: d.IntN(2), kill: d.chance(60), down: d.span()}
+		p.actions[at] = d.action()
+	}
+	for range d.IntN(2) {
+		p.timed[d.upTo(15*time.Second)] = d.action()
 	}
 	quiet := d.chance(15) // no faults of links
 	for i := range p.links {
@@ -166,6 +181,11 @@
 	return p
 }
 
+func (d drawer) action() action {
+	verbs := []verb{kill, kill, kill, kill, pause, pause, pause, stop, stop, cut}
+	return action{kind: processKind(d.IntN(4)), i: d.IntN(2), verb: verbs[d.IntN(len(verbs))], down: d.span()}
+}
+
 func (d drawer) behaviour() behaviour {
 	b := behaviour{size: []int{100, 3000, 20 << 10}[d.IntN(3)]}
 	if d.chance(50) {
@@ -188,6 +208,9 @@
 	case n < 45:
 		o.kind = read
 	}
+	if d.chance(15) {
+		o.body = 150 << 10
+	}
 	home := d.IntN(nEntries)
 	for range 2 + d.IntN(3) {
 		s := sendPlan{entry: home, patience: 30 * time.Second, pause: d.span()}
--- a/internal/pathsearch/process_test.go
+++ b/internal/pathsearch/process_test.go
@@ -17,6 +17,9 @@
 	"papayarock/io/link"
 )
 
+// stopTimeout bounds the end in order of a process.
+const stopTimeout = 30 * time.Second
+
 // process is a process that can be killed, paused and started again.
 type process struct {
 	mu      sync.Mutex
@@ -30,6 +33,8 @@
 	number   int
 	ctx      context.Context // ends when it is killed
 	kill     context.CancelFunc
+	stop     func()        // begins the end in order of an agent
+	stopped  chan struct{} // closed at that end
 	listener *memlink.Listener
 	entry    *entry.Entry
 	agent    *agent.Agent
@@ -272,7 +277,7 @@
 	target.Incarnation = fleet.Incarnation(l.number)
 	l.agent = &agent.Agent{
 		Listener: l.listener, Target: &url.URL{Scheme: "http", Host: fmt.Sprintf("127.0.0.1:%d", l.number)}, Transport: transport,
-		Control: &endpoint{w.control, l}, Log: w.log, Announcement: target, StopTimeout: time.Second,
+		Control: &endpoint{w.control, l}, Log: w.log, Announcement: target, StopTimeout: stopTimeout,
 	}
 	l.agent.Configured(config.NewIndex(config.Snapshot{Revision: 1, Targets: []fleet.Target{target}}))
 	listener := l.listener
@@ -282,7 +287,12 @@
 		l.agent.Listener = behind
 		w.startRelay(l, listener, behind)
 	}
-	go func() { _ = l.agent.Serve(l.ctx) }()
+	serve, stop := context.WithCancel(l.ctx)
+	l.stop, l.stopped = stop, make(chan struct{})
+	go func() {
+		defer close(l.stopped)
+		_ = l.agent.Serve(serve)
+	}()
 }
 
 func (w *world) startService(i int) {
@@ -299,13 +309,13 @@
 func (w *world) act(a action) {
 	w.counts.actions.Add(1)
 	if a.kind == controlProcess {
-		w.control.fail(a.kill)
+		w.control.fail(a.verb != pause)
 		time.Sleep(a.down)
 		w.control.recover()
 		return
 	}
 	p := [][]*process{w.entries, w.agents, w.services}[a.kind][a.i]
-	if !a.kill {
+	if a.verb == pause {
 		p.pause()
 		time.Sleep(a.down)
 		p.resume()
@@ -315,6 +325,18 @@
 	if l.ctx.Err() != nil {
 		return // already down
 	}
+	switch {
+	case a.verb == cut && a.kind == entryProcess:
+		l.entry.Cut(customers[a.i])
+		return
+	case a.verb == stop && a.kind == entryProcess:
+		ctx, cancel := context.WithTimeout(l.ctx, stopTimeout)
+		l.entry.Stop(ctx)
+		cancel()
+	case a.verb == stop && a.kind == agentProcess:
+		l.stop()
+		<-l.stopped
+	}
 	l.end()
 	time.Sleep(a.down)
 	w.restart(a.kind, a.i, l)
--- a/internal/pathsearch/search_test.go
+++ b/internal/pathsearch/search_test.go
@@ -83,14 +83,18 @@
 // drawn for it.
 func (w *world) step() {
 	if a, ok := w.plan.actions[w.steps.Add(1)-1]; ok && !w.healed.Load() {
-		w.acting.Add(1)
-		go func() {
-			defer w.acting.Add(-1)
-			w.act(a)
-		}()
+		w.begin(a)
 	}
 }
 
+func (w *world) begin(a action) {
+	w.acting.Add(1)
+	go func() {
+		defer w.acting.Add(-1)
+		w.act(a)
+	}()
+}
+
 func (w *world) target(i int) fleet.Target {
 	return fleet.Target{
 		Name: fleet.TargetName(fmt.Sprintf("t%d", i)), Host: fleet.Host(fmt.Sprintf("h%d", i)), Pool: "app", Phase: fleet.Ready,
@@ -127,6 +131,13 @@
 		w.entries = append(w.entries, &process{})
 		w.startEntry(i)
 	}
+	for at, a := range w.plan.timed {
+		time.AfterFunc(at, func() {
+			if !w.healed.Load() {
+				w.begin(a)
+			}
+		})
+	}
 	var callers sync.WaitGroup
 	for n, o := range w.plan.orders {
 		callers.Go(func() { w.call(n, o) })
