--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/semaphore"
 
 	"papayarock/core/authority"
 	"papayarock/core/expiry"
@@ -84,9 +85,9 @@
 	// unread holds the ended requests whose answer no entry has taken to its
 	// end. A stop waits for them, since an entry may be resuming.
 	unread expiry.Map[fleet.RequestID, struct{}]
-	// known holds the non-idempotent requests that were started (true) or
-	// barred (false); recent holds the idempotent ones that were started.
-	known  expiry.Map[fleet.RequestID, bool]
+	// known holds what became of the non-idempotent requests that were started
+	// or barred; recent holds the idempotent ones that were started.
+	known  expiry.Map[fleet.RequestID, wire.Outcome_State]
 	recent expiry.Map[fleet.RequestID, struct{}]
 }
 
@@ -104,6 +105,7 @@
 	a.usage.node, a.usage.incarnation = a.Announcement.Host, a.Announcement.Incarnation
 	a.usage.keep = a.Control != nil
 	a.cache.sequence = 1 // the empty cache; core/route takes 0 for nothing known
+	a.usage.turn = semaphore.NewWeighted(1)
 	a.fence.Incarnation = a.Announcement.Incarnation
 	a.running = make(map[fleet.RequestID]*job)
 	a.ended.MaxEntries, a.ended.MaxBytes = maxRetained, maxRetainedBytes
