internal/scenario: try the steps of docs/operations.md that were not tried

Cause: renewal of a certificate, upgrade, parts of the replacement of a control host and chat completions were marked as not tried. Change: three scripts do them, two with a spawned process and certificates for each role; scripts can wait for the output of a command. No command had to be mended.

--- a/cmd/papayarock/off_variants_test.go
+++ b/cmd/papayarock/off_variants_test.go
@@ -1,7 +1,12 @@
 package main
 
-// withoutVariant lists scripts that stand for no mechanism of their own.
-var withoutVariant = map[string]string{}
+// withoutVariant lists scripts that stand for no mechanism of their own, with
+// what they stand for.
+var withoutVariant = map[string]string{
+	"operations-upgrade": "steps of docs/operations.md",
+	"operations-repair":  "steps of docs/operations.md",
+	"operations-chat":    "steps of docs/operations.md",
+}
 
 const (
 	refusedOrder = `! stdout 'order refused'`
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -31,6 +31,8 @@
 //	control NAME               run a control replica inside the test; set $NAME to
 //	                           its operator address, which speaks plain HTTP
 //	keep NAME EXPRESSION FILE  set a variable to the group of an expression in a file
+//	until EXPRESSION COMMAND...
+//	                           repeat a command until its output matches
 //	exits CODE COMMAND...      run a command and assert its exit code
 //
 // One script can run a whole deployment inside the test: three control replicas,
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -3,14 +3,15 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"io/fs"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
@@ -24,11 +25,11 @@
 type Command = func(ts *testscript.TestScript, neg bool, args []string)
 
 // Run runs the scripts in a directory. More adds commands to those of the
-// package; it may be nil. A file answers.toml in the directory is in the working
+// package; it may be nil. Other files of the directory are in the working
 // directory of each script.
 func Run(t *testing.T, dir string, more map[string]Command) {
 	commands := map[string]Command{
-		"ports": ports, "digest": digest, "expand": expand, "exits": exits,
+		"ports": ports, "digest": digest, "expand": expand, "exits": exits, "until": until,
 		"fake": startFake, "fault": fault, "crash": crash, "recover": recoverEngine, "count": count, "await": await,
 		"start": start, "spawn": spawn, "shutdown": shutDown, "restart": restart, "signal": sendSignal,
 		"request": request, "log": showLog, "proxy": startProxy, "drop": drop, "hold-open": holdOpen,
@@ -78,16 +79,25 @@
 	}
 }
 
-// common gives a script the answers that all scripts of its directory share.
+// common gives a script the files that all scripts of its directory share.
 func common(dir, work string) error {
-	text, err := os.ReadFile(filepath.Join(dir, "answers.toml"))
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil
-	}
+	files, err := os.ReadDir(dir)
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(filepath.Join(work, "answers.toml"), text, 0o600)
+	for _, f := range files {
+		if f.IsDir() || filepath.Ext(f.Name()) == ".txtar" {
+			continue
+		}
+		text, err := os.ReadFile(filepath.Join(dir, f.Name()))
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(work, f.Name()), text, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // world holds what one script started.
@@ -188,6 +198,23 @@
 	}
 }
 
+// until repeats a command until its output matches an expression.
+func until(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg, args, 2, "until EXPRESSION COMMAND...")
+	re, err := regexp.Compile("(?m)" + args[0])
+	ts.Check(err)
+	for end := time.Now().Add(awaitLimit); ; time.Sleep(awaitInterval) {
+		err := ts.Exec(args[1], args[2:]...)
+		out := ts.ReadFile("stdout")
+		if re.MatchString(out) {
+			return
+		}
+		if time.Now().After(end) {
+			ts.Fatalf("%s: no match for %q: %v\n%s", strings.Join(args[1:], " "), args[0], err, out)
+		}
+	}
+}
+
 // keep sets a variable to what a regular expression's group finds in a file,
 // such as stdout.
 func keep(ts *testscript.TestScript, neg bool, args []string) {
