core/log: find every broken rule by the search

The search did not find a vote that is not persisted, commit of old terms by counting, and pre-votes that ignore the lease; only directed tests did.

A third kind of schedule aims at them: a voter crashes right after its vote while a second candidate of the term still asks, leaders are lost and return while a part of the voters holds their entries, and pre-votes come near the end of a lease. The search also checks that a term has one leader and that no voter of three helps a host that still asks for pre-votes while a lease runs. A schedule with more than 500,000 events fails: members whose logs differ below the commit index exchange probes and refusals without end, which hung the search with a broken rule.

--- a/core/log/fault_test.go
+++ b/core/log/fault_test.go
@@ -14,7 +14,7 @@
 		return
 	}
 	interval := lease / 2
-	if s.sharp {
+	if s.aim == sharp {
 		interval = 4 * lease
 	}
 	s.after(s.upTo(interval), s.propose)
@@ -33,7 +33,7 @@
 		h.reads[s.nextID] = s.top
 		h.step(log.Read{ID: s.nextID})
 	case 2:
-		if !s.sharp {
+		if s.aim == broad {
 			s.changeMembers(h)
 		}
 	default:
@@ -71,12 +71,12 @@
 		return
 	}
 	interval := 2 * lease
-	if s.sharp {
+	if s.aim == sharp {
 		interval = 8 * lease
 	}
 	s.after(s.upTo(interval), s.fault)
 	h := s.hosts[s.r.IntN(len(s.hosts))]
-	if s.sharp || s.r.IntN(2) == 0 {
+	if s.aim == sharp || s.r.IntN(2) == 0 {
 		for _, x := range s.hosts {
 			if x.node != nil && x.node.Leads() != 0 {
 				h = x
@@ -86,7 +86,7 @@
 	o := s.hosts[s.r.IntN(len(s.hosts))]
 	long := s.pick(lease/4, lease, 2*lease, 6*lease)
 	kind := s.r.IntN(11)
-	if s.sharp {
+	if s.aim == sharp {
 		kind = 9 + s.r.IntN(2)
 		o = s.hosts[(h.index+1+s.r.IntN(len(s.hosts)-1))%len(s.hosts)]
 	}
@@ -138,11 +138,14 @@
 	return list
 }
 
-func (s *sim) partition(d time.Duration, links ...[2]int) {
+// partition cuts links for at most d.
+func (s *sim) partition(d time.Duration, links ...[2]int) { s.cutFor(s.upTo(d), links...) }
+
+func (s *sim) cutFor(d time.Duration, links ...[2]int) {
 	for _, l := range links {
 		s.cut[l] = true
 	}
-	s.after(s.upTo(d), func() {
+	s.after(d, func() {
 		for _, l := range links {
 			delete(s.cut, l)
 		}
--- a/core/log/search_test.go
+++ b/core/log/search_test.go
@@ -20,7 +20,7 @@
 )
 
 // search runs schedules and returns the first seed found with a violation.
-func search(weak log.Weakness, sharp bool, first, count uint64) (seed uint64, verdict string, commits, holders int64) {
+func search(weak log.Weakness, aim aim, first, count uint64) (seed uint64, verdict string, commits, holders int64) {
 	var next, found, c, h atomic.Uint64
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -31,7 +31,7 @@
 				if i >= count {
 					return
 				}
-				s := newSim(first+i, weak, sharp)
+				s := newSim(first+i, weak, aim)
 				v := s.run(scheduleLength)
 				c.Add(uint64(s.commits))
 				h.Add(uint64(s.holders))
@@ -55,14 +55,22 @@
 func TestSearch(t *testing.T) {
 	first := *seedFlag
 	t.Logf("first seed %d", first)
-	for name, sharp := range map[string]bool{"broad": false, "sharp": true} {
+	for name, c := range map[string]struct {
+		aim   aim
+		count uint64
+	}{
+		"broad": {broad, *schedulesFlag},
+		"sharp": {sharp, *schedulesFlag},
+		// A third as many, to bound the time of a CI run.
+		"aimed": {aimed, (*schedulesFlag + 2) / 3},
+	} {
 		t.Run(name, func(t *testing.T) {
-			seed, verdict, commits, holders := search(0, sharp, first, *schedulesFlag)
+			seed, verdict, commits, holders := search(0, c.aim, first, c.count)
 			if verdict != "" {
 				t.Fatalf("run with -run=TestSearch/%s -seed=%d -schedules=1: %s", name, seed, verdict)
 			}
-			t.Logf("%d commits, %d samples with a lease holder in %d schedules", commits, holders, *schedulesFlag)
-			if commits < int64(*schedulesFlag) || holders < int64(*schedulesFlag) {
+			t.Logf("%d commits, %d samples with a lease holder in %d schedules", commits, holders, c.count)
+			if commits < int64(c.count) || holders < int64(c.count) {
 				t.Fatalf("only %d commits and %d samples with a lease holder", commits, holders)
 			}
 		})
@@ -72,26 +80,29 @@
 // Guards against a search that would not notice a broken rule.
 func TestSearchFindsBrokenRules(t *testing.T) {
 	rules := map[string]struct {
-		weak  log.Weakness
-		sharp bool
-		skip  uint64 // schedules passed over to keep the test short
+		weak log.Weakness
+		aim  aim
+		skip uint64 // schedules passed over to keep the test short
 	}{
-		"entries and votes count before sync": {log.CountUnsynced, false, 0},
-		"lease promise does not bind votes":   {log.BreakPromise, true, 0},
-		"restart forgets the promise":         {log.ForgetPromise, true, 0},
-		"candidate's log is not compared":     {log.VoteForAnyLog, false, 0},
-		"new leader acts at once":             {log.ActAtOnce, false, 0},
-		"lease without clock-rate margin":     {log.NoMargin, true, 8000},
-		"lease counted from the reply":        {log.LeaseFromReply, true, 0},
-		"several membership changes at once":  {log.ManyChanges, false, 0},
-		"replaced directory counts as old":    {log.IgnoreIdentity, false, 0},
+		"entries and votes count before sync": {log.CountUnsynced, broad, 0},
+		"lease promise does not bind votes":   {log.BreakPromise, sharp, 0},
+		"restart forgets the promise":         {log.ForgetPromise, sharp, 0},
+		"candidate's log is not compared":     {log.VoteForAnyLog, broad, 0},
+		"new leader acts at once":             {log.ActAtOnce, broad, 0},
+		"lease without clock-rate margin":     {log.NoMargin, sharp, 8000},
+		"lease counted from the reply":        {log.LeaseFromReply, sharp, 0},
+		"several membership changes at once":  {log.ManyChanges, broad, 0},
+		"replaced directory counts as old":    {log.IgnoreIdentity, broad, 0},
+		"vote is not persisted":               {log.ForgetVote, aimed, 0},
+		"old terms are committed by counting": {log.CommitAnyTerm, aimed, 0},
+		"pre-vote ignores the lease":          {log.PreVoteIgnoresLease, aimed, 0},
 	}
 	const limit = 30000
 	for name, c := range rules {
 		t.Run(name, func(t *testing.T) {
 			first := *seedFlag + c.skip
 			t.Logf("first seed %d", first)
-			seed, verdict, _, _ := search(c.weak, c.sharp, first, limit)
+			seed, verdict, _, _ := search(c.weak, c.aim, first, limit)
 			if verdict == "" {
 				t.Fatalf("no violation in %d schedules", limit)
 			}
--- a/core/log/sim_test.go
+++ b/core/log/sim_test.go
@@ -29,18 +29,23 @@
 	loss  float64
 	cut   map[[2]int]bool
 
-	chain   map[uint64]applied // what was first applied at each index
-	top     uint64             // highest index applied anywhere
-	refused map[uint64]bool    // proposals reported as not committed
-	ran     map[uint64]bool    // proposals applied anywhere
-	commits int
-	holders int // samples in which some host held the lease
-	nextID  uint64
-	wiped   bool
-	sharp   bool
-	far     int  // index of a host with long links in sharp schedules; past the last for none
-	quiet   bool // no new faults and requests
-	verdict string
+	chain     map[uint64]applied // what was first applied at each index
+	top       uint64             // highest index applied anywhere
+	refused   map[uint64]bool    // proposals reported as not committed
+	ran       map[uint64]bool    // proposals applied anywhere
+	commits   int
+	events    int
+	holders   int // samples in which some host held the lease
+	nextID    uint64
+	wiped     bool
+	aim       aim
+	asked     map[uint64]fleet.Host // who first asked for votes in a term, in aimed schedules
+	elections int                   // seen, in aimed schedules
+	target    target                // of an aimed schedule
+	far       int                   // index of a host with long links in sharp schedules; past the last for none
+	leaders   map[uint64]fleet.Host // by term
+	quiet     bool                  // no new faults and requests
+	verdict   string
 }
 
 type applied struct {
@@ -94,20 +99,37 @@
 
 const lease = time.Second
 
-// newSim returns a schedule. A sharp one has fast disks, clocks at the ends of
-// the margin, few proposals (so that more hosts can win an election) and faults
-// that aim at the lease.
-func newSim(seed uint64, weak log.Weakness, sharp bool) *sim {
+// maxEvents bounds the events of one schedule. Members whose logs differ below
+// the commit index exchange probes and refusals without end.
+const maxEvents = 500_000
+
+// aim is what the faults of a schedule aim at.
+type aim uint8
+
+const (
+	// broad draws from all faults.
+	broad aim = iota
+	// sharp has fast disks, clocks at the ends of the margin, few proposals (so
+	// that more hosts can win an election) and faults that aim at the lease.
+	sharp
+	// aimed has fast disks too. It draws one of three: crashes right after
+	// votes, elections while entries have reached a part of the voters, and
+	// pre-votes near the end of a lease.
+	aimed
+)
+
+// newSim returns a schedule.
+func newSim(seed uint64, weak log.Weakness, aim aim) *sim {
 	s := &sim{
-		sharp: sharp,
-		r:     rand.New(rand.NewPCG(seed, 1)), weak: weak, cut: make(map[[2]int]bool),
+		aim: aim, leaders: make(map[uint64]fleet.Host), asked: make(map[uint64]fleet.Host),
+		r: rand.New(rand.NewPCG(seed, 1)), weak: weak, cut: make(map[[2]int]bool),
 		chain: make(map[uint64]applied), refused: make(map[uint64]bool), ran: make(map[uint64]bool),
 	}
 	s.opts = log.Options{Lease: lease, Heartbeat: lease / 5, LongestAction: s.pick(time.Microsecond, lease/2, lease), Retain: uint64(1 + s.r.IntN(20))}
 	s.delay = s.pick(100*time.Microsecond, time.Millisecond, 20*time.Millisecond, 150*time.Millisecond)
 	s.loss = []float64{0, 0, 0.02, 0.2}[s.r.IntN(4)]
 	voters, joiners := 3+2*s.r.IntN(2), 2
-	if sharp {
+	if aim != broad {
 		s.delay, s.loss, s.opts.LongestAction = 100*time.Microsecond, 0, time.Microsecond
 		voters, joiners = 3, 0
 		s.far = s.r.IntN(2 * voters)
@@ -115,11 +137,11 @@
 	var first []fleet.Host
 	for i := range voters + joiners {
 		h := &host{s: s, index: i, name: fleet.Host(rune('a' + i)), rate: 0.9952 + 0.0097*s.r.Float64()}
-		if sharp || s.r.IntN(2) == 0 {
+		if aim == sharp || s.r.IntN(2) == 0 {
 			h.rate = []float64{0.9952, 1.0049}[s.r.IntN(2)] // the ends of the margin
 		}
 		h.slow = s.pick(10*time.Microsecond, 5*time.Millisecond, 200*time.Millisecond)
-		if sharp {
+		if aim != broad {
 			h.slow = 10 * time.Microsecond
 		}
 		s.hosts = append(s.hosts, h)
@@ -135,6 +157,10 @@
 		h.identity = log.Identity(s.r.Uint64() | 1)
 		h.start()
 	}
+	if aim == aimed {
+		s.startAimed()
+		return s
+	}
 	s.after(s.upTo(lease), s.propose)
 	s.after(s.upTo(3*lease), s.fault)
 	return s
@@ -173,6 +199,9 @@
 	for s.verdict == "" && s.queue.Len() > 0 && s.queue[0].at <= end {
 		e := heap.Pop(&s.queue).(timed)
 		s.now = e.at
+		if s.events++; s.events > maxEvents {
+			s.fail("more than %d events", maxEvents)
+		}
 		e.f()
 		s.check()
 	}
@@ -337,7 +366,12 @@
 func (h *host) send(m log.Message) {
 	s := h.s
 	to := slices.IndexFunc(s.hosts, func(x *host) bool { return x.name == m.To })
-	if to < 0 || s.cut[[2]int{h.index, to}] || s.r.Float64() < s.loss {
+	if to < 0 {
+		return
+	}
+	s.checkPreVote(h, s.hosts[to], m)
+	late := s.onSend(h, s.hosts[to], m)
+	if s.cut[[2]int{h.index, to}] || s.r.Float64() < s.loss {
 		return
 	}
 	copies := 1
@@ -346,13 +380,13 @@
 	}
 	for range copies {
 		d := s.upTo(s.delay)
-		if s.sharp && (h.index == s.far || to == s.far) {
+		if s.aim == sharp && (h.index == s.far || to == s.far) {
 			d += 50 * time.Millisecond
 		}
 		if s.r.IntN(100) == 0 {
 			d = s.upTo(2 * lease)
 		}
-		s.after(d, func() {
+		s.after(d+late, func() {
 			if !s.cut[[2]int{h.index, to}] {
 				s.hosts[to].step(log.Receive{Message: m})
 			}
@@ -410,6 +444,7 @@
 		if term := h.node.Leads(); term > h.led {
 			h.led = term
 			s.checkElection(h, term)
+			s.onElection(h)
 		}
 		if !h.node.Lease().Held(h.local()) {
 			continue
@@ -428,8 +463,27 @@
 	}
 }
 
-// checkElection verifies that no lease of an older term runs at an election.
+// checkPreVote verifies that a voter of three does not help a host that still
+// asks for pre-votes while a lease runs: the voters that confirmed the lease
+// include one of the two.
+func (s *sim) checkPreVote(h, to *host, m log.Message) {
+	if s.aim == broad || m.Kind != log.PreVoteReply || m.Reject || to.node == nil || to.node.Status().Role != log.PreCandidate {
+		return
+	}
+	for _, o := range s.hosts {
+		if o != h && o != to && o.node != nil && o.local().Before(o.node.LeaseEnd()) {
+			s.fail("host %s grants %s a pre-vote while the lease of %s runs", h.name, to.name, o.name)
+		}
+	}
+}
+
+// checkElection verifies that a term has one leader and that no lease of an
+// older term runs at an election.
 func (s *sim) checkElection(h *host, term uint64) {
+	if x, ok := s.leaders[term]; ok && x != h.name {
+		s.fail("hosts %s and %s both lead term %d", x, h.name, term)
+	}
+	s.leaders[term] = h.name
 	for _, o := range s.hosts {
 		if o != h && o.node != nil && o.node.Leads() != 0 && o.node.Leads() < term && o.local().Before(o.node.LeaseEnd()) {
 			s.fail("host %s leads term %d while the lease of %s for term %d runs", h.name, term, o.name, o.node.Leads())
