io/serving: follow the prefix caches of the subset only

Cause: the subset of targets and the prefix caches were written apart; an entry asked every engine of its region for cache changes, and so kept a session with each of 300 targets (TestLargeFleet, found by the soak).

Change: only engines of the subset are followed.

Before: 300 agents dialled.

--- a/io/serving/cache.go
+++ b/io/serving/cache.go
@@ -61,7 +61,8 @@
 	wg.Wait()
 }
 
-// caching returns the targets whose caches matter, and forgets the others.
+// caching returns the targets of the subset whose caches matter, and forgets the
+// others.
 func (p *Policy) caching() []fleet.Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -71,7 +72,7 @@
 	cursors := make(map[fleet.TargetName]cursor)
 	var targets []fleet.Target
 	for _, t := range p.index.Targets() {
-		if t.Phase != fleet.Ready || t.Kind != fleet.Engine || t.Role == fleet.Decode || t.Region != p.o.Region {
+		if t.Phase != fleet.Ready || t.Kind != fleet.Engine || t.Role == fleet.Decode || t.Region != p.o.Region || !p.subset.Has(t.Name) {
 			continue
 		}
 		targets = append(targets, t)
