internal/pathsearch: require that the runs reach each kind of outcome

A search whose faults no longer hit, or whose callers get no refusals, would pass without meaning. Each kind must be reached in at least a quarter as many cases as there are runs. Orders without a key get a name that does not contain the name of the others, so that a variant is found by its own fault only.

go test ./internal/pathsearch passes.

--- a/internal/pathsearch/check_test.go
+++ b/internal/pathsearch/check_test.go
@@ -43,7 +43,7 @@
 	w.checkUsage()
 }
 
-var kindNames = map[orderKind]string{keyed: "keyed", unkeyed: "unkeyed", read: "read"}
+var kindNames = map[orderKind]string{keyed: "keyed", unkeyed: "keyless", read: "read"}
 
 // checkRefusal requires that not-run: true holds for the request for good, and
 // with a key for every request under it until control was asked.
--- a/internal/pathsearch/search_test.go
+++ b/internal/pathsearch/search_test.go
@@ -208,4 +208,14 @@
 		})
 	}
 	t.Logf("reached: %s", &c)
+	const enough = 100 // runs that must reach everything
+	for name, n := range map[string]int64{
+		"kills and pauses": c.actions.Load(), "damaged links": c.hits.Load(), "replayed links": c.replays.Load(),
+		"answers": c.answered.Load(), "billing checks": c.billed.Load(),
+		"refusals as not run": c.notRunTrue.Load(), "refusals as run": c.notRunFalse.Load(),
+	} {
+		if *searchRuns >= enough && uint64(n) < *searchRuns/4 {
+			t.Errorf("the runs reach too few %s to mean anything: %d", name, n)
+		}
+	}
 }
--- a/internal/pathsearch/variants_test.go
+++ b/internal/pathsearch/variants_test.go
@@ -56,7 +56,7 @@
 		return func(o *wire.Outcome) { o.RequestId = id }
 	}},
 	"repeated message runs again": {finds: "order", run: renameRepeated()},
-	"retry after unknown":         {finds: "unkeyed order", idempotent: true},
+	"retry after unknown":         {finds: "keyless order", idempotent: true},
 }
 
 // renameRepeated gives a request that comes again another id, so that the agent
