--- a/cmd/papayarock/off_test.go
+++ b/cmd/papayarock/off_test.go
@@ -60,6 +60,7 @@
 // it. One test binary is built with an overlay of edited sources and run once
 // for each variant; the sources in the repository hold no switch.
 func TestPromisesWithMechanismOff(t *testing.T) {
+	t.Parallel()
 	root, err := filepath.Abs("../..")
 	is.New(t).NoErr(err)
 	overlay := alter(t, root)
