core/log, io/controller: hand leadership over on an orderly stop

A planned restart of the leader cost as much as its failure: the rest of the lease, an election and the longest action.

A leader that stops begins no further action, waits until each has ended (one without an answer ends with its deadline), gives its lease up for the rest of its term and asks a voter with every entry to stand. Vote requests of that voter name the term whose lease was given up and are granted in spite of the promise to its leader. The new leader acts as soon as it holds a lease. A leader that may not act yet refuses, and one without an elected successor after a lease steps down.

--- a/core/log/aimed_test.go
+++ b/core/log/aimed_test.go
@@ -14,14 +14,24 @@
 	persistedVotes target = iota
 	ownTermCommits
 	leasedPreVotes
+	handOvers
 )
 
 // bigCommand is the size in bytes of a command that fills an append, so that
 // the entries before and after it travel apart from it.
 const bigCommand = 256 << 10
 
+// aimAt draws the rule of an aimed schedule, and the options that it needs.
+func (s *sim) aimAt() {
+	s.target = target(s.r.IntN(4))
+	if s.target == handOvers {
+		s.delay = s.pick(100*time.Microsecond, 20*time.Millisecond, 150*time.Millisecond)
+		s.loss = []float64{0, 0.02, 0.2}[s.r.IntN(3)]
+		s.opts.LongestAction = s.pick(lease/2, lease)
+	}
+}
+
 func (s *sim) startAimed() {
-	s.target = target(s.r.IntN(3))
 	a := s.r.IntN(len(s.hosts))
 	b := (a + 1 + s.r.IntN(len(s.hosts)-1)) % len(s.hosts)
 	switch s.target {
@@ -30,9 +40,51 @@
 		s.cutFor(6*lease, [2]int{a, b}, [2]int{b, a})
 	case leasedPreVotes:
 		s.after(s.upTo(3*lease), s.lapse)
+	case handOvers:
+		s.after(2*lease+s.upTo(2*lease), s.handOver)
+		s.after(s.upTo(lease), s.propose)
 	}
 }
 
+// handOver makes a leader hand over, mostly after its last action, and injects
+// a fault around it.
+func (s *sim) handOver() {
+	if s.quiet {
+		return
+	}
+	s.after(s.upTo(2*lease), s.handOver)
+	for _, h := range s.hosts {
+		if h.node == nil || h.node.Leads() == 0 || h.idle {
+			continue
+		}
+		h.idle = true
+		life := h.life
+		wait := max(h.actionEnd-s.now, 0) + 1
+		if s.weak&log.HandOverAtOnce != 0 {
+			wait = 1
+		}
+		s.after(wait, func() {
+			if h.life == life {
+				h.step(log.HandOver{ID: handOverID})
+			}
+		})
+		o := s.hosts[s.r.IntN(len(s.hosts))]
+		s.after(wait+s.upTo(s.pick(s.delay, 4*s.delay, lease)), func() {
+			switch s.r.IntN(6) {
+			case 0:
+				s.crash(o)
+			case 1:
+				s.partition(2*lease, s.links(o, s.r.IntN(2) == 0)...)
+			case 2:
+				o.paused = max(o.paused, s.now+s.upTo(2*lease))
+			}
+		})
+	}
+}
+
+// handOverID is the id of every HandOver.
+const handOverID = 1 << 61
+
 // onSend injects the faults that follow a message, and returns how much later
 // than others it arrives.
 func (s *sim) onSend(h, to *host, m log.Message) time.Duration {
--- a/core/log/event.go
+++ b/core/log/event.go
@@ -37,6 +37,12 @@
 	Host fleet.Host
 }
 
+// HandOver tells a leader that it will begin no further action and that each
+// action begun under its lease has ended. It gives its lease up for the rest of
+// its term, takes no further proposals, and asks a voter that has caught up to
+// stand for election.
+type HandOver struct{ ID uint64 }
+
 // Read asks for the index that the local machine must have applied before its
 // state is linearizable.
 type Read struct{ ID uint64 }
@@ -58,6 +64,7 @@
 func (Receive) event()     {}
 func (Propose) event()     {}
 func (Change) event()      {}
+func (HandOver) event()    {}
 func (Read) event()        {}
 func (Synced) event()      {}
 func (Snapshotted) event() {}
@@ -111,6 +118,8 @@
 	BadChange     Reason = "the change does not fit the membership"
 	StorageFailed Reason = "the storage failed"
 	LostLead      Reason = "the leader lost its quorum"
+	HandingOver   Reason = "the leader hands over"
+	NoLease       Reason = "the leader holds no lease"
 )
 
 // Decided reports the outcome of a proposal or change.
@@ -122,6 +131,10 @@
 	Leader  fleet.Host // with NotLeader; empty when not known
 }
 
+// HandedOver reports that this node no longer leads after a HandOver. A HandOver
+// that is refused is answered by Decided.
+type HandedOver struct{ ID uint64 }
+
 // ReadReady reports that the state of the machine after Index answers the read.
 type ReadReady struct{ ID, Index uint64 }
 
@@ -136,6 +149,7 @@
 func (Apply) action()      {}
 func (Restore) action()    {}
 func (Decided) action()    {}
+func (HandedOver) action() {}
 func (ReadReady) action()  {}
 func (ReadFailed) action() {}
 
@@ -156,6 +170,7 @@
 	ChunkReply
 	ReadIndex
 	ReadIndexReply
+	Stand // asks the receiver to stand for election at once
 )
 
 // Message is one message between two members. The meaning of a field depends
@@ -173,7 +188,7 @@
 	Reject         bool
 	Hint           uint64 // with Reject: the last index that may match
 	Commit         uint64 // Append, Heartbeat
-	Sequence       uint64 // heartbeat round, or read id
+	Sequence       uint64 // heartbeat round, or read id; Vote: term of the leader that gave its lease up, or zero
 	Entries        []Entry
 
 	Members Membership // Chunk
--- a/core/log/export_test.go
+++ b/core/log/export_test.go
@@ -18,6 +18,8 @@
 	IgnoreIdentity      = ignoreIdentity
 	LeaseFromReply      = leaseFromReply
 	PreVoteIgnoresLease = preVoteIgnoresLease
+	KeepLease           = keepLease
+	HandOverAtOnce      = 1 << 29 // a host hands over while an action runs
 	ForgetPromise       = 1 << 30 // a restart does not wait for the old promise
 )
 
--- a/core/log/lead.go
+++ b/core/log/lead.go
@@ -16,6 +16,8 @@
 	rounds    []round   // heartbeat rounds that may still be answered
 	confirmed time.Time // latest send time that a quorum has confirmed
 	peers     map[fleet.Host]*peer
+	inherited bool // the leader of the term before gave its lease up
+	release   release
 }
 
 type round struct {
@@ -44,7 +46,7 @@
 
 func (n *Node) becomeLeader() {
 	n.role, n.leader, n.votes = Leader, n.o.Self, nil
-	n.lead = leading{since: n.now, noop: n.log.last() + 1, nextBeat: n.now, peers: make(map[fleet.Host]*peer)}
+	n.lead = leading{since: n.now, noop: n.log.last() + 1, nextBeat: n.now, peers: make(map[fleet.Host]*peer), inherited: n.succeeds}
 	n.trackPeers()
 	n.appendOwn(Entry{Kind: Noop})
 	n.beat()
@@ -101,11 +103,14 @@
 		n.proposals[i].expires = n.now.Add(2 * n.o.Lease)
 	}
 	n.failReads()
+	if n.lead.release.given() {
+		n.out = append(n.out, HandedOver{ID: n.lead.release.id})
+	}
 	n.lead = leading{}
 }
 
 func (n *Node) tickLeader() {
-	if quorumSeen := later(n.lead.since, n.lead.confirmed); n.now.Sub(quorumSeen) >= n.o.Lease {
+	if quorumSeen := later(n.lead.since, n.lead.confirmed); n.now.Sub(quorumSeen) >= n.o.Lease || n.handOverFailed() {
 		n.becomeFollower(n.hard.Term, "")
 		return
 	}
@@ -163,7 +168,7 @@
 // leaseEnd returns the time at which the confirmed lease ends. It is counted
 // from the send time, less the margin for clocks of different rates.
 func (n *Node) leaseEnd() time.Time {
-	if n.lead.confirmed.IsZero() {
+	if n.lead.confirmed.IsZero() || (n.lead.release.given() && n.weak&keepLease == 0) {
 		return time.Time{}
 	}
 	if n.weak&noMargin != 0 {
@@ -174,9 +179,10 @@
 
 // actFrom returns the time from which a new leader may act: the voters that
 // elected it waited for the end of the old lease, and the longest action begun
-// under that lease has ended since, by any clock within the margin.
+// under that lease has ended since, by any clock within the margin. A leader
+// that was handed over to need not wait: both had ended before.
 func (n *Node) actFrom() time.Time {
-	if n.weak&actAtOnce != 0 {
+	if n.weak&actAtOnce != 0 || n.lead.inherited {
 		return n.lead.since
 	}
 	return n.lead.since.Add(n.o.LongestAction + 2*n.o.LongestAction/marginDivisor)
--- a/core/log/node.go
+++ b/core/log/node.go
@@ -25,6 +25,7 @@
 	promise  time.Time // until then no other leader gets this node's help
 	campaign time.Time // next election, unless a leader is heard from
 	votes    map[fleet.Host]bool
+	succeeds bool // a Candidate stands because the leader of the last term gave its lease up
 
 	lead      leading
 	proposals []proposal           // by index; appended by this node and not decided
@@ -74,6 +75,7 @@
 	ignoreIdentity                           // a replaced directory counts as the old voter
 	leaseFromReply                           // the lease is counted from the reply
 	preVoteIgnoresLease                      // a pre-vote is granted during a lease
+	keepLease                                // a leader that hands over keeps its lease
 )
 
 // New returns a node that continues from o.Stored. It gives no vote and starts
@@ -111,6 +113,8 @@
 		n.propose(ev.Proposals)
 	case Change:
 		n.change(ev)
+	case HandOver:
+		n.handOver(ev.ID)
 	case Read:
 		n.read(ev.ID)
 	case Synced:
@@ -133,6 +137,7 @@
 	n.apply()
 	if n.role == Leader {
 		n.replicate()
+		n.askSuccessor()
 	}
 	n.answerReads()
 	n.flush()
@@ -318,6 +323,8 @@
 		}
 	case Change:
 		n.out = append(n.out, Decided{ID: ev.ID, Outcome: NotCommitted, Reason: StorageFailed})
+	case HandOver:
+		n.out = append(n.out, Decided{ID: ev.ID, Outcome: NotLeader, Reason: StorageFailed})
 	case Read:
 		n.out = append(n.out, ReadFailed{ID: ev.ID})
 	}
--- a/core/log/propose.go
+++ b/core/log/propose.go
@@ -12,6 +12,8 @@
 		switch {
 		case n.role != Leader:
 			n.out = append(n.out, Decided{ID: p.ID, Outcome: NotLeader, Leader: n.leader})
+		case n.lead.release.given():
+			n.out = append(n.out, Decided{ID: p.ID, Outcome: NotCommitted, Reason: HandingOver})
 		case len(p.Command) > MaxCommandBytes:
 			n.out = append(n.out, Decided{ID: p.ID, Outcome: NotCommitted, Reason: TooLarge})
 		case n.log.last()-n.commit >= maxPendingEntries || n.pending > maxPendingBytes:
@@ -84,6 +86,9 @@
 	if n.changing() {
 		reason = ChangePending
 	}
+	if n.lead.release.given() {
+		reason = HandingOver
+	}
 	if reason == "" && !identified(members) {
 		reason = Unidentified
 	}
--- a/core/log/rules_test.go
+++ b/core/log/rules_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"papayarock/core/fleet"
 	"papayarock/core/log"
 )
 
@@ -149,3 +151,47 @@
 	is.Equal(len(replies), 1)
 	is.Equal(replies[0].Index, uint64(3))
 }
+
+// Guards against a hand-over that waits for the end of promises or of the
+// longest action, which would make it as slow as a failure, and against
+// proposals and a lease after it.
+func TestHandOver(t *testing.T) {
+	is := is.New(t)
+	now := epoch.Add(lease / 2) // within the promise that a restart has to assume
+	n := newNode(log.HardState{Term: 2}, 0, 2)
+	receive(n, now, log.Message{Kind: log.Heartbeat, From: "b", Term: 2, Sequence: 1})
+
+	vote := log.Message{Kind: log.Vote, From: "c", Term: 3, Index: 2, LogTerm: 2}
+	out, _ := sent(receive(n, now, vote), log.VoteReply)
+	is.Equal(len(out), 0) // the promise to b holds
+
+	actions := receive(n, now, log.Message{Kind: log.Stand, From: "b", Term: 2})
+	_, p := sent(actions, log.Vote)
+	out, _ = sent(n.Step(now, log.Synced{Sequence: p.Sequence}), log.Vote)
+	is.Equal(len(out), 2)
+	is.Equal(out[0].Sequence, uint64(2)) // the term whose lease was given up
+	_, p = sent(receive(n, now, log.Message{Kind: log.VoteReply, From: "b", FromIdentity: 2, Term: 3}), log.Append)
+	n.Step(now, log.Synced{Sequence: p.Sequence})
+	receive(n, now, log.Message{Kind: log.HeartbeatReply, From: "b", FromIdentity: 2, Term: 3, Sequence: 1})
+	receive(n, now, log.Message{Kind: log.AppendReply, From: "b", FromIdentity: 2, Term: 3, Index: 3})
+	is.True(n.Lease().Held(now)) // at once
+
+	out, _ = sent(n.Step(now, log.HandOver{ID: 7}), log.Stand)
+	is.Equal(len(out), 0) // the identities of the directories are not replicated yet
+	last := n.Last()
+	out, _ = sent(receive(n, now, log.Message{Kind: log.AppendReply, From: "b", FromIdentity: 2, Term: 3, Index: last}), log.Stand)
+	is.Equal(len(out), 1)
+	is.Equal(out[0].To, fleet.Host("b")) // c has not confirmed the last entry
+	is.True(!n.Lease().Held(now))
+	is.Equal(n.Step(now, log.Propose{Proposals: []log.Proposal{{ID: 8}}}),
+		[]log.Action{log.Decided{ID: 8, Outcome: log.NotCommitted, Reason: log.HandingOver}})
+
+	vote = log.Message{Kind: log.Vote, From: "b", FromIdentity: 2, Term: 4, Index: last, LogTerm: 3, Sequence: 3}
+	actions = receive(n, now, vote)
+	is.Equal(n.Leads(), uint64(0))
+	is.True(slices.Contains(actions, log.Action(log.HandedOver{ID: 7})))
+	_, p = sent(actions, log.VoteReply)
+	out, _ = sent(n.Step(now, log.Synced{Sequence: p.Sequence}), log.VoteReply)
+	is.Equal(len(out), 1)
+	is.True(!out[0].Reject)
+}
--- a/core/log/search_test.go
+++ b/core/log/search_test.go
@@ -96,6 +96,8 @@
 		"vote is not persisted":               {log.ForgetVote, aimed, 0},
 		"old terms are committed by counting": {log.CommitAnyTerm, aimed, 0},
 		"pre-vote ignores the lease":          {log.PreVoteIgnoresLease, aimed, 0},
+		"leader keeps its lease at hand-over": {log.KeepLease, aimed, 0},
+		"hand-over while an action runs":      {log.HandOverAtOnce, aimed, 0},
 	}
 	const limit = 30000
 	for name, c := range rules {
--- a/core/log/sim_test.go
+++ b/core/log/sim_test.go
@@ -70,6 +70,7 @@
 	at        uint64 // index of the last applied entry
 	snap      uint64
 	actionEnd time.Duration // end of the last action begun under a lease
+	idle      bool          // begins no action, since it hands over
 	led       uint64        // last term seen to be led
 	reads     map[uint64]uint64
 }
@@ -134,6 +135,9 @@
 		voters, joiners = 3, 0
 		s.far = s.r.IntN(2 * voters)
 	}
+	if aim == aimed {
+		s.aimAt()
+	}
 	var first []fleet.Host
 	for i := range voters + joiners {
 		h := &host{s: s, index: i, name: fleet.Host(rune('a' + i)), rate: 0.9952 + 0.0097*s.r.Float64()}
@@ -255,7 +259,7 @@
 	o.Stored = log.Stored{Hard: h.disk.Hard, Snapshot: h.disk.Snapshot, Entries: slices.Clone(h.disk.Entries)}
 	h.node = log.New(h.local(), o)
 	h.node.Weaken(h.s.weak)
-	h.pending = nil
+	h.pending, h.idle = nil, false
 	h.reads = make(map[uint64]uint64)
 	h.restore(h.disk.Snapshot)
 	h.schedule()
@@ -334,6 +338,8 @@
 		h.restore(a.Snapshot)
 	case log.Decided:
 		h.decided(a)
+	case log.HandedOver:
+		h.idle = false
 	case log.ReadReady:
 		if want := h.reads[a.ID]; a.Index < want || h.at < want {
 			h.s.fail("host %s answers a read at %d, applied %d, but %d was committed before", h.name, a.Index, h.at, want)
@@ -420,6 +426,10 @@
 }
 
 func (h *host) decided(d log.Decided) {
+	if d.ID == handOverID {
+		h.idle = false
+		return
+	}
 	switch d.Outcome {
 	case log.Committed:
 		h.s.commits++
@@ -459,6 +469,9 @@
 				s.fail("host %s may act while an action of %s runs until %v", h.name, o.name, o.actionEnd)
 			}
 		}
+		if h.idle {
+			continue
+		}
 		h.actionEnd = s.now + time.Duration(float64(s.opts.LongestAction)/h.rate)
 	}
 }
--- a/core/log/vote.go
+++ b/core/log/vote.go
@@ -17,6 +17,9 @@
 	case ReadIndexReply:
 		n.receiveReadIndexReply(m)
 		return
+	case Stand:
+		n.receiveStand(m)
+		return
 	}
 	if m.Term > n.hard.Term && (m.Kind != PreVoteReply || m.Reject) {
 		n.becomeFollower(m.Term, "")
@@ -71,8 +74,10 @@
 	n.receiveVoteReply(Message{Kind: PreVoteReply, From: n.o.Self, FromIdentity: n.o.Identity, Term: n.hard.Term + 1})
 }
 
-func (n *Node) startElection() {
-	n.role, n.leader = Candidate, ""
+// startElection stands in a new term. With succeeds, the leader of the term
+// before has given its lease up.
+func (n *Node) startElection(succeeds bool) {
+	n.role, n.leader, n.succeeds = Candidate, "", succeeds
 	n.votes = make(map[fleet.Host]bool)
 	n.hard = HardState{Term: n.hard.Term + 1, Vote: n.o.Self}
 	n.dirty = true
@@ -90,6 +95,9 @@
 		}
 		m := Message{Kind: kind, To: x.Host, Term: term, Index: last, LogTerm: n.log.term(last)}
 		if kind == Vote {
+			if n.succeeds {
+				m.Sequence = term - 1
+			}
 			n.sendSynced(m)
 		} else {
 			n.send(m)
@@ -102,6 +110,12 @@
 	if n.weak&breakPromise != 0 || (m.Kind == PreVote && n.weak&preVoteIgnoresLease != 0) {
 		return false
 	}
+	if m.Kind == Vote && m.Sequence != 0 && m.Sequence+1 == m.Term {
+		// The leader of the term before gave its lease up, and those of earlier
+		// terms ended before it was elected. A leader of this or a later term
+		// was elected by a quorum that refuses this vote.
+		return false
+	}
 	return n.now.Before(n.promise)
 }
 
@@ -179,7 +193,7 @@
 		return
 	}
 	if n.role == PreCandidate {
-		n.startElection()
+		n.startElection(false)
 		return
 	}
 	n.becomeLeader()
--- a/internal/faulttest/bench_test.go
+++ b/internal/faulttest/bench_test.go
@@ -31,7 +31,13 @@
 // BenchmarkFailover measures the time from SIGKILL of the leader to the first
 // order of another host that reaches the platform. Orders are always due. Run
 // it with -benchtime 20x.
-func BenchmarkFailover(b *testing.B) {
+func BenchmarkFailover(b *testing.B) { benchmarkFailover(b, (*rig).kill) }
+
+// BenchmarkPlannedRestart is BenchmarkFailover with a leader that is told to
+// stop.
+func BenchmarkPlannedRestart(b *testing.B) { benchmarkFailover(b, (*rig).stop) }
+
+func benchmarkFailover(b *testing.B, end func(r *rig, h fleet.Host)) {
 	const targets = 2000
 	r := newRig(b, time.Hour)
 	r.awaitLeader("")
@@ -45,7 +51,7 @@
 	for b.Loop() {
 		leader := fleet.Host(r.awaitLeader("").Host)
 		from := time.Now()
-		r.kill(leader)
+		end(r, leader)
 		times = append(times, r.firstAct(from, leader).at.Sub(from))
 		r.start(leader)
 		r.await("the restarted replica", func() bool {
--- a/internal/faulttest/rig_test.go
+++ b/internal/faulttest/rig_test.go
@@ -213,6 +213,15 @@
 	delete(r.processes, h)
 }
 
+// stop ends a replica in order.
+func (r *rig) stop(h fleet.Host) {
+	p := r.processes[h]
+	_ = p.input.Close()
+	<-p.done
+	_ = p.log.Close()
+	delete(r.processes, h)
+}
+
 func (r *rig) killAll() {
 	for h := range r.processes {
 		r.kill(h)
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -62,6 +63,7 @@
 	platform *platform
 	usage    *platform
 	actions  sync.WaitGroup
+	failedBy atomic.Pointer[time.Time] // deadline of the last external action without an answer
 	done     chan dispatch.Key
 	whole    encoded
 
@@ -98,18 +100,23 @@
 
 // Serve runs the replica until ctx ends or its storage fails.
 func (c *Controller) Serve(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+	// The log runs on while a leader that stops ends its actions and hands over.
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	c.send.start(ctx)
+	c.send.start(running)
 	defer c.send.stop()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	failed := make(chan error, 1)
-	wg.Go(func() { failed <- c.group.Serve(ctx); cancel() })
-	wg.Go(func() { _ = c.confirmLoop(ctx) })
-	if err := c.leadLoop(ctx); err != nil {
-		return err
+	leading, stop := context.WithCancel(ctx)
+	defer stop()
+	wg.Go(func() { failed <- c.group.Serve(running); stop() })
+	wg.Go(func() { _ = c.confirmLoop(running) })
+	c.leadLoop(leading, running)
+	if ctx.Err() != nil {
+		c.handOver(running)
 	}
+	cancel()
 	return <-failed
 }
 
--- a/io/controller/lead.go
+++ b/io/controller/lead.go
@@ -23,9 +23,10 @@
 // signs; after each commit, 1,100 targets halved the commits per second.
 const leadPause = 20 * time.Millisecond
 
-// leadLoop begins the actions that are due while this replica leads.
-func (c *Controller) leadLoop(ctx context.Context) error {
-	defer c.actions.Wait()
+// leadLoop begins the actions that are due while this replica leads, until ctx
+// ends. The actions end with running, so that a replica that stops knows how
+// they ended.
+func (c *Controller) leadLoop(ctx, running context.Context) {
 	d := dispatch.New(dispatch.Options{UsageWindow: c.o.UsageWindow, Platform: c.platform != nil})
 	var term uint64
 	for ctx.Err() == nil {
@@ -40,7 +41,7 @@
 			c.lead(time.Now())
 			c.drainDone(d)
 			for _, a := range d.Step(time.Now(), lease, c.view()) {
-				c.actions.Go(func() { c.begin(ctx, a) })
+				c.actions.Go(func() { c.begin(running, a) })
 			}
 			c.plan(ctx, lease)
 		}
@@ -54,7 +55,6 @@
 		case <-next:
 		}
 	}
-	return nil
 }
 
 // lease returns the authority of this replica. The group reports a lease as
@@ -128,6 +128,7 @@
 	}
 	if err != nil {
 		c.log.Warn("action failed", "error", err)
+		c.noteFailed(a)
 	}
 	select {
 	case c.done <- key:
--- a/io/replica/loop.go
+++ b/io/replica/loop.go
@@ -71,6 +71,10 @@
 			if err := l.step(log.Read{ID: r.id}); err != nil {
 				return err
 			}
+		case r.release:
+			if err := l.step(log.HandOver{ID: r.id}); err != nil {
+				return err
+			}
 		case r.change != nil:
 			if err := l.step(log.Change{ID: r.id, Kind: r.change.Kind, Host: r.change.Host}); err != nil {
 				return err
@@ -133,6 +137,8 @@
 		l.applied, l.snapshot, l.bytes = a.Snapshot.Index, a.Snapshot.Index, 0
 	case log.Decided:
 		l.finish(a.ID, result{l.results[a.Index], decidedError(a)})
+	case log.HandedOver:
+		l.finish(a.ID, result{})
 	case log.ReadReady:
 		l.finish(a.ID, result{})
 	case log.ReadFailed:
--- a/io/replica/replica_test.go
+++ b/io/replica/replica_test.go
@@ -184,6 +184,32 @@
 	})
 }
 
+// Guards against a hand-over that takes as long as a failure: a lease, an
+// election timeout and the longest action.
+func TestHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, time.Millisecond)
+		defer c.stopAll()
+		hosts := []fleet.Host{"a", "b", "c"}
+		for _, h := range hosts {
+			c.start(h, nil, hosts...)
+		}
+		is.Equal(c.propose("one"), 1)
+		old := c.leader()
+		for h, m := range c.members {
+			if h != old {
+				is.True(errors.Is(m.group.HandOver(t.Context()), replica.ErrNotLeader))
+			}
+		}
+		start := time.Now()
+		is.NoErr(c.members[old].group.HandOver(t.Context()))
+		is.True(c.leader() != old)
+		is.True(time.Since(start) < 100*time.Millisecond) // of the bubble's clock
+		is.Equal(c.propose("two"), 2)
+	})
+}
+
 // Guards against a new host that cannot become a voter, and against a learner
 // that is sent neither the snapshot nor the entries after it.
 func TestReplaceHost(t *testing.T) {
--- a/io/replica/request.go
+++ b/io/replica/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -15,6 +16,7 @@
 	command []byte
 	change  *log.Change
 	read    bool
+	release bool        // hands over
 	done    chan result // has room for the one result
 }
 
@@ -55,6 +57,28 @@
 	return err
 }
 
+// handOverPoll is how often a member that hands over looks for the new leader.
+const handOverPoll = 10 * time.Millisecond
+
+// HandOver gives the lease up, has another voter stand for election, and returns
+// once that one leads. The caller must have begun no external action that may
+// still run, and must begin none. It fails at once on a member that holds no
+// lease.
+func (g *Group) HandOver(ctx context.Context) error {
+	if _, err := g.call(ctx, &request{release: true}); err != nil {
+		return errors.Wrap(err, "hand over")
+	}
+	// Until the new leader is heard from, it may need this member's vote.
+	for g.Leader() == "" {
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "hand over: no new leader is known")
+		case <-time.After(handOverPoll):
+		}
+	}
+	return nil
+}
+
 func (g *Group) call(ctx context.Context, r *request) (any, error) {
 	r.id = g.nextID.Add(1)
 	r.done = make(chan result, 1)
--- a/io/wire/log.go
+++ b/io/wire/log.go
@@ -24,7 +24,7 @@
 // DecodeLogMessage maps m back. It refuses unknown kinds and entries with gaps.
 func DecodeLogMessage(m *LogMessage) (log.Message, error) {
 	kind := m.GetKind()
-	if kind < LogMessage_PRE_VOTE || kind > LogMessage_READ_INDEX_REPLY {
+	if kind < LogMessage_PRE_VOTE || kind > LogMessage_STAND {
 		return log.Message{}, errors.Wrapf(ErrLog, "kind %d from %q", kind, m.GetFrom())
 	}
 	entries, err := DecodeLogEntries(m.GetEntries())
