core/watch, io/subscribe: let a stopping node say that it leaves

A change waited for the copy of a node that had stopped in order until that copy must be stale, 3.06 s.

A node that stops gives its copy up, refuses keyed requests from then on, and says so with a last poll. Control does not wait for it any more. A last poll counts only for the run of the node that is known last, since it may arrive after the first poll of a restarted process; a silent node is waited for as before.

In TestCluster a change after a node left is in force within 1 s of virtual time, and takes more than 2 s after a node went silent. The test's nodes now end before their link pool closes, as in io/daemon.

--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -63,6 +63,8 @@
 	Revision uint64     // held when it last polled
 	Seen     time.Time  // of its last poll, on the tracker's clock
 	Target   Sign       // of an agent
+	Run      uint64     // drawn at random by each process of the host
+	Left     bool       // the process refuses keyed requests from this poll on
 }
 
 // Sign is what an agent says about its target with each poll.
@@ -91,16 +93,23 @@
 }
 
 // Record notes a poll. A report older than what is known is ignored, since a
-// node that changes relay is reported by both for a while.
+// node that changes relay is reported by both for a while. So is the last poll
+// of a process other than the one that is known: the host runs again.
 func (t *Tracker) Record(s Subscriber) {
 	if t.subscribers == nil {
 		t.subscribers = make(map[fleet.Host]Subscriber)
 	}
 	old, ok := t.subscribers[s.Host]
-	if ok && s.Seen.Before(old.Seen) {
+	if s.Left && (!ok || s.Run != old.Run) {
 		return
 	}
-	if ok && s.Revision < old.Revision && s.Via != old.Via {
+	// The times of two processes of a host, passed on by two relays, may be out
+	// of order, so a poll of another process counts after the last one.
+	restarted := ok && old.Left && s.Run != old.Run
+	if ok && s.Seen.Before(old.Seen) && !restarted {
+		return
+	}
+	if ok && s.Revision < old.Revision && s.Via != old.Via && !restarted {
 		s.Revision = old.Revision // the other relay's report is older than the node's copy
 	}
 	t.subscribers[s.Host] = s
@@ -124,6 +133,16 @@
 	return out
 }
 
+// Present returns the number of subscribers that have not left.
+func (t *Tracker) Present() (n int) {
+	for _, s := range t.subscribers {
+		if !s.Left {
+			n++
+		}
+	}
+	return n
+}
+
 // LastSeen returns when host last polled; the zero time if it never did.
 func (t *Tracker) LastSeen(host fleet.Host) time.Time { return t.subscribers[host].Seen }
 
@@ -145,6 +164,9 @@
 func (t *Tracker) Progress(now time.Time, revision uint64, accepted time.Time) Progress {
 	p := Progress{By: accepted.Add(expired)}
 	for _, s := range t.subscribers {
+		if s.Left {
+			continue
+		}
 		if s.Revision >= revision {
 			p.Holding++
 		} else if now.Before(s.Seen.Add(expired)) {
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,6 +73,35 @@
 	is.True(tr.Progress(at(1), 7, at(0)).InForce) // an old report through a relay
 }
 
+// Guards against a change that waits for a node that left, and against a node
+// counted as gone that went silent, runs again, or whose last poll came late.
+func TestProgressOfLeaver(t *testing.T) {
+	poll := func(run uint64, seen float64, via fleet.Host) watch.Subscriber {
+		return watch.Subscriber{Host: "a", Via: via, Revision: 6, Seen: at(seen), Run: run}
+	}
+	left := func(s watch.Subscriber) watch.Subscriber { s.Left = true; return s }
+	tests := map[string]struct {
+		polls   []watch.Subscriber
+		inForce bool
+	}{
+		"silent":                                 {[]watch.Subscriber{poll(1, 0, "")}, false},
+		"left":                                   {[]watch.Subscriber{poll(1, 0, ""), left(poll(1, 1, ""))}, true},
+		"left, an earlier poll comes by a relay": {[]watch.Subscriber{poll(1, 0, ""), left(poll(1, 1, "")), poll(1, 0.5, "r")}, true},
+		"left and runs again":                    {[]watch.Subscriber{poll(1, 0, ""), left(poll(1, 1, "")), poll(2, 1.1, "")}, false},
+		"runs again, by a relay with an old time": {[]watch.Subscriber{poll(1, 0, ""), left(poll(1, 1, "")), poll(2, 0.9, "r")}, false},
+		"runs again, the last poll comes late":    {[]watch.Subscriber{poll(1, 0, ""), poll(2, 1, "r"), left(poll(1, 1.5, ""))}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			tr := watch.Tracker{Since: at(-10)}
+			for _, s := range tt.polls {
+				tr.Record(s)
+			}
+			is.New(t).Equal(tr.Progress(at(2), 7, at(0)).InForce, tt.inForce)
+		})
+	}
+}
+
 // Guards against a new leader that reports a change in force although it does
 // not know the subscribers of the leader before it.
 func TestProgressOfNewLeader(t *testing.T) {
@@ -89,11 +119,41 @@
 	now     float64
 	rates   [3]float64 // of relay 0, relay 1 and the node, relative to the leader
 	relays  [2]watch.Copy
-	seen    [2]map[fleet.Host]watch.Subscriber
+	seen    [2]watch.Tracker
 	node    watch.Copy
+	run     uint64  // of the node's process
+	last    []leave // last polls on their way
 	tracker watch.Tracker
 }
 
+// leave is a last poll that arrives at a relay.
+type leave struct {
+	relay int
+	at    float64
+	s     watch.Subscriber
+}
+
+// restart stops the node in order and starts it again. Its last poll may arrive
+// after the first one of the new process.
+func (c *chain) restart(r int) {
+	arrives := c.now + c.delay("last poll")
+	c.last = append(c.last, leave{r, arrives, watch.Subscriber{
+		Host: "node", Revision: c.node.Revision, Seen: at(arrives), Run: c.run, Left: true,
+	}})
+	c.node = watch.Copy{}
+	c.run++
+}
+
+// deliver hands out the last polls that have arrived.
+func (c *chain) deliver(now float64) {
+	c.last = slices.DeleteFunc(c.last, func(l leave) bool {
+		if l.at <= now {
+			c.seen[l.relay].Record(l.s)
+		}
+		return l.at <= now
+	})
+}
+
 func (c *chain) clock(who int, real float64) time.Time { return at(1000 + real*c.rates[who]) }
 
 func (c *chain) revision(real float64) uint64 {
@@ -109,9 +169,10 @@
 func (c *chain) pollLeader(r int) {
 	sent := c.now
 	answered := sent + c.delay("to leader")
+	c.deliver(answered)
 	name := fleet.Host([]string{"relay-0", "relay-1"}[r])
 	c.tracker.Record(watch.Subscriber{Host: name, Revision: c.relays[r].Revision, Seen: at(answered)})
-	for _, s := range c.seen[r] {
+	for _, s := range c.seen[r].Subscribers() {
 		s.Via = name
 		c.tracker.Record(s)
 	}
@@ -125,7 +186,8 @@
 func (c *chain) pollRelay(r int) {
 	sent := c.now
 	answered := sent + c.delay("to relay")
-	c.seen[r]["node"] = watch.Subscriber{Host: "node", Revision: c.node.Revision, Seen: at(answered)}
+	c.deliver(answered)
+	c.seen[r].Record(watch.Subscriber{Host: "node", Revision: c.node.Revision, Seen: at(answered), Run: c.run})
 	c.now = answered + c.delay("from relay")
 	if rapid.Bool().Draw(c.t, "node answered") && c.relays[r].Revision > 0 {
 		c.node.Apply(watch.Answer{
@@ -138,20 +200,22 @@
 
 // Guards against a node that still serves by an old copy after the leader has
 // reported the change in force, with delays, lost answers, a node that moves
-// between relays, and clock rates within the margin.
+// between relays or restarts in order, and clock rates within the margin.
 func TestNoStaleCopyInForce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := &chain{t: t, change: rapid.Float64Range(4, 8).Draw(t, "change accepted at"), tracker: watch.Tracker{Since: at(0)}}
 		for i := range c.rates {
 			c.rates[i] = rapid.Float64Range(0.9951, 1.0049).Draw(t, "clock rate")
 		}
-		c.seen = [2]map[fleet.Host]watch.Subscriber{{}, {}}
 		for c.now < 16 {
 			r := rapid.IntRange(0, 1).Draw(t, "relay")
-			if rapid.Bool().Draw(t, "relay polls") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
 				c.pollLeader(r)
-			} else {
+			case 2, 3:
 				c.pollRelay(r)
+			case 4:
+				c.restart(r)
 			}
 			p := c.tracker.Progress(at(c.now), 2, at(c.change))
 			if c.now >= c.change && p.InForce && c.node.Revision == 1 && c.node.Fresh(c.clock(2, c.now)) {
--- a/io/controller/cluster_test.go
+++ b/io/controller/cluster_test.go
@@ -163,7 +163,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = s.Serve(ctx) })
-	return s, func() { cancel(); pool.Close(); wg.Wait() }
+	return s, func() { cancel(); wg.Wait(); pool.Close() }
 }
 
 func (c *cluster) leader() fleet.Host {
@@ -199,6 +199,7 @@
 func TestCluster(t *testing.T) {
 	cases := map[string]func(t *testing.T){
 		"a change reaches nodes":                              changeReachesNodes,
+		"a change does not wait for a node that left":         changeDoesNotWaitForLeaver,
 		"an isolated leader cannot keep an old configuration": isolatedLeaderCannotKeepOldConfiguration,
 		"an isolated leader commits nothing":                  isolatedLeaderCommitsNothing,
 		"operators race under an equal base":                  operatorsRace,
@@ -249,6 +250,39 @@
 	is.Equal(again, r) // the same id gets the same answer
 }
 
+// Guards against a change that waits for the copy of a node that stopped in
+// order, and against one that does not wait for a node that went silent.
+func changeDoesNotWaitForLeaver(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	defer c.stop()
+	await(t, "no leader", func() bool { return c.leader() != "" })
+	operator, stopOperator := c.client("o1", follower(c)...)
+	defer stopOperator()
+	leaver, leave := c.client("e1", follower(c)...)
+	silent, stopSilent := c.client("e2", follower(c)...)
+	defer stopSilent()
+	await(t, "the nodes are not fresh", func() bool {
+		return operator.Fresh(time.Now()) && leaver.Fresh(time.Now()) && silent.Fresh(time.Now())
+	})
+	time.Sleep(5 * time.Second) // the leader knows the nodes by now
+	change := func(id string) time.Duration {
+		r, err := submit(operator, state.Change{
+			ID: id, Base: operator.Index.Load().Revision, Operator: "ana",
+			Action: state.ReplaceDocument{Document: config.Document{Customers: []config.Customer{{Name: fleet.Customer(id), Weight: 1}}}},
+		})
+		is.NoErr(err)
+		accepted := time.Now()
+		await(t, "the change is not in force", func() bool { return c.inForce(r.Revision) })
+		return time.Since(accepted) // in virtual time
+	}
+	leave()
+	is.True(!leaver.Fresh(time.Now()))
+	is.True(change("after-a-leaver") < time.Second)
+	c.isolate("e2")
+	is.True(change("after-a-silent-node") > 2*time.Second)
+}
+
 func follower(c *cluster) []fleet.Host {
 	leader := c.leader()
 	for h := range c.replicas {
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -214,7 +214,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.Nodes = len(c.tracker.Subscribers())
+	s.Nodes = c.tracker.Present()
 	return s
 }
 
--- a/io/controller/poll.go
+++ b/io/controller/poll.go
@@ -18,6 +18,9 @@
 func (c *Controller) poll(ctx context.Context, s *link.Stream, host fleet.Host, m *wire.ControlPoll) error {
 	revision := m.GetSelf().GetRevision()
 	c.record(host, m)
+	if m.GetSelf().GetLeft() {
+		return s.Send(&wire.ControlPollAnswer{Last: true})
+	}
 	c.waitNewer(ctx, revision)
 	age, ok := c.age(time.Now())
 	if !ok {
--- a/io/subscribe/client.go
+++ b/io/subscribe/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,6 +69,7 @@
 	FreshNanos atomic.Int64
 
 	o        Options
+	run      uint64    // names this run of Serve to control; used by Serve alone
 	demanded time.Time // of the last report of demand; used by Serve alone
 	mu       sync.Mutex
 	// guarded by mu
@@ -103,8 +105,9 @@
 	return c.changed
 }
 
-// Serve polls until ctx ends.
+// Serve polls until ctx ends, and then tells control that this node leaves.
 func (c *Client) Serve(ctx context.Context) error {
+	c.run = rand.Uint64()
 	for ctx.Err() == nil {
 		addr, ok := c.address()
 		if !ok {
@@ -121,6 +124,7 @@
 		case <-time.After(retryDelay):
 		}
 	}
+	c.leave(context.WithoutCancel(ctx))
 	return nil
 }
 
@@ -158,14 +162,7 @@
 }
 
 func (c *Client) request(now time.Time) *wire.ControlPoll {
-	s := watch.Subscriber{Host: c.o.Host, Seen: now}
-	if x := c.Index.Load(); x != nil {
-		s.Revision = x.Revision
-	}
-	if c.o.Sign != nil {
-		s.Target = c.o.Sign()
-	}
-	m := &wire.ControlPoll{Self: wire.EncodeSubscriber(s, now)}
+	m := &wire.ControlPoll{Self: c.self(now)}
 	if c.o.Demand == nil || now.Sub(c.demanded) < demandPeriod {
 		return m
 	}
--- a/io/wire/codec_control.go
+++ b/io/wire/codec_control.go
@@ -13,7 +13,7 @@
 // EncodeSubscriber maps a subscriber. Its last poll is sent as an age, since
 // the clocks of two hosts do not agree.
 func EncodeSubscriber(s watch.Subscriber, now time.Time) *ControlSubscriber {
-	m := &ControlSubscriber{Host: string(s.Host), Revision: s.Revision, AgeNanos: int64(now.Sub(s.Seen))}
+	m := &ControlSubscriber{Host: string(s.Host), Revision: s.Revision, AgeNanos: int64(now.Sub(s.Seen)), Run: s.Run, Left: s.Left}
 	if t := s.Target; t.Name != "" {
 		m.Target = &ControlTarget{
 			Name: string(t.Name), Incarnation: uint64(t.Incarnation),
@@ -27,7 +27,7 @@
 // DecodeSubscriber reads what EncodeSubscriber wrote.
 func DecodeSubscriber(m *ControlSubscriber, now time.Time) watch.Subscriber {
 	age := time.Duration(max(m.GetAgeNanos(), 0))
-	s := watch.Subscriber{Host: fleet.Host(m.GetHost()), Revision: m.GetRevision(), Seen: now.Add(-age)}
+	s := watch.Subscriber{Host: fleet.Host(m.GetHost()), Revision: m.GetRevision(), Seen: now.Add(-age), Run: m.GetRun(), Left: m.GetLeft()}
 	if t := m.GetTarget(); t != nil {
 		s.Target = watch.Sign{
 			Name: fleet.TargetName(t.GetName()), Incarnation: fleet.Incarnation(t.GetIncarnation()),
