--- a/core/watch/report.go
+++ b/core/watch/report.go
@@ -21,8 +21,8 @@
 
 // Report is what a relay tells the leader of its subscribers: those that changed
 // since the last report, and a sum over all, by which the leader knows that it
-// has the whole list. Every subscriber that is neither listed nor quiet has
-// polled between Oldest and the time of the report.
+// has the whole list. Every subscriber that is neither listed nor quiet nor left
+// has polled between Oldest and the time of the report.
 type Report struct {
 	Run      uint64 // of the relay; another one begins with a whole list
 	Sequence uint64 // rises within a run
@@ -58,7 +58,7 @@
 			continue
 		}
 		x.Quiet = now.Sub(x.Seen) >= quietAfter
-		if !x.Quiet && x.Seen.Before(r.Oldest) {
+		if !x.Quiet && !x.Left && x.Seen.Before(r.Oldest) {
 			r.Oldest = x.Seen
 		}
 		old, ok := s.held[x.Host]
@@ -91,7 +91,7 @@
 // busy by Running, but needs no count.
 func differs(old, x Subscriber) bool {
 	a, b := old.Target, x.Target
-	return old.Revision != x.Revision || old.Quiet != x.Quiet || x.Quiet && !old.Seen.Equal(x.Seen) ||
+	return old.Revision != x.Revision || old.Run != x.Run || old.Left != x.Left || old.Quiet != x.Quiet || x.Quiet && !old.Seen.Equal(x.Seen) ||
 		a.Name != b.Name || a.Incarnation != b.Incarnation || a.Ready != b.Ready || a.Refusing != b.Refusing ||
 		(a.Running == 0) != (b.Running == 0) || b.Refusing && a.Running != b.Running ||
 		moved(a.Prefill, b.Prefill) || moved(a.Decode, b.Decode)
@@ -108,7 +108,7 @@
 		b = append(b, text...)
 	}
 	for _, n := range []uint64{
-		s.Revision, uint64(s.Target.Incarnation), uint64(s.Target.Running), bit(s.Quiet), bit(s.Target.Ready),
+		s.Revision, s.Run, bit(s.Left), uint64(s.Target.Incarnation), uint64(s.Target.Running), bit(s.Quiet), bit(s.Target.Ready),
 		bit(s.Target.Refusing), math.Float64bits(s.Target.Prefill), math.Float64bits(s.Target.Decode),
 	} {
 		b = binary.BigEndian.AppendUint64(b, n)
@@ -156,7 +156,7 @@
 		v.held = make(map[fleet.Host]Subscriber, len(r.Listed))
 	}
 	for h, s := range v.held {
-		if !s.Quiet {
+		if !s.Quiet && !s.Left {
 			s.Seen = now // at the latest
 			if r.Oldest.After(s.Heard) {
 				s.Heard = r.Oldest
--- a/core/watch/report_test.go
+++ b/core/watch/report_test.go
@@ -231,3 +231,48 @@
 }
 
 func late(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
+// Guards against a node that stops in order and is waited for because its relay
+// reports changes only, and against the last poll of a process that hides the
+// next one of its host at another relay.
+func TestReportOfLeaver(t *testing.T) {
+	is := is.New(t)
+	now := start
+	var tracker watch.Tracker
+	tracker.Since = now.Add(-time.Hour)
+	relays := map[fleet.Host]*struct {
+		own watch.Tracker
+		s   watch.Sender
+		v   watch.Receiver
+	}{"r1": {s: watch.Sender{Run: 1}}, "r2": {s: watch.Sender{Run: 2}}}
+	report := func(name fleet.Host) {
+		r := relays[name]
+		list, whole := r.v.Apply(now, r.s.Report(now, "leader", r.own.Subscribers()))
+		r.s.Answered(whole)
+		is.True(whole)
+		for _, x := range list {
+			x.Via = name
+			tracker.Record(x)
+		}
+	}
+	poll := func(relay fleet.Host, run uint64, left bool) {
+		relays[relay].own.Record(watch.Subscriber{Host: "n", Revision: 1, Seen: now, Run: run, Left: left})
+	}
+	waiting := func() int { return tracker.Progress(now, 2, now).Waiting }
+	poll("r1", 7, false)
+	report("r1")
+	is.Equal(waiting(), 1)
+	now = now.Add(100 * time.Millisecond)
+	poll("r1", 7, true)
+	report("r1")
+	is.Equal(waiting(), 0)
+	now = now.Add(100 * time.Millisecond)
+	poll("r2", 8, false) // the host runs again
+	report("r2")
+	is.Equal(waiting(), 1)
+	for range 3 {
+		now = now.Add(250 * time.Millisecond)
+		report("r1")
+		is.Equal(waiting(), 1)
+	}
+}
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -65,6 +65,8 @@
 	Heard    time.Time  // of its last poll at the earliest; zero means Seen
 	Quiet    bool       // a relay reports that it no longer polls
 	Target   Sign       // of an agent
+	Run      uint64     // drawn at random by each process of the host
+	Left     bool       // the process refuses keyed requests from this poll on
 }
 
 // Sign is what an agent says about its target with each poll.
@@ -103,7 +105,9 @@
 
 // Record notes a poll. A report older than what is known is ignored, since a
 // node that changes relay is reported by both for a while. Only the time at which
-// it polled at the latest is kept: it may not be taken for expired too early.
+// it polled at the latest is kept: it may not be taken for expired too early. The
+// last poll of a process other than the one that is known is ignored too: the
+// host runs again.
 func (t *Tracker) Record(s Subscriber) {
 	if t.subscribers == nil {
 		t.subscribers = make(map[fleet.Host]Subscriber)
@@ -112,15 +116,25 @@
 		s.Heard = s.Seen
 	}
 	old, ok := t.subscribers[s.Host]
-	if ok && old.Seen.After(s.Seen) {
+	if s.Left && (!ok || s.Run != old.Run) {
+		return
+	}
+	// The times of two processes of a host, passed on by two relays, may be out
+	// of order, so a poll of another process counts after the last one.
+	restarted := ok && old.Left && s.Run != old.Run
+	if !ok || restarted {
+		t.subscribers[s.Host] = s
+		return
+	}
+	if old.Seen.After(s.Seen) {
 		s.Seen = old.Seen
 	}
-	if ok && s.Heard.Before(old.Heard) {
+	if s.Heard.Before(old.Heard) {
 		old.Seen = s.Seen
 		t.subscribers[s.Host] = old
 		return
 	}
-	if ok && s.Revision < old.Revision && s.Via != old.Via {
+	if s.Revision < old.Revision && s.Via != old.Via {
 		s.Revision = old.Revision // the other relay's report is older than the node's copy
 	}
 	t.subscribers[s.Host] = s
@@ -144,6 +158,16 @@
 	return out
 }
 
+// Present returns the number of subscribers that have not left.
+func (t *Tracker) Present() (n int) {
+	for _, s := range t.subscribers {
+		if !s.Left {
+			n++
+		}
+	}
+	return n
+}
+
 // LastSeen returns when host last polled; the zero time if it never did.
 func (t *Tracker) LastSeen(host fleet.Host) time.Time { return t.subscribers[host].Seen }
 
@@ -165,6 +189,9 @@
 func (t *Tracker) Progress(now time.Time, revision uint64, accepted time.Time) Progress {
 	p := Progress{By: accepted.Add(expired)}
 	for _, s := range t.subscribers {
+		if s.Left {
+			continue
+		}
 		if s.Revision >= revision {
 			p.Holding++
 		} else if now.Before(s.Seen.Add(expired)) {
