cmd/papayarock: show that the upgrade script needs requests to outlive SIGTERM

Cause: the script operations-upgrade had no variant, although it alone sends SIGTERM to a real entry while it answers a read. Change: a variant that ends the context of running requests with the process.

--- a/cmd/papayarock/off_variants_test.go
+++ b/cmd/papayarock/off_variants_test.go
@@ -3,9 +3,8 @@
 // withoutVariant lists scripts that stand for no mechanism of their own, with
 // what they stand for.
 var withoutVariant = map[string]string{
-	"operations-upgrade": "steps of docs/operations.md",
-	"operations-repair":  "steps of docs/operations.md",
-	"operations-chat":    "steps of docs/operations.md",
+	"operations-repair": "steps of docs/operations.md",
+	"operations-chat":   "steps of docs/operations.md",
 }
 
 const (
@@ -162,6 +161,13 @@
 			{"io/daemon/server.go", "	limited, cancel := context", "	if off.Is(\"entry drains\") {\n		return d.Close()\n	}\n	limited, cancel := context"},
 		},
 	},
+	"requests outlive SIGTERM": {
+		script: "operations-upgrade",
+		steps:  []string{"answer read"},
+		edits: []edit{
+			{"io/daemon/server.go", "	ctx = context.WithoutCancel(ctx)\n	var g", "	if !off.Is(\"requests outlive SIGTERM\") {\n		ctx = context.WithoutCancel(ctx)\n	}\n	var g"},
+		},
+	},
 	"agent waits": {
 		script: "promise-11-shutdown",
 		steps:  []string{"answer order-3"},
