internal/fake: end ready answers when an engine crashes

Cause: a crash failed only answers still being produced. On a busy machine an answer was ready before its first event was sent, and the crashed engine sent the rest (TestScenarios/fakes, once in ten runs under load).

Change: a stream ends when its engine crashes, ready or not.

Before: TestEngineCrashesInReadyAnswer fails. After: passes.

--- a/internal/fake/engine_answer.go
+++ b/internal/fake/engine_answer.go
@@ -145,8 +145,16 @@
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, j *job, offset int) {
 	defer e.leave(j)
 	w.Header().Set("Content-Type", j.format.contentType())
+	e.mu.Lock()
+	crashed := e.crashed
+	e.mu.Unlock()
 	sent := 0
 	for {
+		select {
+		case <-crashed: // also ends an answer that is ready and not sent whole
+			panic(http.ErrAbortHandler)
+		default:
+		}
 		frame, done, failed, changed := e.next(j, offset)
 		switch {
 		case failed:
--- a/internal/fake/engine_test.go
+++ b/internal/fake/engine_test.go
@@ -210,6 +210,25 @@
 	})
 }
 
+// Guards against an engine that goes on sending an answer that was ready when it
+// crashed.
+func TestEngineCrashesInReadyAnswer(t *testing.T) {
+	e := &fake.Engine{ResumeWindow: time.Minute}
+	bubble(t, e, func(t *testing.T, c caller) {
+		is := is.New(t)
+		_, _, err := c.post("/v1/completions", "a", "", completion("x", 10, true))
+		is.NoErr(err)
+		e.Set(func(f *fake.EngineFaults) { f.CrashAfterFrames = 1 })
+		resp, err := c.do(t.Context(), http.MethodGet, "/resume/a?offset=0", "", "", nil)
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+			is.True(err != nil) // the body ends early
+			_ = resp.Body.Close()
+		}
+		is.Equal(e.Counts().Crashes, 1)
+	})
+}
+
 // Guards against a cache without bound, and against events that are early or
 // have no gaps.
 func TestEngineCacheAndEvents(t *testing.T) {
