io/controller: move a node with the change to a relay without it

Cause: in a trial with copies that may go back, the test of the 4 s failed by its bounds only; no case led a node back to an older replica. Change: a case parts the relay, and loses the leader after the change; a node that knows only these two moves to the relay. Conclusion: the assertion that no copy goes back can fail.

--- a/io/controller/inforce_test.go
+++ b/io/controller/inforce_test.go
@@ -115,6 +115,10 @@
 		"leader, relay and node are lost":              {{-50 * time.Millisecond, cutRelay}, {0, cutNode}, {0, cutLeader}},
 		"relay ends, then the leader is lost":          {{-time.Second, endRelay}, {time.Second, cutLeader}},
 	}
+	// The node leader-then-relay has the change when it moves to a relay that lacks it.
+	cases["the relay is parted, the leader is lost after the change"] = []fault{
+		{-100 * time.Millisecond, partRelay}, {500 * time.Millisecond, cutLeader},
+	}
 	for name, faults := range cases {
 		t.Log(name)
 		inForceUnder(t, faults)
@@ -136,7 +140,7 @@
 	o := &observer{c: c, nodes: make(map[fleet.Host]*subscribe.Client), old: make(map[fleet.Host]time.Time), held: make(map[fleet.Host]uint64)}
 	all := []fleet.Host{"c1", "c2", "c3"}
 	for h, control := range map[fleet.Host][]fleet.Host{
-		"at-leader": {leader}, "at-relay": {"c4"}, "at-follower": {rest}, "silent": all,
+		"at-leader": {leader}, "at-relay": {"c4"}, "at-follower": {rest}, "leader-then-relay": {leader, "c4"}, "silent": all,
 		"relay-first": append([]fleet.Host{"c4"}, all...), "leader-first": append([]fleet.Host{leader}, all...),
 	} {
 		node, stop := c.client(h, control...)
