internal/fake: count ready answers that a crash cuts

Cause: an answer that was ready and not sent whole when its engine crashed was cut without being counted, so that fakes.txtar failed on a busy machine.

Change: the answer counts as interrupted; the edit follows the code.

--- a/cmd/papayarock/off_variants_test.go
+++ b/cmd/papayarock/off_variants_test.go
@@ -165,7 +165,7 @@
 		script: "operations-upgrade",
 		steps:  []string{"answer read"},
 		edits: []edit{
-			{"io/daemon/server.go", "	ctx = context.WithoutCancel(ctx)\n	var g", "	if !off.Is(\"requests outlive SIGTERM\") {\n		ctx = context.WithoutCancel(ctx)\n	}\n	var g"},
+			{"io/daemon/server.go", "	ctx = context.WithoutCancel(ctx)\n	ended", "	if !off.Is(\"requests outlive SIGTERM\") {\n		ctx = context.WithoutCancel(ctx)\n	}\n	ended"},
 		},
 	},
 	"agent waits": {
--- a/internal/fake/engine_answer.go
+++ b/internal/fake/engine_answer.go
@@ -152,6 +152,7 @@
 	for {
 		select {
 		case <-crashed: // also ends an answer that is ready and not sent whole
+			e.cutReady(j)
 			panic(http.ErrAbortHandler)
 		default:
 		}
@@ -179,6 +180,16 @@
 	}
 }
 
+// cutReady counts an answer that was ready when the engine crashed.
+func (e *Engine) cutReady(j *job) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !j.failed {
+		j.failed = true
+		e.counts.Interrupted++
+	}
+}
+
 // next returns the rest of the frame at offset.
 func (e *Engine) next(j *job, offset int) (frame []byte, done, failed bool, changed <-chan struct{}) {
 	e.mu.Lock()
--- a/internal/fake/engine_test.go
+++ b/internal/fake/engine_test.go
@@ -226,6 +226,7 @@
 			_ = resp.Body.Close()
 		}
 		is.Equal(e.Counts().Crashes, 1)
+		is.Equal(e.Counts().Interrupted, 1)
 	})
 }
 
