core/watch: tell slow, partitioned and dead targets apart

A target counted as lost when its agent had been silent for 5 s, also when entries were served by it, and operators saw no reason.

The leader judges each target in service from the agent's polls, its check of the target, and what entries met at the agent, which they report once a second and relays pass on. Only a target that is dead by its agent's silence becomes lost. A worse condition shows at once, well only after 5 s, so that a paused process and a link that is silent one way do not flap. targets list shows CONDITION and REASON, the dump what is not well.

TestHealth provokes each condition; TestOnlyDeadTargetIsLost and TestCluster cover the phase. The traffic of the reports was not measured.

--- a/core/dispatch/action.go
+++ b/core/dispatch/action.go
@@ -26,7 +26,8 @@
 // Seen is the last sign of a target.
 type Seen struct {
 	watch.Sign
-	At time.Time
+	At        time.Time
+	Condition watch.Condition
 }
 
 // Action is something the leader does next. An external action must end by its
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -19,9 +19,6 @@
 	leaseReserve = 10 * time.Millisecond
 	// retryDelay is the pause after an action that did not change the state.
 	retryDelay = time.Second
-	// lostAfter is how long an agent may be silent. It is longer than the pause
-	// of a process that is swapped or collected, and than a leader change.
-	lostAfter = 5 * time.Second
 	// orderGrace is how long after its deadline an order is still resent before
 	// its target counts as unknown.
 	orderGrace = 5 * time.Second
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -32,6 +32,7 @@
 	begun   int // orders carried out
 	refused int // orders refused because requests were running
 	silent  bool
+	lostAt  time.Time   // when the agent gives up an order to a silent engine; zero if the engine answers
 	view    fleet.Phase // phase in the agent's copy of the configuration
 }
 
@@ -158,6 +159,12 @@
 
 func (w *world) order(s dispatch.SendOrder) {
 	a := w.agents[s.Target.Name]
+	if !a.lostAt.IsZero() {
+		if !w.now.Before(a.lostAt) {
+			w.apply(state.AbandonOrder{Term: s.Order.Number.Term, Number: s.Order.Number, Target: s.Target.Name, Time: w.now})
+		}
+		return
+	}
 	verdict, done := a.fence.Offer(s.Order.Incarnation, s.Order.Number, s.Order.Content)
 	switch verdict {
 	case authority.Begin:
@@ -242,6 +249,42 @@
 	is.Equal(w.phase("t1"), fleet.Ready)
 }
 
+// Guards against a target that stays in phase draining when its engine goes
+// silent in a role change while the leader is cut off: a new leader must take
+// over the open order, and leave the phase once the agent has given it up.
+func TestSilentEngineInRoleChange(t *testing.T) {
+	tests := map[string]struct{ givenUp, draining time.Duration }{
+		"the agent gives the order up": {6 * time.Second, 12 * time.Second},
+		// The deadline of the order and the grace after it, as before.
+		"the agent waits": {time.Hour, 126 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(dispatch.Options{})
+			a := w.add("t1", "grade")
+			w.run(3 * time.Second)
+			a.lostAt = w.now.Add(tt.givenUp)
+			w.change(state.SetRole{Target: "t1", Role: fleet.Prefill, Until: w.now.Add(10 * time.Second)})
+			from := w.now
+			w.run(time.Second)
+			is.Equal(w.phase("t1"), fleet.Draining)
+			w.lease = false
+			w.run(4 * time.Second)
+			w.lease, w.d = true, dispatch.New(dispatch.Options{}) // the new leader
+			for w.phase("t1") == fleet.Draining && w.now.Sub(from) < time.Hour {
+				w.run(step)
+			}
+			is.Equal(w.phase("t1"), fleet.Unknown)
+			is.True(w.now.Sub(from) <= tt.draining)
+			a.lostAt = time.Time{}
+			w.run(20 * time.Second)
+			is.Equal(w.phase("t1"), fleet.Ready)
+			is.Equal(a.role, fleet.Prefill)
+		})
+	}
+}
+
 // Guards against a new version that takes all targets of a pool away at once.
 func TestUpgradeKeepsCapacity(t *testing.T) {
 	is := is.New(t)
@@ -342,6 +385,33 @@
 	is.Equal(len(dispatch.New(dispatch.Options{}).Step(w.now.Add(4*time.Second), gate, v)), 0)
 }
 
+// Guards against a target that is taken for lost although somebody reaches it,
+// and against one that stays in service although nobody does.
+func TestOnlyDeadTargetIsLost(t *testing.T) {
+	for c, lost := range map[watch.Condition]bool{watch.Partitioned: false, watch.Dead: true} {
+		t.Run(c.String(), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(dispatch.Options{})
+			a := w.add("t1", "grade")
+			w.run(3 * time.Second)
+			v := w.view()
+			v.Signs["t1"] = dispatch.Seen{
+				Sign: watch.Sign{Name: "t1", Incarnation: a.target.Incarnation, Ready: true},
+				At:   w.now.Add(-time.Minute), Condition: c,
+			}
+			gate := authority.Gate{Held: true, Term: 2, Expires: w.now.Add(2 * time.Second)}
+			found := false
+			for _, x := range dispatch.New(dispatch.Options{}).Step(w.now, gate, v) {
+				if p, ok := x.(dispatch.Propose); ok {
+					phase, ok := p.Command.(state.TargetPhase)
+					found = found || ok && phase.Phase == fleet.Lost
+				}
+			}
+			is.Equal(found, lost)
+		})
+	}
+}
+
 // Guards against actions without authority, and against an action whose
 // deadline lies after the end of the lease.
 func TestNoActionBeyondLease(t *testing.T) {
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -6,6 +6,7 @@
 	"papayarock/core/config"
 	"papayarock/core/fleet"
 	"papayarock/core/state"
+	"papayarock/core/watch"
 )
 
 // target decides what is due for one target. At most one thing is begun at a
@@ -38,8 +39,8 @@
 	}
 }
 
-// sign returns the last sign of the registered incarnation, and whether it is
-// recent. A target that this leader has not heard of yet counts as alive until
+// sign returns the last sign of the registered incarnation, and whether the
+// target counts as alive: the sign is recent, or others reach the target. A target that this leader has not heard of yet counts as alive until
 // its agent has had the time to poll.
 func (s *step) sign(r state.TargetRecord) (Seen, bool) {
 	sign := s.view.Signs[r.Target.Name]
@@ -50,7 +51,7 @@
 	if last.Before(s.view.Since) {
 		last = s.view.Since
 	}
-	return sign, s.now.Sub(last) <= lostAfter
+	return sign, s.now.Sub(last) <= watch.LostAfter || sign.Condition == watch.Partitioned
 }
 
 func (s *step) openOrder(r state.TargetRecord) {
--- /dev/null
+++ b/core/watch/health_test.go
@@ -0,0 +1,111 @@
+package watch_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"papayarock/core/fleet"
+	"papayarock/core/watch"
+)
+
+// Guards against a target that is slow, cut off or without its engine and is
+// taken for lost, against a dead one that is not, and against a condition that
+// changes with each pause of a process.
+func TestHealth(t *testing.T) {
+	met := func(entry fleet.Host, reached, failed float64) watch.Contact {
+		c := watch.Contact{Entry: entry, Target: "t"}
+		if reached > 0 {
+			c.Reached = at(reached)
+		}
+		if failed > 0 {
+			c.Failed = at(failed)
+		}
+		return c
+	}
+	polls := func(now float64) watch.Evidence { return watch.Evidence{Seen: at(now - 0.3), Ready: true} }
+	silentFrom := func(from float64) func(now float64) watch.Evidence {
+		return func(now float64) watch.Evidence { return watch.Evidence{Seen: at(min(now, from)), Ready: true} }
+	}
+	tests := map[string]struct {
+		evidence func(now float64) watch.Evidence
+		contacts func(now float64) []watch.Contact
+		changes  []watch.Condition // beginning with the first
+	}{
+		"well": {evidence: polls, changes: []watch.Condition{watch.Well}},
+		"dead": {evidence: silentFrom(10), changes: []watch.Condition{watch.Well, watch.Slow, watch.Dead}},
+		"dead, and entries fail too": {
+			evidence: silentFrom(10),
+			contacts: func(now float64) []watch.Contact { return []watch.Contact{met("e1", min(now, 10), now)} },
+			changes:  []watch.Condition{watch.Well, watch.Partitioned, watch.Slow, watch.Dead},
+		},
+		"cut off from control only": {
+			evidence: silentFrom(10),
+			contacts: func(now float64) []watch.Contact { return []watch.Contact{met("e1", now, 0)} },
+			changes:  []watch.Condition{watch.Well, watch.Partitioned},
+		},
+		"cut off with its relay": {
+			evidence: func(now float64) watch.Evidence {
+				return watch.Evidence{Seen: at(min(now, 10)), Ready: true, Relay: "r", RelaySeen: at(min(now, 10))}
+			},
+			changes: []watch.Condition{watch.Well, watch.Slow, watch.Partitioned, watch.Dead},
+		},
+		"a link to one entry is silent one way": {
+			evidence: polls,
+			contacts: func(now float64) []watch.Contact {
+				failed := now - float64(int(now)%20) // the entry tries every 20 s
+				return []watch.Contact{met("e1", 1, failed), met("e2", now, 0)}
+			},
+			changes: []watch.Condition{watch.Well, watch.Partitioned},
+		},
+		"the agent's link to control is silent one way": {
+			// Polls arrive, answers do not: the agent gives up each after 1.1 s.
+			evidence: func(now float64) watch.Evidence {
+				return watch.Evidence{Seen: at(1.2 * float64(int(now/1.2))), Ready: true}
+			},
+			changes: []watch.Condition{watch.Well},
+		},
+		"paused for 3 s again and again": {
+			evidence: func(now float64) watch.Evidence {
+				if now < 10 {
+					return polls(now)
+				}
+				return watch.Evidence{Seen: at(now - max(float64(int(now)%6)-2, 0)), Ready: true}
+			},
+			changes: []watch.Condition{watch.Well, watch.Slow},
+		},
+		"the engine ended": {
+			evidence: func(now float64) watch.Evidence { return watch.Evidence{Seen: at(now), Ready: now < 10} },
+			changes:  []watch.Condition{watch.Well, watch.Slow, watch.Dead},
+		},
+		"the engine came back": {
+			evidence: func(now float64) watch.Evidence {
+				return watch.Evidence{Seen: at(now), Ready: now < 10 || now > 12}
+			},
+			changes: []watch.Condition{watch.Well, watch.Slow, watch.Well},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var h watch.Health
+			var changes []watch.Condition
+			for now := 1.0; now < 90; now += 0.1 {
+				if tt.contacts != nil {
+					for _, c := range tt.contacts(now) {
+						h.Meet(c)
+					}
+				}
+				e := tt.evidence(now)
+				e.Target = "t"
+				j := h.Judge(at(now), e)
+				if len(changes) == 0 || changes[len(changes)-1] != j.Condition {
+					changes = append(changes, j.Condition)
+				}
+				if j.Condition != watch.Well && (j.Reason == "" || at(now).Sub(j.Since) < 0) {
+					t.Fatalf("%s since %v without a reason", j.Condition, j.Since)
+				}
+			}
+			is.New(t).Equal(changes, tt.changes)
+		})
+	}
+}
--- a/internal/command/lists.go
+++ b/internal/command/lists.go
@@ -25,7 +25,9 @@
 		column[t]{"RUNNING", func(t t) any { return t.Running }},
 		column[t]{"MODEL", func(t t) any { return t.Model }},
 		column[t]{"VERSION", func(t t) any { return t.Version }},
-		column[t]{"ORDER", func(t t) any { return t.Order }})
+		column[t]{"ORDER", func(t t) any { return t.Order }},
+		column[t]{"CONDITION", func(t t) any { return t.Condition }},
+		column[t]{"REASON", func(t t) any { return t.Reason }})
 }
 
 // Keys lists the keys, without the keys themselves.
--- a/io/controller/cluster_test.go
+++ b/io/controller/cluster_test.go
@@ -5,7 +5,9 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +19,7 @@
 	"papayarock/core/config"
 	"papayarock/core/fleet"
 	"papayarock/core/state"
+	"papayarock/core/watch"
 	"papayarock/internal/fake"
 	"papayarock/io/controller"
 	"papayarock/io/link"
@@ -203,6 +206,7 @@
 		"an isolated leader cannot keep an old configuration": isolatedLeaderCannotKeepOldConfiguration,
 		"an isolated leader commits nothing":                  isolatedLeaderCommitsNothing,
 		"operators race under an equal base":                  operatorsRace,
+		"a target cut off from control is not lost":           targetCutOffIsNotLost,
 		"a change that is too large":                          changeIsTooLarge,
 		"the configuration is read back":                      configurationIsReadBack,
 		"the planner acts on demand":                          plannerActsOnDemand,
@@ -283,6 +287,48 @@
 	is.True(change("after-a-silent-node") > 2*time.Second)
 }
 
+// Guards against a target that serves and is taken for lost because its agent
+// cannot reach control, and against one that is kept although nobody reaches it.
+func targetCutOffIsNotLost(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	defer c.stop()
+	await(t, "no leader", func() bool { return c.leader() != "" })
+	var served atomic.Bool
+	served.Store(true)
+	sign := watch.Sign{Name: "t1", Incarnation: 7, Ready: true}
+	agent, stopAgent := c.node(subscribe.Options{Host: "a1", Sign: func() watch.Sign { return sign }}, follower(c)...)
+	defer stopAgent()
+	entry, stopEntry := c.node(subscribe.Options{
+		Host: "e1", Demand: func() []subscribe.Demand { return nil },
+		Contacts: func() []watch.Contact {
+			if !served.Load() {
+				return nil
+			}
+			return []watch.Contact{{Target: "t1", Reached: time.Now()}}
+		},
+	}, follower(c)...)
+	defer stopEntry()
+	await(t, "the agent is not fresh", func() bool { return agent.Fresh(time.Now()) && entry.Fresh(time.Now()) })
+	phase := func() fleet.Phase {
+		x, _ := entry.Index.Load().Target("t1")
+		return x.Phase
+	}
+	is.NoErr(agent.Announce(t.Context(), fleet.Target{Name: "t1", Host: "a1", Kind: fleet.Service, Pool: "log", Incarnation: 7}))
+	await(t, "the target is not ready", func() bool { return phase() == fleet.Ready })
+	conditions := func() []watch.Judgement { return c.replicas[c.leader()].Dump().(controller.Dump).Conditions }
+	is.Equal(len(conditions()), 0)
+
+	c.isolate("a1")
+	time.Sleep(20 * time.Second)
+	is.Equal(phase(), fleet.Ready)
+	is.Equal(len(conditions()), 1)
+	is.Equal(conditions()[0].Condition, watch.Partitioned)
+	is.True(strings.Contains(conditions()[0].Reason, "e1"))
+	served.Store(false)
+	await(t, "the target is not lost", func() bool { return phase() == fleet.Lost })
+}
+
 func follower(c *cluster) []fleet.Host {
 	leader := c.leader()
 	for h := range c.replicas {
--- a/io/controller/confirm.go
+++ b/io/controller/confirm.go
@@ -115,6 +115,7 @@
 		m.Demand = append(m.Demand, wire.EncodeDemand(r, now))
 	}
 	c.reports = nil
+	m.Contacts = c.passContacts(now)
 	return m
 }
 
@@ -145,6 +146,7 @@
 		s.Via = host
 		c.tracker.Record(s)
 	}
+	c.meet("", m.GetContacts(), now)
 	for _, d := range m.GetDemand() {
 		c.report(wire.DecodeDemand(d, now))
 	}
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -72,6 +72,8 @@
 	copy    watch.Copy        // of a replica that does not lead
 	leading uint64            // term this replica leads, as far as the tracker goes
 	reports []capacity.Report // of demand, not yet passed on or taken in
+	health  watch.Health
+	met     []watch.Contact // not yet passed on
 
 	planning sync.Mutex // guards term and demand; never taken with mu held
 	term     *capacity.Term
@@ -224,7 +226,8 @@
 	Log         any
 	State       any
 	Subscribers []watch.Subscriber
-	Plan        *capacity.Shown // of the leader; nil on another replica
+	Conditions  []watch.Judgement // of the leader's targets, unless well
+	Plan        *capacity.Shown   // of the leader; nil on another replica
 }
 
 // Dump returns a copy of the state, of type Dump.
@@ -234,6 +237,11 @@
 	if shown, ok := c.shown(); ok {
 		d.Plan = &shown
 	}
+	for _, j := range c.judge(time.Now()) {
+		if j.Condition != watch.Well {
+			d.Conditions = append(d.Conditions, j)
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	d.Subscribers = c.tracker.Subscribers()
--- /dev/null
+++ b/io/controller/health.go
@@ -0,0 +1,77 @@
+package controller
+
+import (
+	"time"
+
+	"papayarock/core/fleet"
+	"papayarock/core/watch"
+	"papayarock/io/wire"
+)
+
+// maxMet bounds the contacts that wait to be passed on in one report. An entry
+// with 20 requests/s reports at most 20 targets a second.
+const maxMet = 2_000
+
+// meet notes what entries met at targets: those of one entry, or of many with
+// their names when a relay passes them on. It is called with mu held.
+func (c *Controller) meet(entry fleet.Host, list []*wire.ControlContact, now time.Time) {
+	for _, m := range list {
+		x := wire.DecodeContact(m, now)
+		if entry != "" {
+			x.Entry = entry // the name that the peer has proved
+			if len(c.met) < maxMet {
+				c.met = append(c.met, x)
+			}
+		}
+		if c.leading != 0 {
+			c.health.Meet(x)
+		}
+	}
+}
+
+// passContacts returns the contacts for the leader. It is called with mu held.
+func (c *Controller) passContacts(now time.Time) []*wire.ControlContact {
+	var out []*wire.ControlContact
+	for _, x := range c.met {
+		out = append(out, wire.EncodeContact(x, now))
+	}
+	c.met = nil
+	return out
+}
+
+// judge returns the condition of each target in service. Only the leader hears
+// of all agents and entries, so on other replicas there are none.
+func (c *Controller) judge(now time.Time) map[fleet.TargetName]watch.Judgement {
+	if _, _, held := c.group.Lease(); !held {
+		return nil
+	}
+	index, _ := c.machine.config()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.met = nil // of this replica's own entries; they are counted already
+	polls := make(map[fleet.TargetName]watch.Subscriber)
+	for _, s := range c.tracker.Subscribers() {
+		if s.Target.Name != "" {
+			polls[s.Target.Name] = s
+		}
+	}
+	out, known := make(map[fleet.TargetName]watch.Judgement), make(map[fleet.TargetName]bool)
+	for _, t := range index.Targets() {
+		if t.Phase != fleet.Ready && t.Phase != fleet.Draining && t.Phase != fleet.Leaving {
+			continue
+		}
+		known[t.Name] = true
+		e := watch.Evidence{Target: t.Name, Seen: c.tracker.Since, Ready: true}
+		if s, ok := polls[t.Name]; ok && s.Target.Incarnation == t.Incarnation {
+			if s.Seen.After(e.Seen) {
+				e.Seen = s.Seen
+			}
+			// A role change takes an engine out of service for seconds.
+			e.Ready = s.Target.Ready || t.Phase != fleet.Ready
+			e.Relay, e.RelaySeen = s.Via, c.tracker.LastSeen(s.Via)
+		}
+		out[t.Name] = c.health.Judge(now, e)
+	}
+	c.health.Keep(known)
+	return out
+}
--- a/io/controller/lead.go
+++ b/io/controller/lead.go
@@ -94,12 +94,13 @@
 
 // signs returns the last sign of each target.
 func (c *Controller) signs() map[fleet.TargetName]dispatch.Seen {
+	conditions := c.judge(time.Now())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := make(map[fleet.TargetName]dispatch.Seen)
 	for _, s := range c.tracker.Subscribers() {
 		if s.Target.Name != "" {
-			out[s.Target.Name] = dispatch.Seen{Sign: s.Target, At: s.Seen}
+			out[s.Target.Name] = dispatch.Seen{Sign: s.Target, At: s.Seen, Condition: conditions[s.Target.Name].Condition}
 		}
 	}
 	return out
--- a/io/controller/lists.go
+++ b/io/controller/lists.go
@@ -56,6 +56,7 @@
 
 func listTargets(c *Controller, i *state.Image) []operator.Target {
 	signs := c.signs()
+	conditions := c.judge(time.Now())
 	out := make([]operator.Target, 0, len(i.Targets))
 	for _, r := range i.Targets {
 		t := r.Target
@@ -65,6 +66,9 @@
 			Incarnation: uint64(t.Incarnation), Running: signs[t.Name].Running,
 			Model: r.Loaded.Model, Version: r.Loaded.Version,
 		}
+		if j, ok := conditions[t.Name]; ok {
+			item.Condition, item.Reason = j.Condition.String(), j.Reason
+		}
 		if r.Open != nil {
 			item.Order = r.Open.Number.String()
 		}
--- a/io/controller/poll.go
+++ b/io/controller/poll.go
@@ -88,6 +88,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tracker.Record(s)
+	c.meet(host, m.GetContacts(), s.Seen)
 	for _, d := range m.GetDemand() {
 		r := wire.DecodeDemand(d, s.Seen)
 		r.Entry = host
--- a/io/daemon/roles.go
+++ b/io/daemon/roles.go
@@ -126,7 +126,7 @@
 		policy.Configured(index)
 	} else {
 		client := p.client(subscribe.Options{
-			Log: p.log.Named("subscribe"), Demand: policy.Demand,
+			Log: p.log.Named("subscribe"), Demand: policy.Demand, Contacts: policy.Contacts,
 			Changed: func(x *config.Index) {
 				e.Configured(x)
 				policy.Configured(x)
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -202,6 +202,7 @@
 	end, ran, err := c.exchange()
 	*out = Outcome{Ending: end, Ended: time.Now(), FirstByte: c.sink.first, Bytes: c.assembly.Length, Load: c.load}
 	out.Status = int(c.sink.head.GetStatus())
+	out.Unreached = end == Lost || errors.Is(err, link.ErrUnreachable)
 	c.e.counts.stray.Add(c.assembly.Stray)
 	c.assembly.Stray = 0
 	if end == Answered {
--- a/io/entry/policy.go
+++ b/io/entry/policy.go
@@ -52,6 +52,7 @@
 	Ended     time.Time
 	Bytes     uint64
 	Load      *wire.Load // of the agent, nil if it sent none
+	Unreached bool       // the agent could not be reached, at first or again
 	// PromptTokens and OutputTokens are those billed; 0 if not known.
 	PromptTokens, OutputTokens uint64
 }
--- a/io/operator/types.go
+++ b/io/operator/types.go
@@ -85,6 +85,8 @@
 	Until       time.Time `json:"until,omitzero"`
 	Incarnation uint64    `json:"incarnation"`
 	Running     uint32    `json:"running"`
+	Condition   string    `json:"condition,omitempty"` // well, slow, partitioned or dead; of a target in service
+	Reason      string    `json:"reason,omitempty"`    // of a condition other than well
 	Model       string    `json:"model,omitempty"`
 	Version     string    `json:"version,omitempty"`
 	Order       string    `json:"order,omitempty"` // number of the open order
--- a/io/serving/policy.go
+++ b/io/serving/policy.go
@@ -16,6 +16,7 @@
 	"papayarock/core/retry"
 	"papayarock/core/route"
 	"papayarock/core/state"
+	"papayarock/core/watch"
 	"papayarock/io/link"
 )
 
@@ -72,9 +73,10 @@
 	flights map[fleet.RequestID]*flight
 	speeds  map[fleet.TargetName]speed
 	demand  map[demandKey]work
-	asked   time.Time // when the demand was last handed out
-	parts   uint32    // of state.ShareUnit
-	share   time.Time // end of the share
+	met     map[fleet.TargetName]watch.Contact // since Contacts was last called
+	asked   time.Time                          // when the demand was last handed out
+	parts   uint32                             // of state.ShareUnit
+	share   time.Time                          // end of the share
 }
 
 // speed is what a target reported, in tokens/s.
@@ -108,6 +110,7 @@
 		flights: make(map[fleet.RequestID]*flight),
 		speeds:  make(map[fleet.TargetName]speed),
 		demand:  make(map[demandKey]work),
+		met:     make(map[fleet.TargetName]watch.Contact),
 		parts:   state.ShareUnit,
 	}
 }
--- a/io/serving/policy_test.go
+++ b/io/serving/policy_test.go
@@ -196,3 +196,32 @@
 		}
 	})
 }
+
+// Guards against a report to control that takes a refusing agent for one that
+// cannot be reached, or repeats what was reported.
+func TestContacts(t *testing.T) {
+	outcomes := map[string]struct {
+		outcome         entry.Outcome
+		reached, failed bool
+	}{
+		"answered":      {entry.Outcome{Ending: entry.Answered, Status: 200}, true, false},
+		"engine failed": {entry.Outcome{Ending: entry.Failed}, true, false},
+		"refused":       {entry.Outcome{Ending: entry.NotRun}, false, false},
+		"no connection": {entry.Outcome{Ending: entry.NotRun, Unreached: true}, false, true},
+		"link lost":     {entry.Outcome{Ending: entry.Lost, Unreached: true}, false, true},
+		"cancelled":     {entry.Outcome{Ending: entry.Cancelled}, false, false},
+	}
+	for name, tt := range outcomes {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := serving.New(serving.Options{})
+			p.Ended(entry.Request{}, "t1", tt.outcome)
+			var reached, failed bool
+			for _, c := range p.Contacts() {
+				reached, failed = !c.Reached.IsZero(), !c.Failed.IsZero()
+			}
+			is.Equal([]bool{reached, failed}, []bool{tt.reached, tt.failed})
+			is.Equal(len(p.Contacts()), 0)
+		})
+	}
+}
--- a/io/subscribe/client.go
+++ b/io/subscribe/client.go
@@ -53,9 +53,10 @@
 	Links     *link.Pool
 	Addresses []link.Address // control replicas, nearest first
 	Host      fleet.Host
-	Sign      func() watch.Sign     // what an agent says of its target; nil on other nodes
-	Demand    func() []Demand       // work received since the last call; nil on other nodes
-	Changed   func(x *config.Index) // called with each new configuration, in order; may be nil
+	Sign      func() watch.Sign      // what an agent says of its target; nil on other nodes
+	Contacts  func() []watch.Contact // what an entry met at targets since the last call; nil on other nodes
+	Demand    func() []Demand        // work received since the last call; nil on other nodes
+	Changed   func(x *config.Index)  // called with each new configuration, in order; may be nil
 	Log       hclog.Logger
 }
 
@@ -167,6 +168,11 @@
 		return m
 	}
 	c.demanded = now
+	if c.o.Contacts != nil {
+		for _, x := range c.o.Contacts() {
+			m.Contacts = append(m.Contacts, wire.EncodeContact(x, now))
+		}
+	}
 	for _, d := range c.o.Demand() {
 		m.Demand = append(m.Demand, &wire.ControlDemand{
 			Pool: d.Pool, DataCentre: string(d.DataCentre), Class: uint32(d.Class),
