io/agent: give up an order to an engine that went silent

A target whose engine went silent in a role change stayed in phase draining: the agent waited for the answer to the order until the order's deadline (two minutes), and control leaves the phase only when the order has ended. A deterministic test of core/dispatch with a cut-off leader shows 125 s; the drain deadline, the new leader's view and the unknown state have no part in it.

The agent asks the engine for its state beside an order, and gives the order up as lost after three checks without any answer. In the same test the target leaves phase draining within 12 s and becomes ready with the new role once the engine answers. Without the change TestOrderToSilentEngineIsGivenUp does not end.

--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -113,6 +113,7 @@
 func (a *Agent) carryOut(o state.Order) {
 	ctx, cancel := context.WithDeadline(context.Background(), o.Deadline)
 	defer cancel()
+	go a.giveUpSilent(ctx, cancel)
 	r := a.instruct(ctx, o)
 	a.Log.Info("order ended", "number", o.Number, "outcome", r.outcome, "detail", r.detail)
 	a.mu.Lock()
--- a/io/agent/orders_test.go
+++ b/io/agent/orders_test.go
@@ -114,6 +114,25 @@
 	c.is.Equal(c.engine.Counts().OrderConflicts, 0)
 }
 
+// Guards against an order that waits for an engine that went silent until the
+// order's deadline: the target was out of service for up to two minutes.
+func TestOrderToSilentEngineIsGivenUp(t *testing.T) {
+	t.Parallel()
+	c := newCommanded(t, &fake.Engine{})
+	c.engine.Set(func(f *fake.EngineFaults) { f.Silent = true })
+	o := load(1, "v2")
+	o.Deadline = time.Now().Add(time.Hour) // beyond the time limit of the test
+	outcome := wire.ControlOrderAnswer_RUNNING
+	for outcome == wire.ControlOrderAnswer_RUNNING {
+		time.Sleep(100 * time.Millisecond)
+		outcome = c.send(o).GetOutcome()
+	}
+	c.is.Equal(outcome, wire.ControlOrderAnswer_LOST)
+	c.is.True(!c.read(2).GetKnown())
+	c.engine.Set(func(f *fake.EngineFaults) { f.Silent = false })
+	c.is.True(c.read(3).GetKnown())
+}
+
 // Guards against an order reported as failed, or done, when the engine crashed
 // halfway: only a read tells.
 func TestCrashInOrderLeavesTargetUnknown(t *testing.T) {
