io/controller: empty the pools between bubbles of the tests

go test -count=2 could crash with "select on synctest channel from outside bubble": yamux keeps timers in a sync.Pool, and one of an earlier bubble came up in the next. Two collections empty every sync.Pool, as the tests of io/link and io/entry already do.

--- a/io/controller/cluster_test.go
+++ b/io/controller/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -197,9 +198,20 @@
 	return s.Change(ctx, change)
 }
 
+// emptyPools empties every sync.Pool: the first collection moves the contents
+// aside, the second drops them. yamux keeps timers in a pool, and a timer of one
+// bubble must not be used in another.
+func emptyPools() {
+	runtime.GC()
+	runtime.GC()
+}
+
 // TestCluster runs its cases one after the other in one bubble, since yamux
-// keeps timers in a pool that must not be shared between bubbles.
+// keeps timers in a pool that must not be shared between bubbles. Another run of
+// the test finds the pool empty.
 func TestCluster(t *testing.T) {
+	emptyPools()
+	defer emptyPools()
 	cases := map[string]func(t *testing.T){
 		"a change reaches nodes":                              changeReachesNodes,
 		"a change does not wait for a node that left":         changeDoesNotWaitForLeaver,
