--- a/core/watch/report.go
+++ b/core/watch/report.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// quietAfter is how long after its last poll a subscriber is reported by
+	// listedAfter is how long after its last poll a subscriber is reported by
 	// itself, with the time of that poll. Polls are held for PollHold, and an
 	// answer and the next poll take up to 0.7 s on a loaded machine.
-	quietAfter = 1200 * time.Millisecond
+	listedAfter = 1200 * time.Millisecond
 	// speedStep is the relative change of a reported speed that is passed on.
 	speedStep = 0.1
 )
@@ -57,7 +57,7 @@
 		if x.Via != "" {
 			continue
 		}
-		x.Quiet = now.Sub(x.Seen) >= quietAfter
+		x.Quiet = now.Sub(x.Seen) >= listedAfter
 		if !x.Quiet && !x.Left && x.Seen.Before(r.Oldest) {
 			r.Oldest = x.Seen
 		}
--- a/io/controller/confirm.go
+++ b/io/controller/confirm.go
@@ -125,6 +125,7 @@
 	wire.EncodeReport(m, c.sender.Report(now, leader, c.tracker.Subscribers()), now)
 	c.addDemand(now, m)
 	c.addSums(now, m)
+	m.Contacts = c.passContacts(now)
 	return m
 }
 
@@ -169,6 +170,7 @@
 		s.Via = host
 		c.tracker.Record(s)
 	}
+	c.meet("", m.GetContacts(), now)
 	for _, d := range m.GetDemand() {
 		r := wire.DecodeDemand(d, now)
 		if r.Summed {
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -80,6 +80,8 @@
 	demanded time.Time                      // when their sums were last sent to a leader
 	board    summary.Board
 	summed   time.Time // when summaries were last sent to a leader
+	health   watch.Health
+	met      []watch.Contact // not yet passed on
 
 	planning sync.Mutex // guards term and demand; never taken with mu held
 	term     *capacity.Term
@@ -239,7 +241,8 @@
 	Log         any
 	State       any
 	Subscribers []watch.Subscriber
-	Plan        *capacity.Shown // of the leader; nil on another replica
+	Conditions  []watch.Judgement // of the leader's targets, unless well
+	Plan        *capacity.Shown   // of the leader; nil on another replica
 }
 
 // Dump returns a copy of the state, of type Dump.
@@ -249,6 +252,11 @@
 	if shown, ok := c.shown(); ok {
 		d.Plan = &shown
 	}
+	for _, j := range c.judge(time.Now()) {
+		if j.Condition != watch.Well {
+			d.Conditions = append(d.Conditions, j)
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	d.Subscribers = c.tracker.Subscribers()
--- a/io/daemon/roles.go
+++ b/io/daemon/roles.go
@@ -128,6 +128,7 @@
 	} else {
 		client := p.client(subscribe.Options{
 			Log: p.log.Named("subscribe"), Demand: policy.Demand, Summed: policy.Summarised, Wanted: policy.WantsSummaries,
+			Contacts: policy.Contacts,
 			Changed: func(x *config.Index) {
 				e.Configured(x)
 				policy.Configured(x)
--- a/io/serving/policy.go
+++ b/io/serving/policy.go
@@ -17,6 +17,7 @@
 	"papayarock/core/retry"
 	"papayarock/core/route"
 	"papayarock/core/state"
+	"papayarock/core/watch"
 	"papayarock/io/link"
 )
 
@@ -77,7 +78,8 @@
 	moves   uint64                      // of KV cache between engines
 	resyncs uint64                      // whole contents asked for after a gap
 	demand  map[demandKey]work
-	asked   time.Time // when the demand was last handed out
+	met     map[fleet.TargetName]watch.Contact // since Contacts was last called
+	asked   time.Time                          // when the demand was last handed out
 	limits  admit.Limits
 	parts   uint32    // of state.ShareUnit
 	share   time.Time // end of the share
@@ -118,6 +120,7 @@
 		speeds:  make(map[fleet.TargetName]speed),
 		cursors: make(map[fleet.TargetName]cursor),
 		demand:  make(map[demandKey]work),
+		met:     make(map[fleet.TargetName]watch.Contact),
 		parts:   state.ShareUnit,
 	}
 }
--- a/io/serving/policy_test.go
+++ b/io/serving/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -206,3 +207,66 @@
 		}
 	})
 }
+
+// Guards against a report to control that takes a refusing agent for one that
+// cannot be reached, or repeats what was reported.
+func TestContacts(t *testing.T) {
+	outcomes := map[string]struct {
+		outcome         entry.Outcome
+		reached, failed bool
+	}{
+		"answered":      {entry.Outcome{Ending: entry.Answered, Status: 200}, true, false},
+		"engine failed": {entry.Outcome{Ending: entry.Failed}, true, false},
+		"refused":       {entry.Outcome{Ending: entry.NotRun}, false, false},
+		"no connection": {entry.Outcome{Ending: entry.NotRun, Unreached: true}, false, true},
+		"link lost":     {entry.Outcome{Ending: entry.Lost, Unreached: true}, false, true},
+		"cancelled":     {entry.Outcome{Ending: entry.Cancelled}, false, false},
+	}
+	for name, tt := range outcomes {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := serving.New(serving.Options{})
+			p.Ended(entry.Request{}, "t1", tt.outcome)
+			var reached, failed bool
+			for _, c := range p.Contacts() {
+				reached, failed = !c.Reached.IsZero(), !c.Failed.IsZero()
+			}
+			is.Equal([]bool{reached, failed}, []bool{tt.reached, tt.failed})
+			is.Equal(len(p.Contacts()), 0)
+		})
+	}
+}
+
+// Guards against reports that grow with the fleet, and against a failure that is
+// dropped among targets that were reached.
+func TestContactsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var targets []fleet.Target
+	for i := range 30 {
+		targets = append(targets, ready(fleet.TargetName(fmt.Sprint("t", i))))
+	}
+	p := newPolicy(nil, configuration(targets...))
+	failed := make(map[fleet.TargetName]bool)
+	var met []fleet.TargetName
+	for i := range targets {
+		r := request(byte(i), "klang-port", 4)
+		r.Tried = met
+		t, ok := p.Pick(r, targets)
+		is.True(ok)
+		out := entry.Outcome{Ending: entry.Answered, Ended: time.Now()}
+		if i%3 == 0 { // 10 of them
+			failed[t.Name] = true
+			out = entry.Outcome{Ending: entry.Failed, Unreached: true, Ended: time.Now()}
+		}
+		p.Ended(r, t.Name, out)
+		met = append(met, t.Name)
+	}
+	for range 3 {
+		list := p.Contacts()
+		is.True(len(list) <= 8)
+		for _, c := range list {
+			delete(failed, c.Target)
+		}
+	}
+	is.Equal(len(failed), 0)
+}
