io/controller: wait for actions before a replica has stopped

Since the hand-over, Serve could return while actions of the leader still ran if the hand-over gave up waiting for them.

--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -119,6 +119,7 @@
 		c.handOver(running)
 	}
 	cancel()
+	c.actions.Wait()
 	return <-failed
 }
 
