--- a/cmd/papayarock/off_variants_test.go
+++ b/cmd/papayarock/off_variants_test.go
@@ -44,7 +44,7 @@
 				"io/controller/lead.go", "		lease := c.lease()\n",
 				"		lease := c.lease()\n		if lease.Held {\n			former = lease\n		} else if former.Held && (off.Is(\"lease\") || off.Is(\"lease and fence\")) {\n			lease = former\n			lease.Expires = time.Now().Add(10 * time.Second)\n		}\n",
 			},
-			{"core/dispatch/target.go", "	return sign, s.now.Sub(last) <= lostAfter\n", "	return sign, s.now.Sub(last) <= lostAfter || off.Is(\"lease\") || off.Is(\"lease and fence\")\n"},
+			{"core/dispatch/target.go", "	return sign, s.now.Sub(last) <= watch.LostAfter ||", "	return sign, s.now.Sub(last) <= watch.LostAfter || off.Is(\"lease\") || off.Is(\"lease and fence\") ||"},
 		},
 	},
 	"lease and fence": {
