core/state: send only the differences of a revised document

Each revision of the questionnaire put the whole document into the log, although it usually changes a few customers.

The machine applies the edit, computes the digest of the result and refuses the command as ChangeMismatch if it differs; such a refusal is not remembered, so that the same document may come again with the right edit, and control answers it as not committed. The content of a change is its digest without the edit, so that a repeated id gets its first answer after the configuration has changed. ReplaceDocument of existing logs applies as before.

A revision of a few customers no longer depends on the size of the team. The first apply of a large team still needs one entry.

--- /dev/null
+++ b/core/config/edit.go
@@ -0,0 +1,155 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayarock/core/fleet"
+)
+
+// Edit is what differs between two documents.
+type Edit struct {
+	General         *General // nil when unchanged
+	PutCustomers    []Customer
+	RemoveCustomers []fleet.Customer
+}
+
+// Edit returns what leads from the document of x to d, which must pass Check.
+func (x *Index) Edit(d Document) Edit {
+	var e Edit
+	present := make(map[fleet.Customer]bool, len(d.Customers))
+	for _, c := range d.Customers {
+		present[c.Name] = true
+		if old, ok := x.Customer(c.Name); !ok || old != c {
+			e.PutCustomers = append(e.PutCustomers, c)
+		}
+	}
+	for _, c := range x.Customers() {
+		if !present[c.Name] {
+			e.RemoveCustomers = append(e.RemoveCustomers, c.Name)
+		}
+	}
+	g := d.General()
+	g.Windows = slices.Clone(g.Windows)
+	for i, w := range g.Windows { // times of other zones compare as unequal
+		g.Windows[i].Opens, g.Windows[i].Closes = w.Opens.UTC(), w.Closes.UTC()
+	}
+	if !x.General.Equal(g) {
+		e.General = &g
+	}
+	return e
+}
+
+// Edited returns the document that e makes of the document of x.
+func (x *Index) Edited(e Edit) Document {
+	next, _ := x.Apply(Delta{ // a delta that starts at the held revision has no gap
+		From: x.Revision, To: x.Revision + 1,
+		General: e.General, RemoveCustomers: e.RemoveCustomers, PutCustomers: e.PutCustomers,
+	})
+	return next.Document()
+}
+
+// General returns the part of d without the customers.
+func (d Document) General() General {
+	return General{Team: d.Team, Routes: d.Routes, Models: d.Models, PoolModel: d.PoolModel, Windows: d.Windows, Budget: d.Budget}
+}
+
+// Document returns the generated part of the configuration, with the customers
+// by name.
+func (x *Index) Document() Document {
+	g := x.General
+	return Document{
+		Team: g.Team, Routes: g.Routes, Models: g.Models, PoolModel: g.PoolModel, Windows: g.Windows, Budget: g.Budget,
+		Customers: x.Customers(),
+	}
+}
+
+// The form types give a document the JSON text that its digest covers. Replicas
+// of later versions compute the digest again when they replay the log, so a
+// member that is added must be omitted when zero, and none may be renamed.
+type documentForm struct {
+	Team      string            `json:"team,omitzero"`
+	Customers []customerForm    `json:"customers,omitempty"`
+	Routes    []routeForm       `json:"routes,omitempty"`
+	Models    []modelForm       `json:"models,omitempty"`
+	PoolModel map[string]string `json:"pool-model,omitempty"`
+	Windows   []windowForm      `json:"windows,omitempty"`
+	Budget    budgetForm        `json:"budget,omitzero"`
+}
+
+type customerForm struct {
+	Name            fleet.Customer `json:"name,omitzero"`
+	Weight          uint32         `json:"weight,omitzero"`
+	TokensPerSecond float64        `json:"tokens-per-second,omitzero"`
+	RequestsPerSec  float64        `json:"requests-per-second,omitzero"`
+	Large           bool           `json:"large,omitzero"`
+}
+
+type routeForm struct {
+	Name       string        `json:"name,omitzero"`
+	Prefix     string        `json:"prefix,omitzero"`
+	Protocol   Protocol      `json:"protocol,omitzero"`
+	Pool       string        `json:"pool,omitzero"`
+	Class      fleet.Class   `json:"class,omitzero"`
+	Open       bool          `json:"open,omitzero"`
+	Idempotent bool          `json:"idempotent,omitzero"`
+	SafeReads  bool          `json:"safe-reads,omitzero"`
+	Promise    time.Duration `json:"promise,omitzero"`
+	FirstToken time.Duration `json:"first-token,omitzero"`
+}
+
+type modelForm struct {
+	Name    string `json:"name,omitzero"`
+	Version string `json:"version,omitzero"`
+	Bytes   uint64 `json:"bytes,omitzero"`
+}
+
+type windowForm struct {
+	Name     string    `json:"name,omitzero"`
+	Opens    time.Time `json:"opens,omitzero"`
+	Closes   time.Time `json:"closes,omitzero"`
+	Reserved float64   `json:"reserved,omitzero"`
+}
+
+type budgetForm struct {
+	HourlyCap       float64            `json:"hourly-cap,omitzero"`
+	PricePerHour    map[string]float64 `json:"price-per-hour,omitempty"`
+	StartDelay      time.Duration      `json:"start-delay,omitzero"`
+	MinimumPerPool  map[string]int     `json:"minimum-per-pool,omitempty"`
+	MaximumPerPool  map[string]int     `json:"maximum-per-pool,omitempty"`
+	RoleChangeDelay time.Duration      `json:"role-change-delay,omitzero"`
+}
+
+// Digest returns the SHA-256 of the document. The order of the customers does
+// not matter; equal documents have equal digests.
+func (d Document) Digest() ([sha256.Size]byte, error) {
+	f := documentForm{Team: d.Team, PoolModel: d.PoolModel, Budget: budgetForm(d.Budget)}
+	for _, c := range d.Customers {
+		f.Customers = append(f.Customers, customerForm(c))
+	}
+	slices.SortStableFunc(f.Customers, func(a, b customerForm) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	for _, r := range d.Routes {
+		f.Routes = append(f.Routes, routeForm(r))
+	}
+	for _, m := range d.Models {
+		f.Models = append(f.Models, modelForm(m))
+	}
+	for _, w := range d.Windows {
+		w.Opens, w.Closes = w.Opens.UTC(), w.Closes.UTC()
+		f.Windows = append(f.Windows, windowForm(w))
+	}
+	f.Budget.PricePerHour = make(map[string]float64, len(d.Budget.PricePerHour))
+	for pool, price := range d.Budget.PricePerHour {
+		f.Budget.PricePerHour[pool] = price + 0 // negative zero equals zero but has another text
+	}
+	b, err := json.Marshal(f)
+	if err != nil {
+		return [sha256.Size]byte{}, errors.Wrap(ErrDocument, err.Error())
+	}
+	return sha256.Sum256(b), nil
+}
--- a/core/config/index.go
+++ b/core/config/index.go
@@ -163,15 +163,11 @@
 
 // Snapshot lists the whole configuration in a fixed order.
 func (x *Index) Snapshot() Snapshot {
-	g := x.General
 	return Snapshot{
 		Revision: x.Revision, Cut: x.Cut, Revoked: x.Revoked,
-		Document: Document{
-			Team: g.Team, Routes: g.Routes, Models: g.Models, PoolModel: g.PoolModel, Windows: g.Windows, Budget: g.Budget,
-			Customers: x.Customers(),
-		},
-		Keys:    x.Keys(),
-		Targets: listed(&x.targets, func(a, b fleet.Target) int { return strings.Compare(string(a.Name), string(b.Name)) }),
+		Document: x.Document(),
+		Keys:     x.Keys(),
+		Targets:  listed(&x.targets, func(a, b fleet.Target) int { return strings.Compare(string(a.Name), string(b.Name)) }),
 	}
 }
 
--- a/core/state/change.go
+++ b/core/state/change.go
@@ -43,11 +43,14 @@
 	}
 	r := ChangeRecord{ID: c.ID, Digest: digest, Ref: ChangeRef{ID: c.ID, Operator: c.Operator, Time: c.Time}}
 	r.Result = m.decide(c)
+	if r.Result.Outcome == ChangeMismatch {
+		return r.Result // not remembered: the same document may come again with the right edit
+	}
 	if r.Result.Outcome == ChangeAccepted {
 		r.Ref.Revision = r.Result.Revision
 		m.changes.revision = r.Result.Revision
 		m.changes.audit = appendBounded(m.changes.audit, m.limits.audit, AuditEntry{
-			Change: c.ID, Operator: c.Operator, What: describe(c.Action), Time: c.Time, Revision: r.Result.Revision,
+			Change: c.ID, Operator: c.Operator, What: describe(m.config, c.Action), Time: c.Time, Revision: r.Result.Revision,
 		})
 	}
 	m.changes.remember(r, m.limits.changes)
@@ -61,7 +64,9 @@
 	case c.Base < m.changes.revision:
 		return ChangeResult{Outcome: ChangeConflict, Winner: m.changes.after(c.Base)}
 	}
-	if err := m.act(c); err != nil {
+	if err := m.act(c); errors.Is(err, errMismatch) {
+		return ChangeResult{Outcome: ChangeMismatch, Reason: err.Error()}
+	} else if err != nil {
 		return invalid(err)
 	}
 	m.commit()
@@ -78,6 +83,8 @@
 	switch a := c.Action.(type) {
 	case ReplaceDocument:
 		return m.replaceDocument(a.Document)
+	case EditDocument:
+		return m.editDocument(a)
 	case IssueKey:
 		return m.issueKey(a, c.Time)
 	case WithdrawKey:
@@ -110,7 +117,8 @@
 	return sha256.Sum256(b), nil
 }
 
-// undated replaces each deadline of an action by its distance from now.
+// undated replaces each deadline of an action by its distance from now, and
+// leaves of an edited document only the digest.
 func undated(a Action, now time.Time) Action {
 	relative := func(t time.Time) time.Time {
 		if t.IsZero() {
@@ -119,6 +127,9 @@
 		return time.Unix(0, 0).UTC().Add(t.Sub(now))
 	}
 	switch a := a.(type) {
+	case EditDocument:
+		a.Edit = config.Edit{} // the digest stands for the document; the edit depends on the state it was made from
+		return a
 	case DrainTarget:
 		a.Until = relative(a.Until)
 		return a
@@ -165,34 +176,48 @@
 	if err := config.Check(d); err != nil {
 		return err
 	}
-	present := make(map[fleet.Customer]bool, len(d.Customers))
-	for _, c := range d.Customers {
-		present[c.Name] = true
-		if old, ok := m.config.Customer(c.Name); !ok || old != c {
-			m.pending.PutCustomers = append(m.pending.PutCustomers, c)
-		}
+	e := m.config.Edit(d)
+	m.pending.General, m.pending.PutCustomers, m.pending.RemoveCustomers = e.General, e.PutCustomers, e.RemoveCustomers
+	if len(e.RemoveCustomers) == 0 {
+		return nil
 	}
-	removed := make(map[fleet.Customer]bool)
-	for _, c := range m.config.Customers() {
-		if !present[c.Name] {
-			removed[c.Name] = true
-			m.pending.RemoveCustomers = append(m.pending.RemoveCustomers, c.Name)
-		}
+	removed := make(map[fleet.Customer]bool, len(e.RemoveCustomers))
+	for _, c := range e.RemoveCustomers {
+		removed[c] = true
 	}
-	if len(removed) > 0 {
-		for _, k := range m.config.Keys() {
-			if removed[k.Customer] {
-				m.pending.RemoveKeys = append(m.pending.RemoveKeys, k.ID)
-			}
+	for _, k := range m.config.Keys() {
+		if removed[k.Customer] {
+			m.pending.RemoveKeys = append(m.pending.RemoveKeys, k.ID)
 		}
 	}
-	g := config.General{Team: d.Team, Routes: d.Routes, Models: d.Models, PoolModel: d.PoolModel, Windows: d.Windows, Budget: d.Budget}
-	if !m.config.General.Equal(g) {
-		m.pending.General = &g
-	}
 	return nil
 }
 
+// Edit returns the command that leads from the document of x to d. A document
+// that is refused goes as a whole, so that the machine's answer is remembered.
+func Edit(x *config.Index, d config.Document) (Action, error) {
+	if config.Check(d) != nil {
+		return ReplaceDocument{Document: d}, nil
+	}
+	digest, err := d.Digest()
+	return EditDocument{Edit: x.Edit(d), Digest: digest}, err
+}
+
+// errMismatch reports an edit that was computed against another document.
+var errMismatch = errors.New("the edit leads to a document with another digest")
+
+func (m *Machine) editDocument(a EditDocument) error {
+	d := m.config.Edited(a.Edit)
+	digest, err := d.Digest()
+	if err != nil {
+		return err
+	}
+	if digest != a.Digest {
+		return errMismatch
+	}
+	return m.replaceDocument(d)
+}
+
 func (m *Machine) issueKey(a IssueKey, now time.Time) error {
 	switch {
 	case a.ID == "" || len(a.ID) > maxNameBytes:
@@ -238,10 +263,14 @@
 	return nil
 }
 
-func describe(a Action) string {
+// describe says in the audit what an action did that led to x.
+func describe(x *config.Index, a Action) string {
 	switch a := a.(type) {
 	case ReplaceDocument:
 		return fmt.Sprintf("replace document: %d customers, %d routes", len(a.Document.Customers), len(a.Document.Routes))
+	case EditDocument:
+		return fmt.Sprintf("replace document: %d customers, %d routes; %d customers put, %d removed",
+			x.CustomerCount(), len(x.General.Routes), len(a.Edit.PutCustomers), len(a.Edit.RemoveCustomers))
 	case IssueKey:
 		return fmt.Sprintf("issue key %q to %q", a.ID, a.Customer)
 	case WithdrawKey:
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -26,8 +26,17 @@
 
 // ReplaceDocument replaces the generated part of the configuration. Keys of
 // customers that the new document lacks are removed with it.
+// It takes room in the log for the whole document; control sends EditDocument.
 type ReplaceDocument struct{ Document config.Document }
 
+// EditDocument replaces the generated part of the configuration as
+// ReplaceDocument does, but carries only what differs from it at the base of
+// the change.
+type EditDocument struct {
+	Edit   config.Edit
+	Digest [32]byte // config.Document.Digest of the resulting document
+}
+
 // IssueKey adds a key. Only the digest is known here.
 type IssueKey struct {
 	ID       string
@@ -245,6 +254,7 @@
 func (RegisterEntry) command()       {}
 
 func (ReplaceDocument) action() {}
+func (EditDocument) action()    {}
 func (IssueKey) action()        {}
 func (WithdrawKey) action()     {}
 func (RevokeHost) action()      {}
--- a/core/state/result.go
+++ b/core/state/result.go
@@ -20,6 +20,7 @@
 	ChangeConflict               // another change was accepted after Base; see Winner
 	ChangeIDReused               // the id names a change with other content; see Winner
 	ChangeInvalid                // see Reason
+	ChangeMismatch               // the edit leads to another document than its digest says; the id stays free
 )
 
 // ChangeRef names an accepted change.
--- a/core/state/search_check_test.go
+++ b/core/state/search_check_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"reflect"
 
+	"papayarock/core/config"
 	"papayarock/core/fleet"
 )
 
@@ -164,6 +165,17 @@
 		a.Until = start.Add(a.Until.Sub(c.Time))
 		c.Action = a
 	}
+	if a, ok := c.Action.(EditDocument); ok { // the digest names the document, whatever the edit was made from
+		if r.Outcome == ChangeMismatch {
+			return // not an answer: the id stays free
+		}
+		d, err := w.m.config.Document().Digest()
+		if first := r.Outcome == ChangeAccepted && w.m.config.Revision == r.Revision; first && (err != nil || d != a.Digest) {
+			w.failf("change %s made another document than its digest says", c.ID)
+		}
+		a.Edit = config.Edit{}
+		c.Action = a
+	}
 	c.Time = start
 	same := fmt.Sprintf("%+v", c)
 	if first, ok := k.answers[same]; ok {
--- a/core/state/search_test.go
+++ b/core/state/search_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"papayarock/core/authority"
+	"papayarock/core/config"
 	"papayarock/core/fleet"
 )
 
@@ -45,6 +46,7 @@
 	checks  checks
 	entries *entries
 	usage   *meters
+	seen    *config.Index // of an earlier command; an operator may make an edit from it
 }
 
 type span struct {
--- a/io/controller/cluster_test.go
+++ b/io/controller/cluster_test.go
@@ -219,6 +219,7 @@
 		"a change does not wait for a node that left":         changeDoesNotWaitForLeaver,
 		"an isolated leader cannot keep an old configuration": isolatedLeaderCannotKeepOldConfiguration,
 		"an isolated leader commits nothing":                  isolatedLeaderCommitsNothing,
+		"a revision carries only the differences":             revisionCarriesDifferences,
 		"operators race under an equal base":                  operatorsRace,
 		"a change that is too large":                          changeIsTooLarge,
 		"the configuration is read back":                      configurationIsReadBack,
--- a/io/controller/operator.go
+++ b/io/controller/operator.go
@@ -70,10 +70,6 @@
 		refuse(w, http.StatusBadRequest, "change", err)
 		return
 	}
-	if err := checkSize(change); err != nil {
-		refuse(w, http.StatusRequestEntityTooLarge, "too-large", err)
-		return
-	}
 	index, _ := c.machine.config()
 	if err := checkDrain(index, in); err != nil {
 		respond(w, http.StatusUnprocessableEntity, operator.ChangeAnswer{Outcome: operator.Invalid, Reason: err.Error()})
@@ -81,8 +77,20 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
 	defer cancel()
+	if a, ok := change.Action.(state.ReplaceDocument); ok {
+		if change.Action, err = c.editDocument(ctx, change.Base, a.Document); err != nil {
+			refuse(w, http.StatusServiceUnavailable, operator.ProblemNotCommitted, err)
+			return
+		}
+	}
+	if err := checkSize(change); err != nil {
+		refuse(w, http.StatusRequestEntityTooLarge, "too-large", err)
+		return
+	}
 	result, err := c.commitChange(ctx, change)
 	switch {
+	case err == nil && result.Outcome == state.ChangeMismatch:
+		refuse(w, http.StatusServiceUnavailable, operator.ProblemNotCommitted, errors.New(result.Reason))
 	case err == nil:
 		respond(w, statusOf(result.Outcome), answerOf(result))
 	case errors.Is(err, ErrNoLeader), errors.Is(err, replica.ErrNotLeader), errors.Is(err, replica.ErrNotCommitted):
--- a/io/controller/operator_test.go
+++ b/io/controller/operator_test.go
@@ -123,6 +123,35 @@
 	is.Equal(answers.Diff(d, answers.Generate(a).Document), []answers.Change{})
 }
 
+// Guards against a revision of the answers that takes the whole document through
+// the log, and against one that is answered anew when it is sent again after
+// the configuration changed.
+func revisionCarriesDifferences(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	defer c.stop()
+	await(t, "no leader", func() bool { return c.leader() != "" })
+	apply := func(id string, base uint64, customers int) (a operator.ChangeAnswer) {
+		text := string(examples.Terengganu)
+		for i := range customers {
+			text += fmt.Sprintf("\n[[customer]]\nname = \"more-%d\"\n", i)
+		}
+		c.ask(c.leader(), "ana", http.MethodPost, "/v1/changes", operator.Change{
+			ID: id, Base: base, Action: operator.ApplyAnswers, Answers: text,
+		}, &a)
+		return a
+	}
+	first := apply("first", 0, 3)
+	is.Equal(first.Outcome, operator.Accepted)
+	second := apply("second", first.Revision, 2)
+	is.Equal(second.Outcome, operator.Accepted)
+	is.Equal(apply("first", 0, 3), first)
+	is.Equal(apply("first", 0, 2).Outcome, operator.IDReused)
+	var audit operator.List[operator.Audit]
+	is.Equal(c.ask(c.leader(), "ana", http.MethodGet, "/v1/audit", nil, &audit), http.StatusOK)
+	is.True(strings.HasSuffix(audit.Items[1].What, "; 0 customers put, 1 removed"))
+}
+
 // Guards against operators who are told to send again what the log can never
 // accept.
 func changeIsTooLarge(t *testing.T) {
--- a/io/wire/bench_test.go
+++ b/io/wire/bench_test.go
@@ -66,6 +66,11 @@
 			d.Customers[0].Weight = uint32(1 + n%2)
 			return change(n, state.ReplaceDocument{Document: d})
 		},
+		"edit document": func(n int) state.Command {
+			d.Customers[0].Weight = uint32(1 + n%2)
+			edit, _ := state.Edit(m.Config(), d)
+			return change(n, edit)
+		},
 		"issue key": func(n int) state.Command {
 			id := fmt.Sprint("new ", n)
 			return change(n, state.IssueKey{ID: id, Digest: sha256.Sum256([]byte(id)), Customer: benchCustomer(0)})
@@ -247,6 +252,10 @@
 			b.ReportMetric(float64(largest), "piece-bytes")
 			document, _ := EncodeCommand(state.Change{ID: "x", Operator: "op", Action: state.ReplaceDocument{Document: d}})
 			b.ReportMetric(float64(len(document)), "document-bytes")
+			d.Customers[0].Weight++
+			edit, _ := state.Edit(m.Config(), d)
+			edited, _ := EncodeCommand(state.Change{ID: "x", Operator: "op", Action: edit})
+			b.ReportMetric(float64(len(edited)), "one-customer-bytes")
 			from := m.Config().Revision
 			issue(m, "one more", benchCustomer(0))
 			delta, _ := m.Delta(from)
--- a/io/wire/codec_command.go
+++ b/io/wire/codec_command.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"papayarock/core/config"
 	"papayarock/core/fleet"
 	"papayarock/core/state"
 )
@@ -106,6 +107,8 @@
 	switch a := c.Action.(type) {
 	case state.ReplaceDocument:
 		m.Action = &StateChange_ReplaceDocument{ReplaceDocument: encodeDocument(a.Document)}
+	case state.EditDocument:
+		m.Action = &StateChange_EditDocument{EditDocument: encodeEdit(a)}
 	case state.IssueKey:
 		m.Action = &StateChange_IssueKey{IssueKey: &StateIssueKey{Id: a.ID, Digest: a.Digest[:], Customer: string(a.Customer)}}
 	case state.WithdrawKey:
@@ -132,6 +135,18 @@
 	return m, nil
 }
 
+func encodeEdit(a state.EditDocument) *StateEditDocument {
+	m := &StateEditDocument{
+		PutCustomers:    mapped(a.Edit.PutCustomers, encodeCustomer),
+		RemoveCustomers: mapped(a.Edit.RemoveCustomers, text[fleet.Customer]),
+		Digest:          a.Digest[:],
+	}
+	if a.Edit.General != nil {
+		m.General = encodeGeneral(*a.Edit.General)
+	}
+	return m
+}
+
 func encodeContent(c state.Content) *StateContent {
 	if c == (state.Content{}) {
 		return nil
@@ -289,6 +304,8 @@
 	switch a := m.GetAction().(type) {
 	case *StateChange_ReplaceDocument:
 		return state.ReplaceDocument{Document: r.document(a.ReplaceDocument)}
+	case *StateChange_EditDocument:
+		return r.edit(a.EditDocument)
 	case *StateChange_IssueKey:
 		k := a.IssueKey
 		return state.IssueKey{ID: k.GetId(), Digest: r.bytes32("key digest", k.GetDigest()), Customer: customerName(k.GetCustomer())}
@@ -316,6 +333,18 @@
 	return nil
 }
 
+func (r *reader) edit(m *StateEditDocument) state.EditDocument {
+	a := state.EditDocument{Digest: r.bytes32("document digest", m.GetDigest()), Edit: config.Edit{
+		PutCustomers:    mapped(m.GetPutCustomers(), decodeCustomer),
+		RemoveCustomers: mapped(m.GetRemoveCustomers(), customerName),
+	}}
+	if m.GetGeneral() != nil {
+		g := r.general(m.GetGeneral())
+		a.Edit.General = &g
+	}
+	return a
+}
+
 func (r *reader) content(m *StateContent) state.Content {
 	return state.Content{
 		Model: m.GetModel(), Version: m.GetVersion(), Adapter: m.GetAdapter(),
--- a/io/wire/codec_result_test.go
+++ b/io/wire/codec_result_test.go
@@ -19,6 +19,7 @@
 			Status: 201, Headers: []state.Header{{Name: "Content-Type", Value: "text/plain"}}, Body: []byte("booked"),
 		}},
 		"change conflict": state.ChangeResult{Outcome: state.ChangeConflict, Winner: state.ChangeRef{ID: "c1", Operator: "ana", Revision: 4}},
+		"change mismatch": state.ChangeResult{Outcome: state.ChangeMismatch, Reason: "digest"},
 		"change invalid":  state.ChangeResult{Outcome: state.ChangeInvalid, Reason: "no such key"},
 		"target":          state.TargetResult{Outcome: state.TargetStale, Target: fleet.Target{Name: "t1", Incarnation: 3}, Revision: 8},
 		"usage":           state.UsageResult{Refused: []state.UsageID{{Node: "h1", Incarnation: 1, Sequence: 2}}, TooLate: []state.UsageID{{Node: "h2", Incarnation: 3, Sequence: 4}}},
--- a/io/wire/property_test.go
+++ b/io/wire/property_test.go
@@ -70,7 +70,14 @@
 		for i := range 1 + g.pick(4, "customers") {
 			d.Customers = append(d.Customers, config.Customer{Name: fleet.Customer(fmt.Sprintf("c%d", i)), Weight: uint32(1 + g.pick(2, "weight"))})
 		}
-		return state.ReplaceDocument{Document: d}
+		if g.pick(3, "whole") == 0 {
+			return state.ReplaceDocument{Document: d}
+		}
+		a, err := state.Edit(g.m.Config(), d)
+		if err != nil {
+			g.t.Fatal(err)
+		}
+		return a
 	case 1:
 		return state.IssueKey{ID: g.name("k", 6), Digest: config.Digest{byte(1 + g.pick(6, "digest"))}, Customer: fleet.Customer(g.name("c", 4))}
 	case 2:
--- a/io/wire/state_test.go
+++ b/io/wire/state_test.go
@@ -46,9 +46,13 @@
 		return state.Change{ID: "c1", Base: 3, Operator: "op", Time: at, Action: a}
 	}
 	number := fleet.OrderNumber{Term: 2, Sequence: 9}
+	general := sampleDocument().General()
 	content := state.Content{Model: "m", Version: "1", Adapter: "x", Role: fleet.Prefill}
 	return map[string]state.Command{
-		"replace document":     change(state.ReplaceDocument{Document: sampleDocument()}),
+		"replace document": change(state.ReplaceDocument{Document: sampleDocument()}),
+		"edit document": change(state.EditDocument{Digest: [32]byte{4}, Edit: config.Edit{
+			General: &general, PutCustomers: sampleDocument().Customers, RemoveCustomers: []fleet.Customer{"b"},
+		}}),
 		"issue key":            change(state.IssueKey{ID: "k", Digest: config.Digest{1}, Customer: "a"}),
 		"revoke host":          change(state.RevokeHost{Host: "h"}),
 		"withdraw key":         change(state.WithdrawKey{ID: "k", Cut: true}),
