core/state: send a document that exceeds a log entry in pieces

A document whose differences exceed a log entry, as in the first apply of a large team, was refused.

Control now splits such an edit into StageDocument commands under one change id and a last EditDocument. The first piece replaces what is staged. A piece out of order and a last piece without the others are answered ChangeMismatch, and control sends all again from the first after a drawn pause. A piece has the content digest of the whole change, so a repetition of a decided change gets its answer with the first piece.

The log no longer limits the team; config.MaxCustomers does. The general part must still fit one entry.

--- a/core/state/change.go
+++ b/core/state/change.go
@@ -42,28 +42,39 @@
 		return ChangeResult{Outcome: ChangeIDReused, Winner: r.Ref}
 	}
 	r := ChangeRecord{ID: c.ID, Digest: digest, Ref: ChangeRef{ID: c.ID, Operator: c.Operator, Time: c.Time}}
-	r.Result = m.decide(c)
-	if r.Result.Outcome == ChangeMismatch {
-		return r.Result // not remembered: the same document may come again with the right edit
+	r.Result = m.decide(c, digest)
+	if r.Result.Outcome == ChangeMismatch || r.Result.Outcome == ChangeStaged {
+		return r.Result // not remembered: the document has not been decided on
 	}
 	if r.Result.Outcome == ChangeAccepted {
 		r.Ref.Revision = r.Result.Revision
 		m.changes.revision = r.Result.Revision
+		m.staged = nil // its base is older than this change
 		m.changes.audit = appendBounded(m.changes.audit, m.limits.audit, AuditEntry{
-			Change: c.ID, Operator: c.Operator, What: describe(m.config, c.Action), Time: c.Time, Revision: r.Result.Revision,
+			Change: c.ID, Operator: c.Operator, What: describe(m.config, m.history.last(), c.Action), Time: c.Time, Revision: r.Result.Revision,
 		})
 	}
 	m.changes.remember(r, m.limits.changes)
 	return r.Result
 }
 
-func (m *Machine) decide(c Change) ChangeResult {
+func (m *Machine) decide(c Change, content [32]byte) ChangeResult {
 	switch {
 	case c.Base > m.config.Revision:
 		return invalid(errors.Errorf("base revision %d is above the current revision %d", c.Base, m.config.Revision))
 	case c.Base < m.changes.revision:
 		return ChangeResult{Outcome: ChangeConflict, Winner: m.changes.after(c.Base)}
 	}
+	if a, ok := c.Action.(StageDocument); ok {
+		return m.stage(c.ID, content, a)
+	}
+	if a, ok := c.Action.(EditDocument); ok && a.Pieces > 0 {
+		if !m.staged.holds(c.ID, content) || m.staged.Pieces != a.Pieces {
+			return ChangeResult{Outcome: ChangeMismatch, Reason: errPieces.Error()}
+		}
+		a.Edit = m.staged.with(a.Edit)
+		c.Action = a
+	}
 	if err := m.act(c); errors.Is(err, errMismatch) {
 		return ChangeResult{Outcome: ChangeMismatch, Reason: err.Error()}
 	} else if err != nil {
@@ -106,11 +117,12 @@
 // contentDigest covers what makes two changes the same; the time may differ
 // when a change is sent again, and with it the deadlines reckoned from it.
 func contentDigest(c Change) ([32]byte, error) {
+	action := undated(c.Action, c.Time)
 	b, err := json.Marshal(struct {
 		Base           uint64
 		Operator, Kind string
 		Action         Action
-	}{c.Base, c.Operator, fmt.Sprintf("%T", c.Action), undated(c.Action, c.Time)})
+	}{c.Base, c.Operator, fmt.Sprintf("%T", action), action})
 	if err != nil {
 		return [32]byte{}, errors.Wrap(err, "content of the change")
 	}
@@ -128,8 +140,9 @@
 	}
 	switch a := a.(type) {
 	case EditDocument:
-		a.Edit = config.Edit{} // the digest stands for the document; the edit depends on the state it was made from
-		return a
+		return EditDocument{Digest: a.Digest} // the edit depends on the state it was made from
+	case StageDocument:
+		return EditDocument{Digest: a.Digest} // a piece is a part of the same change
 	case DrainTarget:
 		a.Until = relative(a.Until)
 		return a
@@ -263,14 +276,14 @@
 	return nil
 }
 
-// describe says in the audit what an action did that led to x.
-func describe(x *config.Index, a Action) string {
+// describe says in the audit what an action did that led to x by d.
+func describe(x *config.Index, d config.Delta, a Action) string {
 	switch a := a.(type) {
 	case ReplaceDocument:
 		return fmt.Sprintf("replace document: %d customers, %d routes", len(a.Document.Customers), len(a.Document.Routes))
 	case EditDocument:
 		return fmt.Sprintf("replace document: %d customers, %d routes; %d customers put, %d removed",
-			x.CustomerCount(), len(x.General.Routes), len(a.Edit.PutCustomers), len(a.Edit.RemoveCustomers))
+			x.CustomerCount(), len(x.General.Routes), len(d.PutCustomers), len(d.RemoveCustomers))
 	case IssueKey:
 		return fmt.Sprintf("issue key %q to %q", a.ID, a.Customer)
 	case WithdrawKey:
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -35,6 +35,16 @@
 type EditDocument struct {
 	Edit   config.Edit
 	Digest [32]byte // config.Document.Digest of the resulting document
+	Pieces uint32   // staged before, to which Edit is the last; 0 when Edit is all
+}
+
+// StageDocument keeps one piece of an edit that exceeds a log entry. Its Change
+// has the id, base, operator and digest of the EditDocument that completes it.
+// Piece 0 replaces whatever is staged.
+type StageDocument struct {
+	Piece  uint32 // counted from 0
+	Edit   config.Edit
+	Digest [32]byte // as in EditDocument
 }
 
 // IssueKey adds a key. Only the digest is known here.
@@ -255,6 +265,7 @@
 
 func (ReplaceDocument) action() {}
 func (EditDocument) action()    {}
+func (StageDocument) action()   {}
 func (IssueKey) action()        {}
 func (WithdrawKey) action()     {}
 func (RevokeHost) action()      {}
--- a/core/state/document_test.go
+++ b/core/state/document_test.go
@@ -61,3 +61,88 @@
 	is.Equal(r.Config().Revision, before.Revision)
 	is.Equal(r.change("c2", before.Revision, r.edit("a", "b")).Outcome, ChangeAccepted)
 }
+
+// staged applies pieces and returns the last answer.
+func (r *rig) staged(id string, base uint64, parts ...Action) (out ChangeResult) {
+	for _, p := range parts {
+		out = r.change(id, base, p)
+	}
+	return out
+}
+
+// Guards against a document in pieces that takes effect before it is whole, in
+// another way than as a whole, or more than once, whatever happens between its
+// pieces.
+func TestPieces(t *testing.T) {
+	restore := func(r *rig) { r.Restore(r.Image()) }
+	tests := map[string]struct {
+		between func(r *rig, parts []Action) // before the last piece
+		want    ChangeOutcome
+	}{
+		"nothing":              {func(*rig, []Action) {}, ChangeAccepted},
+		"a new term":           {func(r *rig, _ []Action) { r.EnterTerm(9) }, ChangeAccepted},
+		"a target":             {func(r *rig, _ []Action) { r.ready("e1", 1) }, ChangeAccepted},
+		"snapshot and restore": {func(r *rig, _ []Action) { restore(r) }, ChangeAccepted},
+		"a repeated piece":     {func(r *rig, parts []Action) { r.staged("c", 0, parts[1], parts[2]) }, ChangeAccepted},
+		"all sent again":       {func(r *rig, parts []Action) { r.staged("c", 0, parts[:3]...) }, ChangeAccepted},
+		"the first repeated":   {func(r *rig, parts []Action) { r.staged("c", 0, parts[0]) }, ChangeMismatch},
+		"a piece lost":         {func(r *rig, parts []Action) { r.staged("c", 0, parts[0], parts[2]) }, ChangeMismatch},
+		"pieces of another": {func(r *rig, _ []Action) {
+			r.staged("d", 0, r.edit("x", "y", "z").Split(1)[0])
+		}, ChangeMismatch},
+		"another document under the id": {func(r *rig, _ []Action) {
+			r.staged("c", 0, r.edit("x", "y", "z").Split(1)[0])
+		}, ChangeMismatch},
+		"another change": {func(r *rig, _ []Action) { r.change("d", 0, r.edit("x")) }, ChangeConflict},
+		"just before the deadline": {func(r *rig, _ []Action) {
+			apply[TickResult](r, Tick{Now: start.Add(stagingTime - 1)})
+		}, ChangeAccepted},
+		"the deadline, after a restore": {func(r *rig, _ []Action) {
+			restore(r)
+			apply[TickResult](r, Tick{Now: start.Add(stagingTime)})
+		}, ChangeMismatch},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig()
+			apply[TickResult](r, Tick{Now: start})
+			parts := r.edit("a", "b", "c").Split(1)
+			is.Equal(len(parts), 4)
+			is.Equal(r.staged("c", 0, parts[:3]...).Outcome, ChangeStaged)
+			is.Equal(r.Config().Revision, uint64(0))
+			x.between(r, parts)
+			last := r.change("c", 0, parts[3])
+			is.Equal(last.Outcome, x.want)
+			if x.want == ChangeMismatch {
+				last = r.staged("c", 0, parts...)
+			}
+			if x.want == ChangeConflict {
+				is.Equal(r.change("c", 0, parts[0]), last)
+				return
+			}
+			is.Equal(last.Outcome, ChangeAccepted)
+			is.Equal(r.Config().CustomerCount(), 3)
+			is.Equal(r.Image().Staged, nil)
+			is.Equal(r.change("c", 0, parts[0]), last) // a repetition begins with the first piece
+			is.Equal(r.change("c", 0, parts[3]), last)
+			is.Equal(r.change("c", 0, r.edit("q").Split(1)[0]).Outcome, ChangeIDReused)
+		})
+	}
+}
+
+// Guards against pieces without bound in the state.
+func TestPiecesAreBounded(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.limits.stagedBytes = 1000
+	e := config.Edit{PutCustomers: document("a", "b", "c").Customers}
+	out := ChangeResult{Outcome: ChangeStaged}
+	n := uint32(0)
+	for ; n < 100 && out.Outcome == ChangeStaged; n++ {
+		out = r.change("c", 0, StageDocument{Piece: n, Edit: e})
+		is.True(r.Image().Staged.Bytes <= 1000)
+	}
+	is.Equal(out.Outcome, ChangeInvalid)
+	is.True(n > 2)
+}
--- a/core/state/history.go
+++ b/core/state/history.go
@@ -27,6 +27,14 @@
 	}
 }
 
+// last returns the latest delta, or none if it was too large to keep.
+func (h *history) last() config.Delta {
+	if len(h.deltas) == 0 {
+		return config.Delta{}
+	}
+	return h.deltas[len(h.deltas)-1]
+}
+
 func weight(d config.Delta) int {
 	n := 1 + d.Entries()
 	if d.General != nil {
--- a/core/state/image.go
+++ b/core/state/image.go
@@ -24,6 +24,7 @@
 	Claims           []ClaimRecord
 	Usage            UsageImage
 	Shares           []Share
+	Staged           *Staging // nil when nothing is staged
 }
 
 // ChangeRecord remembers the answer to a change.
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -21,6 +21,7 @@
 	pending  config.Delta // edits of the command being applied
 	history  history
 	changes  changes
+	staged   *Staging // nil when nothing is staged
 	targets  map[fleet.TargetName]*TargetRecord
 	platform platform
 	claims   claims
@@ -34,6 +35,7 @@
 type limits struct {
 	changes      int // remembered answers to operator changes
 	audit        int
+	stagedBytes  int
 	keys         int
 	targets      int
 	platform     int // platform orders, open and remembered
@@ -50,6 +52,7 @@
 var defaults = limits{
 	changes:      4096, // 1,700 changes a day: more than two days
 	audit:        4096,
+	stagedBytes:  8 << 20, // 16,384 customers put and as many removed, with the longest names, have 5.5 MB
 	keys:         65536,
 	targets:      4096, // 1,100 replicas and the gone ones of a day
 	platform:     4096,
@@ -181,7 +184,7 @@
 		m.now = c.Now
 	}
 	n := m.expireTargets() + m.platform.expire(m.now) + m.claims.expire(m.now)
-	n += m.usage.expire(m.now) + m.expireShares()
+	n += m.usage.expire(m.now) + m.expireShares() + m.expireStaged()
 	return TickResult{Now: m.now, Revision: m.publish(), Expired: n}
 }
 
--- a/core/state/result.go
+++ b/core/state/result.go
@@ -20,7 +20,8 @@
 	ChangeConflict               // another change was accepted after Base; see Winner
 	ChangeIDReused               // the id names a change with other content; see Winner
 	ChangeInvalid                // see Reason
-	ChangeMismatch               // the edit leads to another document than its digest says; the id stays free
+	ChangeMismatch               // the edit leads to another document than its digest says, or pieces of it are missing; the id stays free
+	ChangeStaged                 // the piece is kept; the configuration is as it was
 )
 
 // ChangeRef names an accepted change.
--- a/core/state/search_callers_test.go
+++ b/core/state/search_callers_test.go
@@ -202,6 +202,13 @@
 			}
 			c.Action, _ = Edit(x, d)
 			w.seen = w.m.Config()
+			if a, ok := c.Action.(EditDocument); ok && w.chance(50) { // in pieces, each with its own delays
+				for _, p := range a.Split(1) {
+					c.Action = p
+					w.forward(c, nil)
+				}
+				return
+			}
 		}
 	case 1:
 		c.Action = WithdrawKey{ID: fmt.Sprint("k", k)}
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -16,7 +16,7 @@
 		Config: m.config.Snapshot(), OperatorRevision: m.changes.revision,
 		Changes: slices.Clone(m.changes.records), Audit: slices.Clone(m.changes.audit),
 		Targets: m.Targets(), Platform: m.platform.records(), Claims: m.claims.records(),
-		Shares: m.shareList(),
+		Shares: m.shareList(), Staged: m.staged.clone(),
 	}
 	i.Usage.Open = m.usage.open()
 	i.Usage.Sealed = slices.Clone(m.usage.sealed)
@@ -32,6 +32,7 @@
 		config:  config.NewIndex(i.Config),
 		targets: make(map[fleet.TargetName]*TargetRecord, len(i.Targets)),
 		shares:  sharesByEntry(i.Shares),
+		staged:  i.Staged.clone(),
 	}
 	m.restoreChanges(i)
 	for _, t := range i.Targets {
--- a/io/controller/cluster_test.go
+++ b/io/controller/cluster_test.go
@@ -221,6 +221,8 @@
 		"an isolated leader commits nothing":                  isolatedLeaderCommitsNothing,
 		"a revision carries only the differences":             revisionCarriesDifferences,
 		"operators race under an equal base":                  operatorsRace,
+		"large teams race":                                    largeTeamsRace,
+		"a leader change between pieces":                      leaderChangesBetweenPieces,
 		"a change that is too large":                          changeIsTooLarge,
 		"the configuration is read back":                      configurationIsReadBack,
 		"the planner acts on demand":                          plannerActsOnDemand,
--- a/io/controller/operator.go
+++ b/io/controller/operator.go
@@ -83,11 +83,16 @@
 			return
 		}
 	}
-	if err := checkSize(change); err != nil {
-		refuse(w, http.StatusRequestEntityTooLarge, "too-large", err)
-		return
+	parts := pieces(change)
+	for _, a := range parts {
+		part := change
+		part.Action = a
+		if err := checkSize(part); err != nil {
+			refuse(w, http.StatusRequestEntityTooLarge, "too-large", err)
+			return
+		}
 	}
-	result, err := c.commitChange(ctx, change)
+	result, err := c.commitPieces(ctx, change, parts)
 	switch {
 	case err == nil && result.Outcome == state.ChangeMismatch:
 		refuse(w, http.StatusServiceUnavailable, operator.ProblemNotCommitted, errors.New(result.Reason))
--- a/io/wire/codec_command.go
+++ b/io/wire/codec_command.go
@@ -109,6 +109,8 @@
 		m.Action = &StateChange_ReplaceDocument{ReplaceDocument: encodeDocument(a.Document)}
 	case state.EditDocument:
 		m.Action = &StateChange_EditDocument{EditDocument: encodeEdit(a)}
+	case state.StageDocument:
+		m.Action = &StateChange_StageDocument{StageDocument: encodeEdit(state.EditDocument{Edit: a.Edit, Digest: a.Digest, Pieces: a.Piece})}
 	case state.IssueKey:
 		m.Action = &StateChange_IssueKey{IssueKey: &StateIssueKey{Id: a.ID, Digest: a.Digest[:], Customer: string(a.Customer)}}
 	case state.WithdrawKey:
@@ -140,6 +142,7 @@
 		PutCustomers:    mapped(a.Edit.PutCustomers, encodeCustomer),
 		RemoveCustomers: mapped(a.Edit.RemoveCustomers, text[fleet.Customer]),
 		Digest:          a.Digest[:],
+		Pieces:          a.Pieces,
 	}
 	if a.Edit.General != nil {
 		m.General = encodeGeneral(*a.Edit.General)
@@ -306,6 +309,9 @@
 		return state.ReplaceDocument{Document: r.document(a.ReplaceDocument)}
 	case *StateChange_EditDocument:
 		return r.edit(a.EditDocument)
+	case *StateChange_StageDocument:
+		e := r.edit(a.StageDocument)
+		return state.StageDocument{Piece: e.Pieces, Edit: e.Edit, Digest: e.Digest}
 	case *StateChange_IssueKey:
 		k := a.IssueKey
 		return state.IssueKey{ID: k.GetId(), Digest: r.bytes32("key digest", k.GetDigest()), Customer: customerName(k.GetCustomer())}
@@ -334,7 +340,7 @@
 }
 
 func (r *reader) edit(m *StateEditDocument) state.EditDocument {
-	a := state.EditDocument{Digest: r.bytes32("document digest", m.GetDigest()), Edit: config.Edit{
+	a := state.EditDocument{Digest: r.bytes32("document digest", m.GetDigest()), Pieces: m.GetPieces(), Edit: config.Edit{
 		PutCustomers:    mapped(m.GetPutCustomers(), decodeCustomer),
 		RemoveCustomers: mapped(m.GetRemoveCustomers(), customerName),
 	}}
--- a/io/wire/codec_image.go
+++ b/io/wire/codec_image.go
@@ -20,6 +20,7 @@
 		Claims:   mapped(i.Claims, encodeClaimRecord),
 		Usage:    encodeUsage(i.Usage),
 		Shares:   mapped(i.Shares, encodeShare),
+		Staged:   encodeStaging(i.Staged),
 	})
 }
 
@@ -40,6 +41,7 @@
 		Claims:   mapped(m.GetClaims(), r.claimRecord),
 		Usage:    decodeUsage(m.GetUsage()),
 		Shares:   mapped(m.GetShares(), decodeShare),
+		Staged:   r.staging(m.GetStaged()),
 	}
 	if r.err != nil {
 		return nil, r.err
@@ -47,6 +49,26 @@
 	return i, nil
 }
 
+func encodeStaging(s *state.Staging) *StateStaging {
+	if s == nil {
+		return nil
+	}
+	return &StateStaging{
+		Id: s.ID, Bytes: uint64(s.Bytes), Until: nanos(s.Until),
+		Edit: encodeEdit(state.EditDocument{Edit: s.Edit, Digest: s.Content, Pieces: s.Pieces}),
+	}
+}
+
+func (r *reader) staging(m *StateStaging) *state.Staging {
+	if m == nil {
+		return nil
+	}
+	e := r.edit(m.GetEdit())
+	return &state.Staging{
+		ID: m.GetId(), Content: e.Digest, Pieces: e.Pieces, Edit: e.Edit, Bytes: int(m.GetBytes()), Until: fromNanos(m.GetUntil()),
+	}
+}
+
 func encodeRef(c state.ChangeRef) *StateChangeRef {
 	if c == (state.ChangeRef{}) {
 		return nil
--- a/io/wire/codec_result.go
+++ b/io/wire/codec_result.go
@@ -47,7 +47,7 @@
 		return r.claimResult(x.Claim)
 	case *ControlResult_Change:
 		return state.ChangeResult{
-			Outcome:  enum(r, "change outcome", x.Change.GetOutcome(), state.ChangeMismatch),
+			Outcome:  enum(r, "change outcome", x.Change.GetOutcome(), state.ChangeStaged),
 			Revision: x.Change.GetRevision(), Winner: decodeRef(x.Change.GetWinner()), Reason: x.Change.GetReason(),
 		}
 	case *ControlResult_Target:
--- a/io/wire/property_test.go
+++ b/io/wire/property_test.go
@@ -77,6 +77,10 @@
 		if err != nil {
 			g.t.Fatal(err)
 		}
+		if e, ok := a.(state.EditDocument); ok && g.pick(2, "pieces") == 0 {
+			parts := e.Split(1)
+			return parts[g.pick(len(parts), "piece")]
+		}
 		return a
 	case 1:
 		return state.IssueKey{ID: g.name("k", 6), Digest: config.Digest{byte(1 + g.pick(6, "digest"))}, Customer: fleet.Customer(g.name("c", 4))}
--- a/io/wire/state_test.go
+++ b/io/wire/state_test.go
@@ -50,6 +50,9 @@
 	content := state.Content{Model: "m", Version: "1", Adapter: "x", Role: fleet.Prefill}
 	return map[string]state.Command{
 		"replace document": change(state.ReplaceDocument{Document: sampleDocument()}),
+		"stage document":   change(state.StageDocument{Piece: 2, Digest: [32]byte{4}, Edit: config.Edit{RemoveCustomers: []fleet.Customer{"b"}}}),
+		"first piece":      change(state.StageDocument{Digest: [32]byte{4}, Edit: config.Edit{General: &general}}),
+		"last piece":       change(state.EditDocument{Pieces: 3, Digest: [32]byte{4}, Edit: config.Edit{PutCustomers: sampleDocument().Customers}}),
 		"edit document": change(state.EditDocument{Digest: [32]byte{4}, Edit: config.Edit{
 			General: &general, PutCustomers: sampleDocument().Customers, RemoveCustomers: []fleet.Customer{"b"},
 		}}),
