core/state: check the answer to a piece after a gap

A trial without the check of the piece number passed the tests, since the number of pieces and the digest refuse the last piece as well.

--- a/core/state/document_test.go
+++ b/core/state/document_test.go
@@ -86,7 +86,11 @@
 		"a repeated piece":     {func(r *rig, parts []Action) { r.staged("c", 0, parts[1], parts[2]) }, ChangeAccepted},
 		"all sent again":       {func(r *rig, parts []Action) { r.staged("c", 0, parts[:3]...) }, ChangeAccepted},
 		"the first repeated":   {func(r *rig, parts []Action) { r.staged("c", 0, parts[0]) }, ChangeMismatch},
-		"a piece lost":         {func(r *rig, parts []Action) { r.staged("c", 0, parts[0], parts[2]) }, ChangeMismatch},
+		"a piece lost": {func(r *rig, parts []Action) {
+			if out := r.staged("c", 0, parts[0], parts[2]); out.Outcome != ChangeMismatch {
+				t.Errorf("a piece after a gap is answered %+v", out)
+			}
+		}, ChangeMismatch},
 		"pieces of another": {func(r *rig, _ []Action) {
 			r.staged("d", 0, r.edit("x", "y", "z").Split(1)[0])
 		}, ChangeMismatch},
