--- a/core/state/change.go
+++ b/core/state/change.go
@@ -42,26 +42,42 @@
 		return ChangeResult{Outcome: ChangeIDReused, Winner: r.Ref}
 	}
 	r := ChangeRecord{ID: c.ID, Digest: digest, Ref: ChangeRef{ID: c.ID, Operator: c.Operator, Time: c.Time}}
-	r.Result = m.decide(c)
+	r.Result = m.decide(c, digest)
+	if r.Result.Outcome == ChangeMismatch || r.Result.Outcome == ChangeStaged {
+		return r.Result // not remembered: the document has not been decided on
+	}
 	if r.Result.Outcome == ChangeAccepted {
 		r.Ref.Revision = r.Result.Revision
 		m.changes.revision = r.Result.Revision
+		m.staged = nil // its base is older than this change
 		m.changes.audit = appendBounded(m.changes.audit, m.limits.audit, AuditEntry{
-			Change: c.ID, Operator: c.Operator, What: describe(c.Action), Time: c.Time, Revision: r.Result.Revision,
+			Change: c.ID, Operator: c.Operator, What: describe(m.config, m.history.last(), c.Action), Time: c.Time, Revision: r.Result.Revision,
 		})
 	}
 	m.changes.remember(r, m.limits.changes)
 	return r.Result
 }
 
-func (m *Machine) decide(c Change) ChangeResult {
+func (m *Machine) decide(c Change, content [32]byte) ChangeResult {
 	switch {
 	case c.Base > m.config.Revision:
 		return invalid(errors.Errorf("base revision %d is above the current revision %d", c.Base, m.config.Revision))
 	case c.Base < m.changes.revision:
 		return ChangeResult{Outcome: ChangeConflict, Winner: m.changes.after(c.Base)}
 	}
-	if err := m.act(c); err != nil {
+	if a, ok := c.Action.(StageDocument); ok {
+		return m.stage(c.ID, content, a)
+	}
+	if a, ok := c.Action.(EditDocument); ok && a.Pieces > 0 {
+		if !m.staged.holds(c.ID, content) || m.staged.Pieces != a.Pieces {
+			return ChangeResult{Outcome: ChangeMismatch, Reason: errPieces.Error()}
+		}
+		a.Edit = m.staged.with(a.Edit)
+		c.Action = a
+	}
+	if err := m.act(c); errors.Is(err, errMismatch) {
+		return ChangeResult{Outcome: ChangeMismatch, Reason: err.Error()}
+	} else if err != nil {
 		return invalid(err)
 	}
 	m.commit()
@@ -78,6 +94,8 @@
 	switch a := c.Action.(type) {
 	case ReplaceDocument:
 		return m.replaceDocument(a.Document)
+	case EditDocument:
+		return m.editDocument(a)
 	case IssueKey:
 		return m.issueKey(a, c.Time)
 	case WithdrawKey:
@@ -99,18 +117,20 @@
 // contentDigest covers what makes two changes the same; the time may differ
 // when a change is sent again, and with it the deadlines reckoned from it.
 func contentDigest(c Change) ([32]byte, error) {
+	action := undated(c.Action, c.Time)
 	b, err := json.Marshal(struct {
 		Base           uint64
 		Operator, Kind string
 		Action         Action
-	}{c.Base, c.Operator, fmt.Sprintf("%T", c.Action), undated(c.Action, c.Time)})
+	}{c.Base, c.Operator, fmt.Sprintf("%T", action), action})
 	if err != nil {
 		return [32]byte{}, errors.Wrap(err, "content of the change")
 	}
 	return sha256.Sum256(b), nil
 }
 
-// undated replaces each deadline of an action by its distance from now.
+// undated replaces each deadline of an action by its distance from now, and
+// leaves of an edited document only the digest.
 func undated(a Action, now time.Time) Action {
 	relative := func(t time.Time) time.Time {
 		if t.IsZero() {
@@ -119,6 +139,10 @@
 		return time.Unix(0, 0).UTC().Add(t.Sub(now))
 	}
 	switch a := a.(type) {
+	case EditDocument:
+		return EditDocument{Digest: a.Digest} // the edit depends on the state it was made from
+	case StageDocument:
+		return EditDocument{Digest: a.Digest} // a piece is a part of the same change
 	case DrainTarget:
 		a.Until = relative(a.Until)
 		return a
@@ -165,34 +189,48 @@
 	if err := config.Check(d); err != nil {
 		return err
 	}
-	present := make(map[fleet.Customer]bool, len(d.Customers))
-	for _, c := range d.Customers {
-		present[c.Name] = true
-		if old, ok := m.config.Customer(c.Name); !ok || old != c {
-			m.pending.PutCustomers = append(m.pending.PutCustomers, c)
-		}
+	e := m.config.Edit(d)
+	m.pending.General, m.pending.PutCustomers, m.pending.RemoveCustomers = e.General, e.PutCustomers, e.RemoveCustomers
+	if len(e.RemoveCustomers) == 0 {
+		return nil
 	}
-	removed := make(map[fleet.Customer]bool)
-	for _, c := range m.config.Customers() {
-		if !present[c.Name] {
-			removed[c.Name] = true
-			m.pending.RemoveCustomers = append(m.pending.RemoveCustomers, c.Name)
-		}
+	removed := make(map[fleet.Customer]bool, len(e.RemoveCustomers))
+	for _, c := range e.RemoveCustomers {
+		removed[c] = true
 	}
-	if len(removed) > 0 {
-		for _, k := range m.config.Keys() {
-			if removed[k.Customer] {
-				m.pending.RemoveKeys = append(m.pending.RemoveKeys, k.ID)
-			}
+	for _, k := range m.config.Keys() {
+		if removed[k.Customer] {
+			m.pending.RemoveKeys = append(m.pending.RemoveKeys, k.ID)
 		}
 	}
-	g := config.General{Team: d.Team, Routes: d.Routes, Models: d.Models, PoolModel: d.PoolModel, Windows: d.Windows, Budget: d.Budget}
-	if !m.config.General.Equal(g) {
-		m.pending.General = &g
-	}
 	return nil
 }
 
+// Edit returns the command that leads from the document of x to d. A document
+// that is refused goes as a whole, so that the machine's answer is remembered.
+func Edit(x *config.Index, d config.Document) (Action, error) {
+	if config.Check(d) != nil {
+		return ReplaceDocument{Document: d}, nil
+	}
+	digest, err := d.Digest()
+	return EditDocument{Edit: x.Edit(d), Digest: digest}, err
+}
+
+// errMismatch reports an edit that was computed against another document.
+var errMismatch = errors.New("the edit leads to a document with another digest")
+
+func (m *Machine) editDocument(a EditDocument) error {
+	d := m.config.Edited(a.Edit)
+	digest, err := d.Digest()
+	if err != nil {
+		return err
+	}
+	if digest != a.Digest {
+		return errMismatch
+	}
+	return m.replaceDocument(d)
+}
+
 func (m *Machine) issueKey(a IssueKey, now time.Time) error {
 	switch {
 	case a.ID == "" || len(a.ID) > maxNameBytes:
@@ -238,10 +276,14 @@
 	return nil
 }
 
-func describe(a Action) string {
+// describe says in the audit what an action did that led to x by d.
+func describe(x *config.Index, d config.Delta, a Action) string {
 	switch a := a.(type) {
 	case ReplaceDocument:
 		return fmt.Sprintf("replace document: %d customers, %d routes", len(a.Document.Customers), len(a.Document.Routes))
+	case EditDocument:
+		return fmt.Sprintf("replace document: %d customers, %d routes; %d customers put, %d removed",
+			x.CustomerCount(), len(x.General.Routes), len(d.PutCustomers), len(d.RemoveCustomers))
 	case IssueKey:
 		return fmt.Sprintf("issue key %q to %q", a.ID, a.Customer)
 	case WithdrawKey:
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -26,8 +26,27 @@
 
 // ReplaceDocument replaces the generated part of the configuration. Keys of
 // customers that the new document lacks are removed with it.
+// It takes room in the log for the whole document; control sends EditDocument.
 type ReplaceDocument struct{ Document config.Document }
 
+// EditDocument replaces the generated part of the configuration as
+// ReplaceDocument does, but carries only what differs from it at the base of
+// the change.
+type EditDocument struct {
+	Edit   config.Edit
+	Digest [32]byte // config.Document.Digest of the resulting document
+	Pieces uint32   // staged before, to which Edit is the last; 0 when Edit is all
+}
+
+// StageDocument keeps one piece of an edit that exceeds a log entry. Its Change
+// has the id, base, operator and digest of the EditDocument that completes it.
+// Piece 0 replaces whatever is staged.
+type StageDocument struct {
+	Piece  uint32 // counted from 0
+	Edit   config.Edit
+	Digest [32]byte // as in EditDocument
+}
+
 // IssueKey adds a key. Only the digest is known here.
 type IssueKey struct {
 	ID       string
@@ -245,6 +264,8 @@
 func (RegisterEntry) command()       {}
 
 func (ReplaceDocument) action() {}
+func (EditDocument) action()    {}
+func (StageDocument) action()   {}
 func (IssueKey) action()        {}
 func (WithdrawKey) action()     {}
 func (RevokeHost) action()      {}
--- a/core/state/search_check_test.go
+++ b/core/state/search_check_test.go
@@ -164,6 +164,22 @@
 		a.Until = start.Add(a.Until.Sub(c.Time))
 		c.Action = a
 	}
+	if a, ok := c.Action.(EditDocument); ok { // the digest names the document, whatever the edit was made from
+		if r.Outcome == ChangeMismatch {
+			return // not an answer: the id stays free
+		}
+		d, err := w.m.config.Document().Digest()
+		if first := r.Outcome == ChangeAccepted && w.m.config.Revision == r.Revision; first && (err != nil || d != a.Digest) {
+			w.failf("change %s made another document than its digest says", c.ID)
+		}
+		c.Action = EditDocument{Digest: a.Digest}
+	}
+	if a, ok := c.Action.(StageDocument); ok {
+		if r.Outcome == ChangeStaged || r.Outcome == ChangeMismatch {
+			return
+		}
+		c.Action = EditDocument{Digest: a.Digest}
+	}
 	c.Time = start
 	same := fmt.Sprintf("%+v", c)
 	if first, ok := k.answers[same]; ok {
