core/admit: forget the overhead of first tokens while none arrives

Cause: the time to leave for a first token is learned from first tokens of urgent requests. After a few very late ones it exceeds the promise, every urgent request is refused as late when it is submitted, and nothing more is learned: the entry refuses urgent work for good.

Change: what was learned loses weight with the square of its age over 10 s, and the next first token counts for what was lost. The spread is taken from the new mean, as after a gap the old one is far off.

--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -144,6 +144,35 @@
 	is.Equal(q.Waiting(), 0)
 }
 
+// Guards against urgent work that is refused for good after a few first tokens
+// that came very late: while all of it is refused, no first token would show
+// that others come in time.
+func TestLateFirstTokens(t *testing.T) {
+	is := is.New(t)
+	q, n := queue(admit.Options{}), 0
+	ask := func(now time.Time) admit.Reason {
+		n++
+		u := submit(n, "a", fleet.Urgent)
+		u.FirstTokenBy = now.Add(330 * time.Millisecond)
+		u.Deadline = now.Add(time.Minute)
+		return q.Step(now, u)[0].Reason
+	}
+	end := func(now time.Time) {
+		q.Step(now, admit.FirstToken{ID: id(n)})
+		q.Step(now, admit.Done{ID: id(n), PromptTokens: 100, OutputTokens: 10})
+	}
+	now := start
+	is.Equal(ask(now), admit.Dispatch)
+	now = now.Add(20 * time.Second)
+	end(now)
+	is.Equal(ask(now), admit.Late) // the queues at the targets look long
+	now = now.Add(time.Minute)
+	is.Equal(ask(now), admit.Dispatch)
+	now = now.Add(50 * time.Millisecond)
+	end(now)
+	is.Equal(ask(now), admit.Dispatch) // one in time counts for more than those of a minute ago
+}
+
 // Guards against a limited customer that spends more than its share in one
 // pool or in two together, spends an expired one, or gains from shares that are
 // granted often.
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -200,7 +200,7 @@
 	i := &item{Submit: e, owner: c, output: q.estimates.of(e.Customer, e.Route, e.MaxOutput)}
 	i.prompt = e.PromptTokens * q.capacity.PrefillPrice
 	i.charged = i.prompt + i.output*q.capacity.DecodePrice
-	i.refuseAt = q.latestStart(i)
+	i.refuseAt = q.latestStart(now, i)
 	if c.limited {
 		if wait, ok := q.o.Limits.spend(now, c.name, i.PromptTokens+i.output); !ok {
 			q.refuse(e.ID, Limited, wait)
@@ -224,8 +224,8 @@
 
 // latestStart is the time after which handing the request over cannot keep its
 // promise.
-func (q *Queue) latestStart(i *item) time.Time {
-	prompt := time.Duration((i.prompt + q.overhead.bound()) * float64(time.Second))
+func (q *Queue) latestStart(now time.Time, i *item) time.Time {
+	prompt := time.Duration((i.prompt + q.overhead.bound(now)) * float64(time.Second))
 	by := i.Deadline.Add(-prompt)
 	if !i.FirstTokenBy.IsZero() && i.FirstTokenBy.Add(-prompt).Before(by) {
 		by = i.FirstTokenBy.Add(-prompt)
--- a/core/admit/run.go
+++ b/core/admit/run.go
@@ -13,7 +13,8 @@
 	drainWeight    = 0.2
 	drainInterval  = time.Second
 	overheadWeight = 0.05
-	minimumPrompts = 1.0 // prompts each target may always hold
+	trustOverhead  = 10 * time.Second // age at which what was learned of the overhead has lost 63% of its weight
+	minimumPrompts = 1.0              // prompts each target may always hold
 )
 
 // drain measures how fast waiting work is handed over, in price per second.
@@ -169,13 +170,25 @@
 
 // overhead follows the time from hand-over to first token beyond the price of
 // the prompt, in seconds, as moving averages.
-type overhead struct{ mean, spread float64 }
+type overhead struct {
+	mean, spread float64
+	learned      time.Time
+}
 
 // bound is the time to leave for it. The mean alone let p99 of the first token
 // rise to 444 ms against a promise of 330 ms; mean plus a whole mean deviation
 // refused requests that would have been in time (goodput 97.1 to 93.8% under a
-// swing).
-func (o overhead) bound() float64 { return math.Max(0, o.mean+o.spread/2) }
+// swing). It loses weight while nothing is learned: a bound above the promise
+// refuses all urgent work, so that nothing would show that it has become wrong.
+func (o overhead) bound(now time.Time) float64 {
+	return math.Max(0, o.mean+o.spread/2) * o.trust(now)
+}
+
+// trust stays near 1 over the usual gap between two first tokens.
+func (o overhead) trust(now time.Time) float64 {
+	age := float64(now.Sub(o.learned)) / float64(trustOverhead)
+	return math.Exp(-age * age)
+}
 
 // learnOverhead follows how long first tokens of urgent requests take beyond
 // the price of their prompts: queues at the targets, batches and the network.
@@ -185,8 +198,10 @@
 	}
 	x := now.Sub(i.handed).Seconds() - i.prompt
 	o := &q.overhead
-	o.spread += overheadWeight * (math.Abs(x-o.mean) - o.spread)
-	o.mean += overheadWeight * (x - o.mean)
+	w := math.Max(overheadWeight, 1-o.trust(now))
+	o.learned = now
+	o.mean += w * (x - o.mean)
+	o.spread += w * (math.Abs(x-o.mean) - o.spread)
 }
 
 func (q *Queue) firstToken(i *item) {
