core/route: keep KV cache in its region

Change: a decode engine in another region processes the prompt itself. Choice.MoveKV tells the entry, and the prompt counts in the estimate. Within a region the KV cache moves as before.

--- a/core/route/event.go
+++ b/core/route/event.go
@@ -119,6 +119,8 @@
 	FirstTokenBy time.Time        // promise; zero means none
 	Prefix       []uint64         // hashes of the prompt's prefixes in blocks of Options.BlockTokens, shortest first
 	Tried        []fleet.TargetName
+
+	region fleet.Region // of Near, once no target there can decode
 }
 
 // Choice is a chosen target. It is passed back in the Outcome.
@@ -132,6 +134,7 @@
 	Decode   float64       // and after it
 	Probe    bool          // the one attempt that tests an ejected target
 	Crosses  bool          // leaves the region
+	MoveKV   bool          // with Near: the KV cache moves to the target, which processes the prompt itself otherwise
 
 	incarnation fleet.Incarnation
 }
--- a/core/route/move_test.go
+++ b/core/route/move_test.go
@@ -51,3 +51,34 @@
 	load(at, 2000)
 	is.True(pick(at).HandOver) // tried again
 }
+
+// Guards against KV cache that leaves its region, against a prompt that is
+// processed twice within it, and against a repeated prompt that is not counted.
+func TestMoveStaysInRegion(t *testing.T) {
+	for name, c := range map[string]struct {
+		decode fleet.DataCentre
+		region fleet.Region
+		move   bool
+	}{
+		"own data centre": {"dc0", "r0", true},
+		"own region":      {"dc1", "r0", true},
+		"other region":    {"far", "far", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRouter()
+			targets := engines(3, 1)
+			targets[0].Role, targets[1].Role, targets[2].Role = fleet.Prefill, fleet.Decode, fleet.Decode
+			targets[1].Phase = fleet.Draining
+			targets[2].DataCentre, targets[2].Region = c.decode, c.region
+			r.Step(start, route.Configure{Targets: targets})
+			q := request(1000, time.Hour)
+			q.Stage, q.Near = route.Decode, "dc0"
+			got, err := r.Pick(start, q)
+			is.NoErr(err)
+			is.Equal(got.Target, targets[2].Name)
+			is.Equal(got.MoveKV, c.move)
+			is.Equal(got.Prefill == 0, c.move)
+		})
+	}
+}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -36,6 +36,7 @@
 		if c, err := r.pickNear(now, q, p); err == nil {
 			return c, nil
 		}
+		q.region = r.regionOf(q.Near)
 	}
 	entry, tokens := r.longest(q.Prefix)
 	best, bestGroup := candidate{slot: -1, score: math.Inf(1)}, int32(-1)
@@ -78,6 +79,23 @@
 	return Choice{}, ErrNoTarget
 }
 
+// regionOf returns the region of a data centre, or "" if it has no target.
+func (r *Router) regionOf(d fleet.DataCentre) fleet.Region {
+	for i := range r.targets {
+		if r.targets[i].DataCentre == d {
+			return r.targets[i].Region
+		}
+	}
+	return ""
+}
+
+// movesKV says whether the KV cache of a prompt moves to the target that decodes
+// it. It doesn't leave its region: it is thousands of times the size of the
+// prompt, which the target can process itself.
+func (t *target) movesKV(q Request) bool {
+	return q.Stage == Decode && q.Near != "" && (q.region == "" || q.region == t.Region)
+}
+
 // keeps says whether a candidate is expected to keep the promise.
 func (r *Router) keeps(now time.Time, q Request, c candidate, gi int32) bool {
 	if q.FirstTokenBy.IsZero() {
@@ -191,7 +209,7 @@
 	if t.Kind == fleet.Service {
 		return work{prefill: t.service / float64(max(t.Slots, 1))}
 	}
-	if q.Stage == Start {
+	if q.Stage == Start || q.Near != "" && !t.movesKV(q) {
 		w.prefill = (q.PromptTokens - held) / t.prefill
 	}
 	if q.Stage == Decode || t.Role == fleet.Mixed {
@@ -217,6 +235,7 @@
 	}
 	return Choice{
 		Target: t.Name, Agent: t.Agent, HandOver: handOver, Sent: now, Prefill: c.work.prefill, Decode: c.work.decode, Probe: c.probe, Crosses: g.distance == 2,
+		MoveKV:      t.movesKV(q),
 		Expected:    time.Duration((c.wait + 2*g.delay.Seconds()) * float64(time.Second)),
 		incarnation: t.Incarnation,
 	}
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -32,8 +32,9 @@
 	// HandsOver says whether the target picked last for r processes the prompt
 	// only, and how long it is expected to take.
 	HandsOver(r Request) (expected time.Duration, ok bool)
-	// PickDecode chooses the target that answers a prompt processed at prefill.
-	PickDecode(r Request, prefill fleet.Target, targets []fleet.Target) (fleet.Target, bool)
+	// PickDecode chooses the target that answers a prompt processed at prefill,
+	// and says whether the KV cache moves there.
+	PickDecode(r Request, prefill fleet.Target, targets []fleet.Target) (t fleet.Target, move, ok bool)
 	// Moved reports KV cache that went between targets, whole or not.
 	Moved(r Request, from, to fleet.TargetName, bytes uint64, took time.Duration, whole bool)
 }
@@ -62,11 +63,13 @@
 		out.Ending = Failed
 	}
 	h.Ended(c.request, t.Name, out)
-	decode, ok := h.PickDecode(c.request, t, c.e.Config.Load().Pool(c.admitted.route.Pool))
+	decode, move, ok := h.PickDecode(c.request, t, c.e.Config.Load().Pool(c.admitted.route.Pool))
 	if !ok {
 		return fleet.Target{}, false
 	}
-	c.moved(h, t, decode, err)
+	if move {
+		c.moved(h, t, decode, err)
+	}
 	return decode, true
 }
 
@@ -99,7 +102,10 @@
 		return t, func() {}, true
 	}
 	h.Ended(c.request, t.Name, Outcome{Ending: Cancelled, Ended: time.Now()})
-	decode, ok := h.PickDecode(c.request, t, pool)
+	decode, move, ok := h.PickDecode(c.request, t, pool)
+	if !move {
+		return decode, func() {}, ok
+	}
 	return decode, func() { c.moved(h, t, decode, c.prefill(t, prefillLimit(expected))) }, ok
 }
 
--- a/io/serving/handover.go
+++ b/io/serving/handover.go
@@ -20,8 +20,8 @@
 	return f.choice.Expected, true
 }
 
-// PickDecode chooses the target that answers.
-func (p *Policy) PickDecode(r entry.Request, prefill fleet.Target, targets []fleet.Target) (fleet.Target, bool) {
+// PickDecode chooses the target that answers. KV cache does not leave its region.
+func (p *Policy) PickDecode(r entry.Request, prefill fleet.Target, targets []fleet.Target) (t fleet.Target, move, ok bool) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -30,17 +30,17 @@
 		OutputTokens: float64(r.MaxOutput), FirstTokenBy: firstTokenBy(r), Tried: r.Tried,
 	})
 	if err != nil {
-		return fleet.Target{}, false
+		return fleet.Target{}, false, false
 	}
 	for _, t := range targets {
 		if t.Name == choice.Target {
 			p.chose(now, r.ID, choice)
 			p.flights[r.ID].decode = true
-			return t, true
+			return t, choice.MoveKV, true
 		}
 	}
 	p.router.Step(now, route.Outcome{Choice: choice, Result: route.Cancelled})
-	return fleet.Target{}, false
+	return fleet.Target{}, false, false
 }
 
 // Moved tells the router what it cost to move KV cache.
