io: let tests of links, groups and control share their set-up

Cause: the connections in memory, the emptying of yamux pools and the start of a group of three stood in several tests. No check is changed.

--- a/io/controller/cluster_test.go
+++ b/io/controller/cluster_test.go
@@ -4,13 +4,11 @@
 	"context"
 	"net"
 	"net/netip"
-	"runtime"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -22,6 +20,7 @@
 	"papayarock/core/state"
 	"papayarock/core/watch"
 	"papayarock/internal/fake"
+	"papayarock/internal/memlink"
 	"papayarock/io/controller"
 	"papayarock/io/link"
 	"papayarock/io/subscribe"
@@ -214,20 +213,9 @@
 	return s.Change(ctx, change)
 }
 
-// emptyPools empties every sync.Pool: the first collection moves the contents
-// aside, the second drops them. yamux keeps timers in a pool, and a timer of one
-// bubble must not be used in another.
-func emptyPools() {
-	runtime.GC()
-	runtime.GC()
-}
-
-// TestCluster runs its cases one after the other in one bubble, since yamux
-// keeps timers in a pool that must not be shared between bubbles. Another run of
-// the test finds the pool empty.
+// TestCluster runs its cases one after the other in one bubble, which saves the
+// collections between bubbles.
 func TestCluster(t *testing.T) {
-	emptyPools()
-	defer emptyPools()
 	cases := map[string]func(t *testing.T){
 		"a change reaches nodes":                              changeReachesNodes,
 		"a change is in force in time":                        changeIsInForceInTime,
@@ -246,7 +234,7 @@
 		"hosts join and leave":                                hostsJoinAndLeave,
 		"a lost voter is replaced":                            lostVoterIsReplaced,
 	}
-	synctest.Test(t, func(t *testing.T) {
+	memlink.Bubble(t, func(t *testing.T) {
 		for name, run := range cases {
 			t.Log(name)
 			run(t)
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -5,8 +5,6 @@
 	"io"
 	"net"
 	"net/netip"
-	"runtime"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -20,50 +18,14 @@
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"papayarock/core/fleet"
+	"papayarock/internal/memlink"
 	"papayarock/io/identity"
 	"papayarock/io/link"
 )
 
-// bubble runs f under synctest. yamux keeps timers in a global pool; two
-// collections empty it, so that no timer passes from one bubble to the next.
-func bubble(t *testing.T, f func(t *testing.T)) {
-	t.Helper()
-	empty := func() { runtime.GC(); runtime.GC() }
-	empty()
-	synctest.Test(t, f)
-	empty()
-}
-
-// pipes is a listener whose connections are made in memory.
-type pipes struct {
-	conns chan net.Conn
-	once  sync.Once
-	done  chan struct{}
-}
-
-func newPipes() *pipes { return &pipes{conns: make(chan net.Conn), done: make(chan struct{})} }
-
-func (p *pipes) Accept() (net.Conn, error) {
-	select {
-	case c := <-p.conns:
-		return c, nil
-	case <-p.done:
-		return nil, net.ErrClosed
-	}
-}
-func (p *pipes) Close() error   { p.once.Do(func() { close(p.done) }); return nil }
-func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
-
-func (p *pipes) Dial(ctx context.Context, _ link.Address) (net.Conn, error) {
-	a, b := net.Pipe()
-	select {
-	case p.conns <- b:
-		return a, nil
-	case <-p.done:
-		return nil, net.ErrClosed
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+// dial returns the Dial of a Pool whose connections are made in memory.
+func dial(l *memlink.Listener) func(context.Context, link.Address) (net.Conn, error) {
+	return func(ctx context.Context, _ link.Address) (net.Conn, error) { return l.Dial(ctx) }
 }
 
 // silent swallows what is written once mute is set; the connection stays open.
@@ -93,16 +55,16 @@
 // Guards against calls that reach the handler of another type, and against
 // unknown calls that are answered.
 func TestDispatch(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	memlink.Bubble(t, func(t *testing.T) {
 		is := is.New(t)
-		l := newPipes()
+		l := memlink.NewListener()
 		s := &link.Server{Listener: l, Incarnation: 7}
 		link.Handle(s, double)
 		link.Handle(s, func(_ context.Context, st *link.Stream, _ *durationpb.Duration) { _ = st.Send(&emptypb.Empty{}) })
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() { done <- s.Serve(ctx) }()
-		p := &link.Pool{Dial: l.Dial}
+		p := &link.Pool{Dial: dial(l)}
 		v, err := callDouble(ctx, p, there, 21)
 		is.NoErr(err)
 		is.Equal(v, int64(42))
@@ -125,9 +87,9 @@
 func TestSilentSessionIsReplaced(t *testing.T) {
 	for name, fromServer := range map[string]bool{"towards the caller": true, "towards the server": false} {
 		t.Run(name, func(t *testing.T) {
-			bubble(t, func(t *testing.T) {
+			memlink.Bubble(t, func(t *testing.T) {
 				is := is.New(t)
-				l := newPipes()
+				l := memlink.NewListener()
 				s := &link.Server{Listener: l}
 				link.Handle(s, double)
 				link.Handle(s, func(_ context.Context, st *link.Stream, _ *emptypb.Empty) { _ = st.Receive(&emptypb.Empty{}) })
@@ -143,8 +105,7 @@
 					} else if dials.Load() == 1 {
 						a = silent{a, &mute}
 					}
-					l.conns <- b
-					return a, nil
+					return a, l.Give(ctx, b)
 				}}
 				_, err := callDouble(ctx, p, there, 1)
 				is.NoErr(err)
@@ -166,9 +127,9 @@
 
 // Guards against a slow dial that holds up calls to other peers.
 func TestSlowDialBlocksOnlyItsPeer(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	memlink.Bubble(t, func(t *testing.T) {
 		is := is.New(t)
-		l := newPipes()
+		l := memlink.NewListener()
 		s := &link.Server{Listener: l}
 		link.Handle(s, double)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -180,7 +141,7 @@
 				<-ctx.Done()
 				return nil, ctx.Err()
 			}
-			return l.Dial(ctx, a)
+			return l.Dial(ctx)
 		}}
 		var fast atomic.Bool
 		stuck := make(chan error)
@@ -203,9 +164,9 @@
 // Guards against a stop that cuts running calls, and against calls that are
 // lost without notice while the server goes away.
 func TestGracefulStop(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	memlink.Bubble(t, func(t *testing.T) {
 		is := is.New(t)
-		l := newPipes()
+		l := memlink.NewListener()
 		s := &link.Server{Listener: l}
 		release := make(chan struct{})
 		link.Handle(s, func(_ context.Context, st *link.Stream, _ *emptypb.Empty) {
@@ -217,7 +178,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- s.Serve(ctx) }()
-		p := &link.Pool{Dial: l.Dial}
+		p := &link.Pool{Dial: dial(l)}
 		st, err := p.Open(t.Context(), there, &emptypb.Empty{})
 		is.NoErr(err)
 		synctest.Wait()
@@ -240,15 +201,15 @@
 // Guards against one peer that takes all streams, and against messages without
 // bound.
 func TestLimits(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	memlink.Bubble(t, func(t *testing.T) {
 		is := is.New(t)
-		l := newPipes()
+		l := memlink.NewListener()
 		s := &link.Server{Listener: l, MaxStreams: 1}
 		link.Handle(s, func(_ context.Context, st *link.Stream, _ *emptypb.Empty) { _ = st.Receive(&emptypb.Empty{}) })
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() { done <- s.Serve(ctx) }()
-		p := &link.Pool{Dial: l.Dial}
+		p := &link.Pool{Dial: dial(l)}
 		first, err := p.Open(ctx, there, &emptypb.Empty{})
 		is.NoErr(err)
 		synctest.Wait()
@@ -265,15 +226,15 @@
 // Guards against a stream that waits without end for a peer that is alive but
 // does not move.
 func TestProgressDeadline(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	memlink.Bubble(t, func(t *testing.T) {
 		is := is.New(t)
-		l := newPipes()
+		l := memlink.NewListener()
 		s := &link.Server{Listener: l}
 		link.Handle(s, func(ctx context.Context, _ *link.Stream, _ *emptypb.Empty) { <-ctx.Done() })
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() { done <- s.Serve(ctx) }()
-		p := &link.Pool{Dial: l.Dial}
+		p := &link.Pool{Dial: dial(l)}
 		_, err := link.Call[emptypb.Empty](ctx, p, there, &emptypb.Empty{})
 		is.True(errors.Is(err, link.ErrLink)) // no answer in time
 		cancel()
--- a/io/link/retain_test.go
+++ b/io/link/retain_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/types/known/emptypb"
 
+	"papayarock/internal/memlink"
 	"papayarock/io/link"
 )
 
@@ -28,9 +29,9 @@
 // call that is cut by the end of a session that is no longer wanted, and against
 // idle sessions that cost as many heartbeats as busy ones.
 func TestRetain(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	memlink.Bubble(t, func(t *testing.T) {
 		is := is.New(t)
-		l := newPipes()
+		l := memlink.NewListener()
 		s := &link.Server{Listener: l}
 		link.Handle(s, double)
 		link.Handle(s, func(_ context.Context, st *link.Stream, _ *emptypb.Empty) {
@@ -41,9 +42,9 @@
 		done := make(chan error)
 		go func() { done <- s.Serve(ctx) }()
 		var dials, writes atomic.Int64
-		p := &link.Pool{Dial: func(ctx context.Context, a link.Address) (net.Conn, error) {
+		p := &link.Pool{Dial: func(ctx context.Context, _ link.Address) (net.Conn, error) {
 			dials.Add(1)
-			c, err := l.Dial(ctx, a)
+			c, err := l.Dial(ctx)
 			return counted{c, &writes}, err
 		}}
 		call := func() {
--- a/io/replica/fault_test.go
+++ b/io/replica/fault_test.go
@@ -92,14 +92,8 @@
 // Guards against two leaders with a lease, and a leader that does not step
 // down, when the leader is cut off.
 func TestIsolatedLeaderStepsDown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	withThree(t, func(t *testing.T, c *cluster, hosts []fleet.Host) {
 		is := is.New(t)
-		c := newCluster(t, time.Millisecond)
-		defer c.stopAll()
-		hosts := []fleet.Host{"a", "b", "c"}
-		for _, h := range hosts {
-			c.start(h, nil, hosts...)
-		}
 		c.propose("one")
 		lead := c.leader()
 		for _, h := range hosts {
--- a/io/replica/replica_test.go
+++ b/io/replica/replica_test.go
@@ -160,17 +160,24 @@
 	}
 }
 
-// Guards against a group that elects no leader, loses a committed command when
-// its leader stops, or answers a read from a state that lacks one.
-func TestGroupSurvivesLossOfLeader(t *testing.T) {
+// withThree runs f with a group of three voters, in a bubble.
+func withThree(t *testing.T, f func(t *testing.T, c *cluster, hosts []fleet.Host)) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
 		c := newCluster(t, time.Millisecond)
 		defer c.stopAll()
 		hosts := []fleet.Host{"a", "b", "c"}
 		for _, h := range hosts {
 			c.start(h, nil, hosts...)
 		}
+		f(t, c, hosts)
+	})
+}
+
+// Guards against a group that elects no leader, loses a committed command when
+// its leader stops, or answers a read from a state that lacks one.
+func TestGroupSurvivesLossOfLeader(t *testing.T) {
+	withThree(t, func(t *testing.T, c *cluster, hosts []fleet.Host) {
+		is := is.New(t)
 		is.Equal(c.propose("one"), 1)
 		old := c.leader()
 		c.stop(old)
@@ -187,14 +194,8 @@
 // Guards against a hand-over that takes as long as a failure: a lease, an
 // election timeout and the longest action.
 func TestHandOver(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	withThree(t, func(t *testing.T, c *cluster, _ []fleet.Host) {
 		is := is.New(t)
-		c := newCluster(t, time.Millisecond)
-		defer c.stopAll()
-		hosts := []fleet.Host{"a", "b", "c"}
-		for _, h := range hosts {
-			c.start(h, nil, hosts...)
-		}
 		is.Equal(c.propose("one"), 1)
 		old := c.leader()
 		for h, m := range c.members {
