--- a/core/prefix/prefix.go
+++ b/core/prefix/prefix.go
@@ -26,8 +26,8 @@
 	words int
 }
 
-// Add appends a text, which begins with a new word, to the prompt. It returns false once no further prefix will
-// be hashed.
+// Add appends a text, which begins with a new word, to the prompt. It returns
+// false once no further prefix will be hashed.
 func (h *Hasher) Add(text string) bool {
 	if h.sum == nil {
 		h.sum = xxhash.New()
