internal/command: replace a control host with one command

Change: "papayarock hosts replace OLD NEW" adds the new host as a learner, removes the old one, and promotes the new one once it has caught up.

--- a/cmd/papayarock/hosts.go
+++ b/cmd/papayarock/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -18,6 +19,19 @@
 			hostCommand("add", "add a learner, which receives the log and does not vote", operator.AddLearner),
 			hostCommand("promote", "make a learner that has caught up a voter", operator.Promote),
 			hostCommand("remove", "remove a voter or learner", operator.Remove),
+			{
+				Name:      "replace",
+				Usage:     "put a new host in the place of a voter",
+				ArgsUsage: "OLD NEW",
+				Description: `The new host must run with an empty data directory and learner = true. It joins,
+the old host leaves, and the new one becomes a voter once it has caught up. The
+command may be repeated.
+
+Example:
+  papayarock hosts replace --operator operator.toml control-klang control-melaka`,
+				Flags:  append(controlFlags(), &cli.DurationFlag{Name: "within", Value: defaultCatchUp, Usage: "`TIME` for the new host to catch up"}),
+				Action: replaceHost,
+			},
 			{
 				Name:      "revoke",
 				Usage:     "revoke the certificates that a host was issued so far",
@@ -38,6 +52,19 @@
 	}
 }
 
+// defaultCatchUp is how long a new host may take to receive the log.
+const defaultCatchUp = 10 * time.Minute
+
+func replaceHost(ctx context.Context, c *cli.Command) error {
+	args, err := fileArguments(c, "OLD", "NEW")
+	if err != nil {
+		return err
+	}
+	return withSession(c, func(s *command.Session) error {
+		return s.ReplaceHost(ctx, args[0], args[1], c.Duration("within"))
+	})
+}
+
 func hostCommand(name, usage, action string) *cli.Command {
 	return &cli.Command{
 		Name: name, Usage: usage, ArgsUsage: "HOST", Flags: controlFlags(),
--- a/internal/command/changes.go
+++ b/internal/command/changes.go
@@ -105,16 +105,25 @@
 			return err
 		}
 	}
-	a, err := s.Client.ChangeHosts(ctx, operator.HostChange{Action: action, Host: host})
-	if errors.Is(err, operator.ErrNotCommitted) || errors.Is(err, operator.ErrUncertain) {
-		return errors.Wrap(err, "the command may be repeated")
-	}
+	a, err := s.changeHosts(ctx, action, host)
 	if err != nil {
 		return err
 	}
+	return s.showMembers(a)
+}
+
+func (s *Session) changeHosts(ctx context.Context, action, host string) (operator.HostAnswer, error) {
+	a, err := s.Client.ChangeHosts(ctx, operator.HostChange{Action: action, Host: host})
+	if errors.Is(err, operator.ErrNotCommitted) || errors.Is(err, operator.ErrUncertain) {
+		err = errors.Wrap(err, "the command may be repeated")
+	}
+	return a, err
+}
+
+func (s *Session) showMembers(a operator.HostAnswer) error {
 	rows := [][]string{}
 	for _, h := range a.Voters {
-		rows = append(rows, []string{h, "voter"})
+		rows = append(rows, []string{h, voter})
 	}
 	for _, h := range a.Learners {
 		rows = append(rows, []string{h, "learner"})
@@ -122,17 +131,76 @@
 	return s.Out.Show(a, []string{"HOST", "MEMBER"}, rows)
 }
 
-// checkMember refuses a mistyped name, which control takes for a host that was
-// removed before.
-func (s *Session) checkMember(ctx context.Context, host string) error {
-	l, err := s.Client.Hosts(ctx)
+// promotePause is the pause between two attempts to promote a learner.
+const promotePause = 500 * time.Millisecond
+
+// ReplaceHost makes a new host a member of the log in place of an old one. The
+// new host joins as a learner first, which a mistyped or unknown name fails at;
+// the old one leaves before the new one votes, so that a lost voter is not
+// counted in a larger quorum. After a failure the command may be repeated.
+func (s *Session) ReplaceHost(ctx context.Context, old, next string, within time.Duration) error {
+	members, err := s.members(ctx)
 	if err != nil {
 		return err
 	}
-	for _, h := range l.Items {
-		if h.Name == host && h.Member != "" {
-			return nil
+	if old == next || members[old] == "" && members[next] == "" {
+		return errors.Wrapf(ErrInput, "host %q is no member of the log that %q can replace", old, next)
+	}
+	if members[next] != voter {
+		if _, err := s.changeHosts(ctx, operator.AddLearner, next); err != nil {
+			return err
+		}
+	}
+	if members[old] != "" { // else an earlier attempt has removed it
+		if _, err := s.changeHosts(ctx, operator.Remove, old); err != nil {
+			return err
 		}
 	}
+	if members[next] == voter {
+		return s.Hosts(ctx)
+	}
+	return s.promote(ctx, next, within)
+}
+
+// promote makes a learner a voter once it has caught up.
+func (s *Session) promote(ctx context.Context, next string, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	for {
+		a, err := s.changeHosts(ctx, operator.Promote, next)
+		if err == nil {
+			return s.showMembers(a)
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(err, "host %q has not caught up", next)
+		case <-time.After(promotePause):
+		}
+	}
+}
+
+// voter is how a host is listed that votes.
+const voter = "voter"
+
+// members returns what each host is in the log; empty for no member.
+func (s *Session) members(ctx context.Context) (map[string]string, error) {
+	l, err := s.Client.Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	members := make(map[string]string)
+	for _, h := range l.Items {
+		members[h.Name] = h.Member
+	}
+	return members, nil
+}
+
+// checkMember refuses a mistyped name, which control takes for a host that was
+// removed before.
+func (s *Session) checkMember(ctx context.Context, host string) error {
+	members, err := s.members(ctx)
+	if err != nil || members[host] != "" {
+		return err
+	}
 	return errors.Wrapf(ErrInput, "host %q is no member of the log", host)
 }
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -313,6 +313,11 @@
 	is.True(strings.Contains(r.run(command.ExitDone, change(operator.AddLearner, "c2")), "learner"))
 	is.True(!strings.Contains(r.run(command.ExitDone, change(operator.Remove, "c2")), "c2"))
 	r.run(command.ExitFaulty, change(operator.Remove, "c1")) // the last voter
+	replace := func(old, next string) func(context.Context, *command.Session) error {
+		return func(ctx context.Context, s *command.Session) error { return s.ReplaceHost(ctx, old, next, time.Second) }
+	}
+	r.run(command.ExitFaulty, replace("c9", "c8"))
+	r.run(command.ExitFaulty, replace("c1", "c1"))
 }
 
 // Guards against certificates that control does not accept, and against an
