internal/pathsearch: read the state under its lock

Cause: the checks at the end of a run read the state machine while late settlements still change it. Change: the checks take the lock of control.

--- a/internal/pathsearch/check_test.go
+++ b/internal/pathsearch/check_test.go
@@ -58,7 +58,10 @@
 			return
 		}
 		until := s.began
-		if at, ok := w.control.grants[requestID(s)]; ok {
+		w.control.mu.Lock()
+		at, ok := w.control.grants[requestID(s)]
+		w.control.mu.Unlock()
+		if ok {
 			until = at
 		}
 		for _, r := range order {
@@ -101,8 +104,10 @@
 // each answer that a caller got is billed unless both processes that report it
 // were killed.
 func (w *world) checkUsage() {
+	w.control.mu.Lock() // late settlements go on
 	image := w.control.m.Image()
 	windows := append(w.control.m.Unreported(), image.Usage.Open)
+	w.control.mu.Unlock()
 	billed := make(map[fleet.Customer]uint64)
 	requests := make(map[fleet.Customer]uint64)
 	for _, x := range windows {
