io/wire: clamp times at the exact bounds of int64 nanoseconds

Cause: FuzzControlMessages, extended by reports, summaries and contacts of relays, found an order whose deadline changed when it was encoded again: a time in 2262 or 1677 was clamped by its year although it fits.

Change: the bounds are exact.

--- a/io/wire/codec.go
+++ b/io/wire/codec.go
@@ -85,14 +85,15 @@
 }
 
 // nanos maps the zero time to 0 and clamps times that int64 nanoseconds cannot
-// hold (before 1678 or after 2261).
+// hold, in 1677 and 2262. The bounds are exact: a replica that restores a snapshot
+// must hold the same time as one that applied the command.
 func nanos(t time.Time) int64 {
 	switch {
 	case t.IsZero():
 		return 0
-	case t.Year() > 2261:
+	case t.After(time.Unix(0, math.MaxInt64)):
 		return math.MaxInt64
-	case t.Year() < 1678:
+	case t.Before(time.Unix(0, math.MinInt64)):
 		return math.MinInt64
 	}
 	return t.UnixNano()
--- a/io/wire/fuzz_messages_test.go
+++ b/io/wire/fuzz_messages_test.go
@@ -12,6 +12,7 @@
 	"papayarock/core/fleet"
 	"papayarock/core/log"
 	"papayarock/core/state"
+	"papayarock/core/watch"
 	"papayarock/io/wire"
 )
 
@@ -66,6 +67,12 @@
 		&wire.ControlSubscriber{Host: "h", AgeNanos: -5, Target: &wire.ControlTarget{Name: "t", PrefillSpeed: math.Inf(1)}},
 		&wire.ControlDemand{Pool: "p", PromptTokens: math.NaN(), Seconds: 1e300, AgeNanos: math.MinInt64},
 		&wire.StateOrder{}, &wire.StateContent{}, &wire.ControlResult{},
+		&wire.ControlConfirm{
+			Run: 1, Sequence: 1, Whole: true, OldestNanos: -5,
+			Subscribers: []*wire.ControlSubscriber{{Host: "h", Quiet: true, AgeNanos: math.MinInt64}},
+			Summaries:   []*wire.ControlSummary{{Targets: 1, Work: float32(math.Inf(1))}},
+			Contacts:    []*wire.ControlContact{{Target: "t", ReachedAgeNanos: -1, FailedAgeNanos: math.MaxInt64}},
+		},
 	} {
 		b, err := proto.Marshal(m)
 		if err != nil {
@@ -89,6 +96,26 @@
 				t.Fatalf("demand %+v", d)
 			}
 		}
+		var confirm wire.ControlConfirm
+		if proto.Unmarshal(b, &confirm) == nil {
+			var v watch.Receiver
+			listed, _ := v.Apply(now, wire.DecodeReport(&confirm, now))
+			for _, d := range listed {
+				if d.Seen.After(now) || d.Heard.After(now) {
+					t.Fatalf("subscriber of a report %+v", d)
+				}
+			}
+			for _, row := range wire.DecodeSummaries(confirm.GetSummaries(), now) {
+				if !finite(row.Work) || row.Taken.After(now) {
+					t.Fatalf("summary %+v", row)
+				}
+			}
+			for _, c := range confirm.GetContacts() {
+				if d := wire.DecodeContact(c, now); d.Reached.After(now) || d.Failed.After(now) {
+					t.Fatalf("contact %+v", d)
+				}
+			}
+		}
 		same(t, b, &wire.StateOrder{}, wire.DecodeOrder, wire.EncodeOrder)
 		same(t, b, &wire.StateContent{}, wire.DecodeContent, wire.EncodeContent)
 		var r wire.ControlResult
