--- a/core/watch/health.go
+++ b/core/watch/health.go
@@ -45,7 +45,7 @@
 	maxContacts = 8
 )
 
-// Contact is what one entry last met at the agent of a target.
+// Contact is how an entry last fared with the agent of a target.
 type Contact struct {
 	Entry   fleet.Host
 	Target  fleet.TargetName
@@ -89,8 +89,8 @@
 	steady  time.Time // since when nothing speaks against it; zero if something does
 }
 
-// Meet notes what an entry met. Reports may come twice and out of order.
-func (h *Health) Meet(c Contact) {
+// Observe notes a contact of an entry. Reports may come twice and out of order.
+func (h *Health) Observe(c Contact) {
 	if h.contacts == nil {
 		h.contacts = make(map[fleet.TargetName][]Contact)
 	}
@@ -172,9 +172,9 @@
 
 func (h *Health) condition(now time.Time, e Evidence, unready time.Time) (Condition, string) {
 	silent := now.Sub(e.Seen)
-	reached, failing := h.met(now, e.Target)
-	switch met := reached.Reached; {
-	case silent > quietAfter && met.After(e.Seen) && now.Sub(met) <= LostAfter:
+	reached, failing := h.recent(now, e.Target)
+	switch last := reached.Reached; {
+	case silent > quietAfter && last.After(e.Seen) && now.Sub(last) <= LostAfter:
 		return Partitioned, fmt.Sprintf("its agent has not polled for %s, but entry %s had an answer", seconds(silent), reached.Entry)
 	case silent > LostAfter && silent <= severedFor && e.Relay != "" && now.Sub(e.RelaySeen) > quietAfter:
 		return Partitioned, fmt.Sprintf("its agent has not polled for %s, and relay %s is silent too", seconds(silent), e.Relay)
@@ -192,9 +192,9 @@
 	return Well, ""
 }
 
-// met returns the last contact that reached the agent, and the entries that
+// recent returns the last contact that reached the agent, and the entries that
 // cannot reach it.
-func (h *Health) met(now time.Time, name fleet.TargetName) (reached Contact, failing []string) {
+func (h *Health) recent(now time.Time, name fleet.TargetName) (reached Contact, failing []string) {
 	for _, c := range h.contacts[name] {
 		if c.Reached.After(reached.Reached) {
 			reached = c
--- a/core/watch/health_test.go
+++ b/core/watch/health_test.go
@@ -13,7 +13,7 @@
 // taken for lost, against a dead one that is not, and against a condition that
 // changes with each pause of a process.
 func TestHealth(t *testing.T) {
-	met := func(entry fleet.Host, reached, failed float64) watch.Contact {
+	contact := func(entry fleet.Host, reached, failed float64) watch.Contact {
 		c := watch.Contact{Entry: entry, Target: "t"}
 		if reached > 0 {
 			c.Reached = at(reached)
@@ -36,12 +36,12 @@
 		"dead": {evidence: silentFrom(10), changes: []watch.Condition{watch.Well, watch.Slow, watch.Dead}},
 		"dead, and entries fail too": {
 			evidence: silentFrom(10),
-			contacts: func(now float64) []watch.Contact { return []watch.Contact{met("e1", min(now, 10), now)} },
+			contacts: func(now float64) []watch.Contact { return []watch.Contact{contact("e1", min(now, 10), now)} },
 			changes:  []watch.Condition{watch.Well, watch.Partitioned, watch.Slow, watch.Dead},
 		},
 		"cut off from control only": {
 			evidence: silentFrom(10),
-			contacts: func(now float64) []watch.Contact { return []watch.Contact{met("e1", now, 0)} },
+			contacts: func(now float64) []watch.Contact { return []watch.Contact{contact("e1", now, 0)} },
 			changes:  []watch.Condition{watch.Well, watch.Partitioned},
 		},
 		"cut off with its relay": {
@@ -54,7 +54,7 @@
 			evidence: polls,
 			contacts: func(now float64) []watch.Contact {
 				failed := now - float64(int(now)%20) // the entry tries every 20 s
-				return []watch.Contact{met("e1", 1, failed), met("e2", now, 0)}
+				return []watch.Contact{contact("e1", 1, failed), contact("e2", now, 0)}
 			},
 			changes: []watch.Condition{watch.Well, watch.Partitioned},
 		},
@@ -92,7 +92,7 @@
 			for now := 1.0; now < 90; now += 0.1 {
 				if tt.contacts != nil {
 					for _, c := range tt.contacts(now) {
-						h.Meet(c)
+						h.Observe(c)
 					}
 				}
 				e := tt.evidence(now)
--- a/io/agent/cache.go
+++ b/io/agent/cache.go
@@ -244,7 +244,7 @@
 // pollCache answers an entry that follows the cache.
 func (a *Agent) pollCache(_ context.Context, s *link.Stream, m *wire.CachePoll) {
 	v := &a.cache
-	news := &wire.CacheNews{Incarnation: uint64(a.Announcement.Incarnation)}
+	news := &wire.CacheChanges{Incarnation: uint64(a.Announcement.Incarnation)}
 	v.mu.Lock()
 	if m.GetWhole() || fleet.Incarnation(m.GetIncarnation()) != a.Announcement.Incarnation {
 		news.Changes = []*wire.CacheChange{v.content()}
--- a/io/controller/confirm.go
+++ b/io/controller/confirm.go
@@ -170,7 +170,7 @@
 		s.Via = host
 		c.tracker.Record(s)
 	}
-	c.meet("", m.GetContacts(), now)
+	c.observe("", m.GetContacts(), now)
 	for _, d := range m.GetDemand() {
 		r := wire.DecodeDemand(d, now)
 		if r.Summed {
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -81,7 +81,7 @@
 	board    summary.Board
 	summed   time.Time // when summaries were last sent to a leader
 	health   watch.Health
-	met      []watch.Contact // not yet passed on
+	contacts []watch.Contact // not yet passed on
 
 	planning sync.Mutex // guards term and demand; never taken with mu held
 	term     *capacity.Term
--- a/io/controller/health.go
+++ b/io/controller/health.go
@@ -8,22 +8,22 @@
 	"papayarock/io/wire"
 )
 
-// maxMet bounds the contacts that wait to be passed on in one report.
-const maxMet = 2_000
+// maxContacts bounds the contacts that wait to be passed on in one report.
+const maxContacts = 2_000
 
-// meet notes what entries met at targets: those of one entry, or of many with
+// observe notes contacts of entries with targets: those of one entry, or of many with
 // their names when a relay passes them on. It is called with mu held.
-func (c *Controller) meet(entry fleet.Host, list []*wire.ControlContact, now time.Time) {
+func (c *Controller) observe(entry fleet.Host, list []*wire.ControlContact, now time.Time) {
 	for _, m := range list {
 		x := wire.DecodeContact(m, now)
 		if entry != "" {
 			x.Entry = entry // the name that the peer has proved
-			if len(c.met) < maxMet {
-				c.met = append(c.met, x)
+			if len(c.contacts) < maxContacts {
+				c.contacts = append(c.contacts, x)
 			}
 		}
 		if c.leading != 0 {
-			c.health.Meet(x)
+			c.health.Observe(x)
 		}
 	}
 }
@@ -31,10 +31,10 @@
 // passContacts returns the contacts for the leader. It is called with mu held.
 func (c *Controller) passContacts(now time.Time) []*wire.ControlContact {
 	var out []*wire.ControlContact
-	for _, x := range c.met {
+	for _, x := range c.contacts {
 		out = append(out, wire.EncodeContact(x, now))
 	}
-	c.met = nil
+	c.contacts = nil
 	return out
 }
 
@@ -47,7 +47,7 @@
 	index, _ := c.machine.config()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.met = nil // of this replica's own entries; they are counted already
+	c.contacts = nil // of this replica's own entries; they are counted already
 	polls := make(map[fleet.TargetName]watch.Subscriber)
 	for _, s := range c.tracker.Subscribers() {
 		if s.Target.Name != "" {
--- a/io/controller/poll.go
+++ b/io/controller/poll.go
@@ -94,7 +94,7 @@
 	c.hear(index, host, s.Target)
 	s.Target.Load = watch.Load{}
 	c.tracker.Record(s)
-	c.meet(host, m.GetContacts(), s.Seen)
+	c.observe(host, m.GetContacts(), s.Seen)
 	for _, d := range m.GetDemand() {
 		r := wire.DecodeDemand(d, s.Seen)
 		r.Entry, r.Summed = host, false
--- a/io/serving/cache.go
+++ b/io/serving/cache.go
@@ -101,20 +101,20 @@
 		c := p.cursors[t.Name]
 		p.mu.Unlock()
 		poll := &wire.CachePoll{Incarnation: c.incarnation, After: c.after, Whole: c.whole}
-		m, err := link.Call[wire.CacheNews](ctx, p.o.Links, link.Address{Host: t.Host, AddrPort: t.Agent}, poll)
+		m, err := link.Call[wire.CacheChanges](ctx, p.o.Links, link.Address{Host: t.Host, AddrPort: t.Agent}, poll)
 		if err != nil {
 			p.o.Log.Debug("cache not followed", "target", t.Name, "error", err)
 			return
 		}
-		if !p.cacheNews(t, m) {
+		if !p.cacheChanges(t, m) {
 			return
 		}
 	}
 }
 
-// cacheNews passes changes to the router. It returns true if changes are
+// cacheChanges passes changes to the router. It returns true if changes are
 // missing before them.
-func (p *Policy) cacheNews(t fleet.Target, m *wire.CacheNews) (missing bool) {
+func (p *Policy) cacheChanges(t fleet.Target, m *wire.CacheChanges) (missing bool) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/serving/contact.go
+++ b/io/serving/contact.go
@@ -8,10 +8,10 @@
 	"papayarock/io/entry"
 )
 
-// meet notes whether an attempt reached the agent of a target. A refusal and a
+// observe notes whether an attempt reached the agent of a target. A refusal and a
 // cancelled attempt tell neither.
-func (p *Policy) meet(now time.Time, t fleet.TargetName, o entry.Outcome) {
-	c := p.met[t]
+func (p *Policy) observe(now time.Time, t fleet.TargetName, o entry.Outcome) {
+	c := p.contacts[t]
 	c.Target = t
 	switch {
 	case o.Unreached:
@@ -21,7 +21,7 @@
 	default:
 		return
 	}
-	p.met[t] = c
+	p.contacts[t] = c
 }
 
 // maxContacts bounds one report. Contacts with each target of a large subset
@@ -29,27 +29,27 @@
 // meet the same targets.
 const maxContacts = 8
 
-// Contacts returns what was met at targets since it was last called. Of many,
+// Contacts returns the contacts with targets since it was last called. Of many,
 // failures go first; others are drawn, and dropped if not drawn, as they soon
 // say nothing.
 func (p *Policy) Contacts() []watch.Contact {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []watch.Contact
-	for t, c := range p.met {
+	for t, c := range p.contacts {
 		if len(out) < maxContacts && c.Failed.After(c.Reached) {
 			out = append(out, c)
-			delete(p.met, t)
+			delete(p.contacts, t)
 		}
 	}
-	for t, c := range p.met { // in random order
+	for t, c := range p.contacts { // in random order
 		if c.Failed.After(c.Reached) {
 			continue
 		}
 		if len(out) < maxContacts {
 			out = append(out, c)
 		}
-		delete(p.met, t)
+		delete(p.contacts, t)
 	}
 	return out
 }
--- a/io/serving/pick.go
+++ b/io/serving/pick.go
@@ -70,7 +70,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.meet(now, t, o)
+	p.observe(now, t, o)
 	f := p.flights[r.ID]
 	if f == nil || !f.chosen || f.choice.Target != t {
 		return
--- a/io/serving/policy.go
+++ b/io/serving/policy.go
@@ -67,22 +67,22 @@
 	o  Options
 	mu sync.Mutex
 	// guarded by mu
-	index   *config.Index
-	subset  route.Subset
-	router  *route.Router
-	budget  retry.Budget
-	pools   map[string]*pool
-	flights map[fleet.RequestID]*flight
-	speeds  map[fleet.TargetName]speed
-	cursors map[fleet.TargetName]cursor // of the caches followed
-	moves   uint64                      // of KV cache between engines
-	resyncs uint64                      // whole contents asked for after a gap
-	demand  map[demandKey]work
-	met     map[fleet.TargetName]watch.Contact // since Contacts was last called
-	asked   time.Time                          // when the demand was last handed out
-	limits  admit.Limits
-	parts   uint32    // of state.ShareUnit
-	share   time.Time // end of the share
+	index    *config.Index
+	subset   route.Subset
+	router   *route.Router
+	budget   retry.Budget
+	pools    map[string]*pool
+	flights  map[fleet.RequestID]*flight
+	speeds   map[fleet.TargetName]speed
+	cursors  map[fleet.TargetName]cursor // of the caches followed
+	moves    uint64                      // of KV cache between engines
+	resyncs  uint64                      // whole contents asked for after a gap
+	demand   map[demandKey]work
+	contacts map[fleet.TargetName]watch.Contact // since Contacts was last called
+	asked    time.Time                          // when the demand was last handed out
+	limits   admit.Limits
+	parts    uint32    // of state.ShareUnit
+	share    time.Time // end of the share
 }
 
 // speed is what a target reported, in tokens/s.
@@ -115,13 +115,13 @@
 		router: route.New(route.Options{
 			DataCentre: o.DataCentre, Region: o.Region, Random: o.Random, BlockTokens: prefix.BlockTokens,
 		}),
-		pools:   make(map[string]*pool),
-		flights: make(map[fleet.RequestID]*flight),
-		speeds:  make(map[fleet.TargetName]speed),
-		cursors: make(map[fleet.TargetName]cursor),
-		demand:  make(map[demandKey]work),
-		met:     make(map[fleet.TargetName]watch.Contact),
-		parts:   state.ShareUnit,
+		pools:    make(map[string]*pool),
+		flights:  make(map[fleet.RequestID]*flight),
+		speeds:   make(map[fleet.TargetName]speed),
+		cursors:  make(map[fleet.TargetName]cursor),
+		demand:   make(map[demandKey]work),
+		contacts: make(map[fleet.TargetName]watch.Contact),
+		parts:    state.ShareUnit,
 	}
 }
 
--- a/io/subscribe/client.go
+++ b/io/subscribe/client.go
@@ -55,7 +55,7 @@
 	Addresses []link.Address // control replicas, nearest first
 	Host      fleet.Host
 	Sign      func() watch.Sign      // what an agent says of its target; nil on other nodes
-	Contacts  func() []watch.Contact // what an entry met at targets since the last call; nil on other nodes
+	Contacts  func() []watch.Contact // contacts of an entry with targets since the last call; nil on other nodes
 	Demand    func() []Demand        // work received since the last call; nil on other nodes
 	Changed   func(x *config.Index)  // called with each new configuration, in order; may be nil
 	Summed    func([]summary.Row)    // called with summaries of load; nil if none are wanted
