io/gateway: check the head of every request on a connection

Change: the guard follows the framing of requests on the connection and keeps a verdict for each head. Refused bodies need not be drained any more.

--- /dev/null
+++ b/io/gateway/framing_test.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// feedAll feeds text in pieces of a size and returns why each head is refused.
+func feedAll(f *framing, text string, size int) []error {
+	var heads []error
+	for len(text) > 0 {
+		n := min(size, len(text))
+		heads = append(heads, f.feed([]byte(text[:n]))...)
+		text = text[n:]
+	}
+	return heads
+}
+
+// Guards against heads that are missed or found in bodies, however the bytes
+// arrive.
+func TestFraming(t *testing.T) {
+	const get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+	const post = "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nab\r\n\r\n"
+	const chunked = "POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nok\r\nA\r\n0123456789\r\n0\r\nT: 1\r\n\r\n"
+	const both = "POST /d HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n"
+	for name, test := range map[string]struct {
+		text  string
+		heads []error
+		doubt bool
+	}{
+		"one":                   {get, []error{nil}, false},
+		"in a row":              {get + post + chunked + get, []error{nil, nil, nil, nil}, false},
+		"bare line ends":        {"GET / HTTP/1.1\nHost: h\n\n" + get, []error{nil, nil}, false},
+		"mixed line ends":       {"GET / HTTP/1.1\nHost: h\r\n\n" + get, []error{nil, nil}, false},
+		"empty lines between":   {post + "\r\n\r\n" + get, []error{nil, nil}, false},
+		"two lengths, later":    {get + post + both + get, []error{nil, nil, errAmbiguous}, true},
+		"continued line":        {"GET / HTTP/1.1\r\nA: b\r\n Content-Length: 4\r\n\r\n", []error{errAmbiguous}, true},
+		"negative length":       {"POST / HTTP/1.1\r\nContent-Length: -4\r\n\r\n", []error{errAmbiguous}, true},
+		"length of bytes":       {"POST / HTTP/1.1\r\nContent-Length: 0x4\r\n\r\n", []error{errAmbiguous}, true},
+		"chunk without a size":  {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n" + get, []error{nil}, true},
+		"chunk of a large size": {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n" + get, []error{nil}, true},
+		"head without an end":   {"GET / HTTP/1.1\r\nA: " + strings.Repeat("a", maxHeadBytes), nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, size := range []int{1, 2, 7, len(test.text)} {
+				is := is.New(t)
+				var f framing
+				is.Equal(feedAll(&f, test.text, size), test.heads)
+				is.Equal(f.part == inDoubt, test.doubt)
+			}
+		})
+	}
+}
+
+// Guards against a parser that finds other requests than the HTTP server does:
+// every request that the server takes has been checked.
+func FuzzFraming(f *testing.F) {
+	f.Add("GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	f.Add("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	f.Add("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	f.Add("POST / HTTP/1.1\nHost: h\nTransfer-Encoding: chunked\n\n2 \nok\n0\n\nGET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		var g framing
+		heads := feedAll(&g, text, len(text))
+		r := bufio.NewReader(strings.NewReader(text))
+		for n := 0; ; n++ {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if n >= len(heads) && g.part != inDoubt {
+				t.Fatalf("request %d is not checked: %q", n, text)
+			}
+			if n >= len(heads) || heads[n] != nil {
+				return // refused, and the connection is closed
+			}
+			length := q.Header.Get("Content-Length")
+			if len(q.TransferEncoding) > 0 && length != "" {
+				t.Fatalf("request %d states two lengths: %q", n, text)
+			}
+			if _, err := io.Copy(io.Discard, q.Body); err != nil {
+				return
+			}
+		}
+	})
+}
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -25,9 +25,6 @@
 	// ordinarySample is the number of requests without an anomaly of which one is
 	// logged.
 	ordinarySample = 16
-	// maxDrainBytes is how much of a refused body the HTTP server reads before it
-	// closes the connection.
-	maxDrainBytes = 256 << 10
 	// shortestSend is the least time for which a request is still sent.
 	shortestSend = 20 * time.Millisecond
 	// leastRetryAfter and mostRetryAfter bound what a refused caller is told.
@@ -91,16 +88,12 @@
 	j := &job{g: g, w: w, r: r, started: now, ask: g.o.Dialect.Ask(now, r), index: g.index.Load()}
 	j.after = j.ask.After
 	if c := guardOf(r); c != nil {
-		if err := c.ambiguous(); err != nil {
+		if err := c.next(); err != nil {
+			g.log.Info("request framing refused", "id", j.ask.ID, "error", err)
 			w.Header().Set("Connection", "close")
 			j.refuse(http.StatusBadRequest, reasonAmbiguous, time.Time{})
 			return
 		}
-		defer func() {
-			// The rest of a body that was not read is not the next head.
-			_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDrainBytes))
-			c.answered()
-		}()
 	}
 	if !j.admit() {
 		return
