core/place: judge targets by the time to the first event above its floor

Cause: the limit of a target shrank whenever its first event took more than 0.15 of the objective. Change: the limit shrinks by what exceeds the least time of the last 10 to 20 s; that least time explains half of the objective at most, so that a queue that was there from the start is still seen.

--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -274,6 +274,35 @@
 	is.Equal(p.Offer(now.Add(time.Minute), 1, later).Step, place.Send) // the target is tried on
 }
 
+// Guards against a target that is taken for crowded since its first event takes
+// long by itself: only what exceeds the floor is a queue.
+func TestFloor(t *testing.T) {
+	for name, test := range map[string]struct {
+		took []time.Duration // times to the first event
+		more bool            // the target takes more than one request then
+	}{
+		"long event":           {[]time.Duration{90 * time.Millisecond}, true},
+		"queue":                {[]time.Duration{90 * time.Millisecond, 180 * time.Millisecond}, false},
+		"queue from the start": {[]time.Duration{240 * time.Millisecond}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := placer(record("m", fleet.Mixed, "kt"))
+			now := start
+			for _, took := range test.took {
+				for range 20 {
+					now = now.Add(took)
+					for _, r := range fill(t, p, ask(nil)) {
+						p.Begun(now, r, took, 0, objective)
+						p.Finish(now, r, place.Served, true)
+					}
+				}
+			}
+			is.Equal(len(fill(t, p, ask(nil))) > 1, test.more)
+		})
+	}
+}
+
 // Guards against gateways that together keep a queue at a target which each of
 // them sends one request at a time: a limit below one paces them, and a waiting
 // request gets its place by time alone.
--- a/core/place/replay_test.go
+++ b/core/place/replay_test.go
@@ -22,6 +22,10 @@
 	gateways, prefill, decode int
 	sessions                  int
 	phases                    []phase
+	// event is the time that a decode engine generates until the first event,
+	// beside the other requests of its batch.
+	event time.Duration
+	notes float64 // share of short prompts, which a decode engine reads itself
 }
 
 type phase struct {
@@ -127,10 +131,12 @@
 type result struct {
 	asked, inTime, late, refused int
 	wasted                       int // prompts read for requests that were then refused
+	notes, notesInTime           int // of asked and inTime
 }
 
 func (r result) String() string {
-	return fmt.Sprintf("asked %d, in time %d, late %d, refused %d, read in vain %d", r.asked, r.inTime, r.late, r.refused, r.wasted)
+	return fmt.Sprintf("asked %d, in time %d, late %d, refused %d, read in vain %d, short prompts in time %d of %d",
+		r.asked, r.inTime, r.late, r.refused, r.wasted, r.notesInTime, r.notes)
 }
 
 type event struct {
@@ -155,6 +161,7 @@
 
 // world replays a load.
 type world struct {
+	load    load
 	now     time.Time
 	queue   events
 	seq     int
@@ -171,7 +178,7 @@
 
 func replay(l load, seed uint64, newPolicy func(list []roster.Record) policy) result {
 	random := rand.New(rand.NewPCG(seed, 0))
-	w := &world{engines: make(map[fleet.TargetName]*engine), timers: make(map[int]bool)}
+	w := &world{load: l, engines: make(map[fleet.TargetName]*engine), timers: make(map[int]bool)}
 	var list []roster.Record
 	for i := range l.prefill + l.decode {
 		role := fleet.Decode
@@ -194,6 +201,10 @@
 			id++
 			request, gateway, session := id, random.IntN(l.gateways), fmt.Sprint("s", random.IntN(l.sessions))
 			arrived := at
+			if l.notes > 0 && random.Float64() < l.notes {
+				w.at(arrived, func() { w.arriveNote(policies[gateway], gateway, request, arrived) })
+				continue
+			}
 			w.at(arrived, func() { w.arrive(policies[gateway], gateway, request, session, arrived) })
 		}
 	}
@@ -213,6 +224,9 @@
 	w.offer(p, gateway, id, a, func(r roster.Record) {
 		sent := w.now
 		done := w.engines[r.Target].read(w.now, session)
+		if r.Role != fleet.Prefill {
+			done = done.Add(w.load.event)
+		}
 		w.at(done, func() {
 			w.grant(gateway, p.begun(w.now, r, w.now.Sub(sent)))
 			w.grant(gateway, p.finish(w.now, r))
@@ -226,7 +240,7 @@
 			w.offer(p, gateway, id, a, func(r roster.Record) {
 				sent := w.now
 				w.engines[r.Target].cached[session] = true
-				done := w.engines[r.Target].serve(w.now, takeCache).Add(transfer)
+				done := w.engines[r.Target].serve(w.now, takeCache).Add(transfer + w.load.event)
 				w.at(done, func() {
 					w.grant(gateway, p.begun(w.now, r, w.now.Sub(sent)))
 					w.grant(gateway, p.finish(w.now, r))
@@ -238,6 +252,24 @@
 	})
 }
 
+// arriveNote has a decode engine answer a short prompt of no session.
+func (w *world) arriveNote(p policy, gateway int, id uint64, arrived time.Time) {
+	w.result.asked++
+	w.result.notes++
+	a := place.Ask{Pool: "language", Rank: 1, Objective: objective, Start: arrived, Deadline: arrived.Add(2 * time.Second)}
+	w.offer(p, gateway, id, a, func(r roster.Record) {
+		sent := w.now
+		done := w.engines[r.Target].serve(w.now, takeCache).Add(w.load.event)
+		w.at(done, func() {
+			w.grant(gateway, p.begun(w.now, r, w.now.Sub(sent)))
+			w.grant(gateway, p.finish(w.now, r))
+			before := w.result.inTime
+			w.answered(arrived)
+			w.result.notesInTime += w.result.inTime - before
+		})
+	})
+}
+
 func (w *world) answered(arrived time.Time) {
 	if w.now.Sub(arrived) <= objective {
 		w.result.inTime++
@@ -313,14 +345,18 @@
 		load   load
 		inTime float64 // least share that is answered in time
 		better float64 // least ratio of requests in time to the policy before
+		notes  float64 // least share of the short prompts that is answered in time
 	}{
 		// The users' gate allows that 60 in 100 are refused or fail; a load that the
 		// engines can carry is served in time but for the first reads.
-		"steady":      {load{8, 3, 5, 676, []phase{{220, 6 * time.Second}}}, 0.9, 2},
-		"burst":       {load{8, 3, 5, 676, []phase{{220, 2 * time.Second}, {640, 6 * time.Second}, {220, 2 * time.Second}}}, 0, 2},
-		"few slots":   {load{8, 2, 4, 866, []phase{{150, 2 * time.Second}, {400, 6 * time.Second}}}, 0, 2},
-		"many":        {load{33, 10, 25, 676, []phase{{600, 3 * time.Second}, {1800, 6 * time.Second}}}, 0, 2},
-		"one gateway": {load{1, 1, 2, 100, []phase{{60, 2 * time.Second}, {200, 6 * time.Second}}}, 0, 2},
+		"steady":      {load{8, 3, 5, 676, []phase{{220, 6 * time.Second}}, 0, 0}, 0.9, 2, 0},
+		"burst":       {load{8, 3, 5, 676, []phase{{220, 2 * time.Second}, {640, 6 * time.Second}, {220, 2 * time.Second}}, 0, 0}, 0, 2, 0},
+		"few slots":   {load{8, 2, 4, 866, []phase{{150, 2 * time.Second}, {400, 6 * time.Second}}, 0, 0}, 0, 2, 0},
+		"many":        {load{33, 10, 25, 676, []phase{{600, 3 * time.Second}, {1800, 6 * time.Second}}, 0, 0}, 0, 2, 0},
+		"one gateway": {load{1, 1, 2, 100, []phase{{60, 2 * time.Second}, {200, 6 * time.Second}}, 0, 0}, 0, 2, 0},
+		// Engines put dozens of tokens into the first event, which takes longer than
+		// any queue; short prompts must not be refused for it.
+		"long first event": {load{8, 3, 5, 676, []phase{{220, 6 * time.Second}}, 80 * time.Millisecond, 0.2}, 0.9, 0, 0.9},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -333,6 +369,7 @@
 			is.True(float64(got.inTime) >= test.better*float64(before.inTime))
 			is.True(float64(got.refused) <= 0.6*float64(got.asked))
 			is.Equal(got.wasted, 0)
+			is.True(float64(got.notesInTime) >= test.notes*float64(got.notes))
 		})
 	}
 }
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -29,10 +29,13 @@
 	mostLimit  = 256
 	// pacedGrowth is the factor of one step up of a limit below one.
 	pacedGrowth = 1.15
-	// slowShare is the part of the objective that the time to the first event
-	// may take before the limit of the target shrinks. The rest is for waits at
-	// the gateway and for the way to the caller.
+	// slowShare is the part of the objective by which the time to the first event
+	// may exceed its floor before the limit of the target shrinks. The rest is for
+	// waits at the gateway and for the way to the caller.
 	slowShare = 0.15
+	// floorShare is the part of the objective that the time to the first event
+	// may take without a queue: engines put many tokens into one event.
+	floorShare = 0.5
 	// waitShare is the part of the objective that a request may wait for a place.
 	waitShare = 0.25
 	// shrink is the factor of one step down. Steps are as far apart as the
@@ -54,6 +57,7 @@
 	sent     time.Time     // when the last request was sent
 	shrunk   time.Time     // when the limit may shrink again
 	first    time.Duration // moving average of the time to the first event
+	floor    floor         // of the time to the first event
 	distance time.Duration // shortest time to connect; zero if not known
 
 	failures int     // in a row
@@ -68,9 +72,11 @@
 	if t.first == 0 {
 		t.first = took
 	}
+	// A queue that was there before this gateway is not the way to the target.
+	least := min(t.floor.add(now, took), t.distance+time.Duration(floorShare*float64(objective)))
 	t.first += time.Duration(smoothing * float64(took-t.first))
 	switch {
-	case took-t.distance > time.Duration(slowShare*float64(objective)):
+	case took-least > time.Duration(slowShare*float64(objective)):
 		t.reduce(now, took)
 	case t.limit < 1:
 		t.limit = min(t.limit*pacedGrowth, 1)
