--- a/core/place/target.go
+++ b/core/place/target.go
@@ -29,10 +29,13 @@
 	mostLimit  = 256
 	// pacedGrowth is the factor of one step up of a limit below one.
 	pacedGrowth = 1.15
-	// slowShare is the part of the objective that the time to the first event
-	// may take before the limit of the target shrinks. The rest is for waits at
-	// the gateway and for the way to the caller.
+	// slowShare is the part of the objective by which the time to the first event
+	// may exceed its floor before the limit of the target shrinks. The rest is for
+	// waits at the gateway and for the way to the caller.
 	slowShare = 0.15
+	// floorShare is the part of the objective that the time to the first event
+	// may take without a queue: engines put many tokens into one event.
+	floorShare = 0.5
 	// waitShare is the part of the objective that a request may wait for a place.
 	waitShare = 0.25
 	// shrink is the factor of one step down. Steps are as far apart as the
@@ -41,6 +44,10 @@
 	// fullPause is the least time for which a target that has refused a request is
 	// avoided: some requests in its batch end meanwhile.
 	fullPause = 20 * time.Millisecond
+	// longestFull bounds the pause, which doubles with each refusal in a row: an
+	// engine that changes its role refuses for seconds.
+	longestFull       = 400 * time.Millisecond
+	maxPauseDoublings = 5
 	// assumedFirst is the time to the first event while none was observed.
 	assumedFirst = 50 * time.Millisecond
 )
@@ -54,6 +61,7 @@
 	sent     time.Time     // when the last request was sent
 	shrunk   time.Time     // when the limit may shrink again
 	first    time.Duration // moving average of the time to the first event
+	floor    floor         // of the time to the first event
 	distance time.Duration // shortest time to connect; zero if not known
 
 	failures int     // in a row
@@ -61,6 +69,11 @@
 	benched  time.Time
 	bench    time.Duration
 	full     time.Time // it has refused a request; others are preferred until then
+	refusals int       // in a row
+	// gone is when the target said that it is not the one that was meant; zero if
+	// it has announced itself since. It may have changed its role, or another
+	// target has its address.
+	gone time.Time
 }
 
 // adapt takes the time to a first event into the limit.
@@ -68,9 +81,11 @@
 	if t.first == 0 {
 		t.first = took
 	}
+	// A queue that was there before this gateway is not the way to the target.
+	least := min(t.floor.add(now, took), t.distance+time.Duration(floorShare*float64(objective)))
 	t.first += time.Duration(smoothing * float64(took-t.first))
 	switch {
-	case took-t.distance > time.Duration(slowShare*float64(objective)):
+	case took-least > time.Duration(slowShare*float64(objective)):
 		t.reduce(now, took)
 	case t.limit < 1:
 		t.limit = min(t.limit*pacedGrowth, 1)
@@ -99,7 +114,7 @@
 func (t *target) judge(now time.Time, o Outcome) {
 	switch o {
 	case Served:
-		t.failures, t.bench = 0, 0
+		t.failures, t.bench, t.refusals = 0, 0, 0
 		t.benched = time.Time{}
 		t.errors -= errorSmoothing * t.errors
 	case Erred:
@@ -110,10 +125,15 @@
 		}
 	case NotRun:
 		t.reduce(now, t.expected())
-		t.full = now.Add(max(t.expected(), fullPause))
+		t.refusals++
+		pause := max(t.expected(), fullPause)
+		for range min(t.refusals-1, maxPauseDoublings) {
+			pause *= 2
+		}
+		t.full = now.Add(min(pause, longestFull))
 	case Abandoned:
 	case Gone:
-		t.record.Condition = roster.Draining
+		t.gone = now
 	case Failed, Unreachable:
 		t.failures++
 		if o == Unreachable {
