io/gateway: count plain requests for usage whose answer is lost

Cause: a request counted for usage with the head of its answer. Change: a plain request that was sent counts, since it runs as it arrives; a stream counts from its first event, as before. Test: TestUsage, cases 'answer lost' and 'answer cut', fails without the change.

--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -349,25 +349,40 @@
 	is.Equal(len(x.requests()), 1)
 }
 
-// Guards against usage that is not counted, or counted for what has not run.
+// Guards against usage that is not counted, or counted for what has not run. A
+// plain request runs as it arrives, also if its answer is lost; a stream runs from
+// its first event.
 func TestUsage(t *testing.T) {
-	is := is.New(t)
-	x := newRig(t)
-	x.catalog(1, route(func(r *catalog.Route) { r.Attempts = 1 }))
-	next := answers(503, "Not-Run")
-	x.target("first", fleet.Mixed, func(w http.ResponseWriter, r *http.Request) { next(w, r) })
-	x.ask(nil)
-	is.Equal(len(x.gateway.Counts()), 0)
-	next = serves("one")
-	x.ask(nil)
-	next = answers(500, "Mark")
-	x.ask(nil)
-	var n uint64
-	for _, c := range x.gateway.Counts() {
-		is.Equal(c.GetCustomer(), "klang")
-		n += c.GetCount()
+	plain := func(r *catalog.Route) { r.Attempts = 1 }
+	streamed := func(r *catalog.Route) { r.Attempts, r.Kind = 1, catalog.Stream }
+	for name, test := range map[string]struct {
+		route func(r *catalog.Route)
+		does  behave
+		want  uint64
+	}{
+		"served":        {plain, serves("one"), 1},
+		"refused":       {plain, answers(503, "Not-Run"), 0},
+		"failed":        {plain, answers(500, "Mark"), 1},
+		"answer lost":   {plain, loses, 1},
+		"answer cut":    {plain, cuts, 1},
+		"stream":        {streamed, streams(2, 0), 1},
+		"stream lost":   {streamed, loses, 0},
+		"stream broken": {streamed, streams(3, 1), 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			x := newRig(t)
+			x.catalog(1, route(test.route))
+			x.target("first", fleet.Mixed, test.does)
+			x.ask(nil)
+			var n uint64
+			for _, c := range x.gateway.Counts() {
+				is.Equal(c.GetCustomer(), "klang")
+				n += c.GetCount()
+			}
+			is.Equal(n, test.want)
+		})
 	}
-	is.Equal(n, uint64(2))
 }
 
 // Guards against a stop that takes the gateway out of service before the
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -126,6 +126,11 @@
 	if a.r.Context().Err() != nil {
 		outcome = place.Abandoned
 	}
+	if ran == retry.Lost && !a.prefill && a.route.Kind != catalog.Stream {
+		// A plain request begins to run as it arrives, also if its answer is lost. A
+		// stream begins with its first event.
+		a.count()
+	}
 	a.g.finish(a.to, outcome, a.begun)
 	a.g.log.Info("attempt failed", "id", a.ask.ID, "target", a.to.Target, "outcome", outcome, "took", time.Since(a.sent),
 		"announced", time.Since(a.to.Heard), "replicas", a.g.replicas(), "error", err)
