io/settings: let a forwarder have the link address of a registry replica

registry.listen says where links are accepted when registry.link, which names the replica, is the address of a forwarder. Tests of the settings of the roles that find each other by seeds.

--- a/io/daemon/direct.go
+++ b/io/daemon/direct.go
@@ -187,7 +187,7 @@
 	if err != nil {
 		return errors.Wrapf(ErrStart, "registry: %v", err)
 	}
-	l, err := p.listen(ctx, s.Link.String())
+	l, err := p.listen(ctx, s.Listen.String())
 	if err != nil {
 		return errors.Wrapf(ErrStart, "registry: %v", err)
 	}
--- a/io/settings/direct.go
+++ b/io/settings/direct.go
@@ -42,6 +42,7 @@
 // Registry are the settings of the registry role.
 type Registry struct {
 	Link        netip.AddrPort // for links; names the replica
+	Listen      netip.AddrPort // where links are accepted: Link, unless a forwarder has that address
 	Operator    netip.AddrPort // for operators and targets
 	Data        string         // directory
 	Form        bool           // the seeds form a new log if Data is empty
@@ -102,6 +103,9 @@
 		UsageWindow: t.Duration("usage-window", time.Second, maxUsageWindow, defaultUsageWindow),
 		UsageDue:    t.Duration("usage-due", time.Second, maxUsageWindow, defaultDue),
 	}
+	if x.Listen = x.Link; t.Has("listen") {
+		x.Listen = r.listen(t, "listen")
+	}
 	if t.Need("data", "write the data directory") {
 		x.Data = t.String("data")
 	}
--- /dev/null
+++ b/io/settings/direct_test.go
@@ -0,0 +1,48 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"papayarock/io/settings"
+)
+
+// Guards against settings of the roles that find each other by seeds that are
+// taken with a fault, or read and not kept.
+func TestDirect(t *testing.T) {
+	const head = "host = \"h\"\nregion = \"r\"\ndata-centre = \"z\"\naddresses = [\"10.0.0.1\"]\n[links]\nplain = true\n"
+	const peers = "[peers]\nseeds = [\"10.0.0.1:7100\", \"10.0.0.2:7100\"]\nlink-port = 7000\n"
+	const registry = "[registry]\nlink = \"10.0.0.1:7000\"\noperator = \"10.0.0.1:7100\"\ndata = \"/d\"\n"
+	const gateway = "[gateway]\nlisten = \"10.0.0.1:80\"\nready = \"10.0.0.1:81\"\n"
+	for name, test := range map[string]struct {
+		text   string
+		fault  string // part of the only fault; empty for none
+		listen string // where the registry accepts links
+	}{
+		"registry":             {head + peers + registry, "", "10.0.0.1:7000"},
+		"behind a forwarder":   {head + peers + registry + "listen = \"10.0.0.1:7001\"\n", "", "10.0.0.1:7001"},
+		"listen is taken":      {head + peers + registry + "listen = \"10.0.0.1:7100\"\n", "is taken by", ""},
+		"listen is no address": {head + peers + registry + "listen = \"here\"\n", "registry.listen", ""},
+		"gateway":              {head + peers + gateway, "", ""},
+		"no peers":             {head + gateway, "[peers]", ""},
+		"other link port":      {head + peers + strings.Replace(registry, ":7000", ":7002", 1), "another port", ""},
+		"no data directory":    {head + peers + strings.Replace(registry, "data = \"/d\"\n", "", 1), "data", ""},
+		"share above one":      {head + peers + gateway + "retry-share = 1.5\n", "retry-share", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, faults := settings.Check([]byte(test.text))
+			if test.fault == "" {
+				is.Equal(len(faults), 0)
+				if test.listen != "" {
+					is.Equal(s.Registry.Listen.String(), test.listen)
+				}
+				return
+			}
+			is.Equal(len(faults), 1)
+			is.True(strings.Contains(faults[0].String(), test.fault))
+		})
+	}
+}
