--- a/internal/fake/proxy.go
+++ b/internal/fake/proxy.go
@@ -31,6 +31,8 @@
 	Refuse bool          // close new connections at once
 	Hold   bool          // keep all connections open and pass nothing
 	Delay  time.Duration // one-way, without a limit on throughput
+	// HoldTo and HoldFrom hold what goes to Target, or comes from it.
+	HoldTo, HoldFrom bool
 }
 
 // proxied is one connection through a proxy.
@@ -129,8 +131,8 @@
 	stop := context.AfterFunc(ctx, c.close)
 	defer stop()
 	var wg sync.WaitGroup
-	wg.Go(func() { p.pipe(c, client, server) })
-	wg.Go(func() { p.pipe(c, server, client) })
+	wg.Go(func() { p.pipe(c, client, server, func(f ProxyFaults) bool { return f.Hold || f.HoldTo }) })
+	wg.Go(func() { p.pipe(c, server, client, func(f ProxyFaults) bool { return f.Hold || f.HoldFrom }) })
 	wg.Wait()
 }
 
@@ -156,9 +158,9 @@
 	read time.Time
 }
 
-// pipe forwards one direction. It closes the connection at its end, since
-// links and HTTP do not use half-closed connections.
-func (p *Proxy) pipe(c *proxied, from, to net.Conn) {
+// pipe forwards one direction, which holds reports to be held. It closes the
+// connection at its end, since links and HTTP do not use half-closed connections.
+func (p *Proxy) pipe(c *proxied, from, to net.Conn, holds func(f ProxyFaults) bool) {
 	chunks := make(chan chunk, proxyChunks)
 	go func() {
 		defer close(chunks)
@@ -178,14 +180,14 @@
 		}
 	}()
 	for k := range chunks {
-		if !p.pass(c, k.read) {
+		if !p.pass(c, k.read, holds) {
 			break
 		}
 		if _, err := to.Write(k.data); err != nil {
 			break
 		}
 	}
-	if p.pass(c, time.Now()) {
+	if p.pass(c, time.Now(), holds) {
 		c.close()
 	}
 	for range chunks {
@@ -195,13 +197,13 @@
 
 // pass waits until bytes read at a time may go on, and reports false if the
 // connection ended first. The end of a connection is held like its bytes.
-func (p *Proxy) pass(c *proxied, read time.Time) bool {
+func (p *Proxy) pass(c *proxied, read time.Time, holds func(f ProxyFaults) bool) bool {
 	for {
 		p.mu.Lock()
 		if p.changed == nil {
 			p.notify()
 		}
-		changed, held := p.changed, p.faults.Hold || c.held
+		changed, held := p.changed, holds(p.faults) || c.held
 		wait := time.Until(read.Add(p.faults.Delay))
 		p.mu.Unlock()
 		var due <-chan time.Time
--- a/internal/fake/proxy_test.go
+++ b/internal/fake/proxy_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -104,3 +106,40 @@
 		is.True(post(c) != nil)
 	})
 }
+
+// Guards against a one-way partition that cuts the other direction too, or none.
+func TestProxyHoldsOneWay(t *testing.T) {
+	for name, test := range map[string]struct {
+		set  func(f *fake.ProxyFaults)
+		runs uint64 // requests that reach the service
+	}{
+		"to the target":   {func(f *fake.ProxyFaults) { f.HoldTo = true }, 0},
+		"from the target": {func(f *fake.ProxyFaults) { f.HoldFrom = true }, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			throughProxy(t, func(t *testing.T, p *fake.Proxy, c *http.Client) {
+				is := is.New(t)
+				var reached atomic.Uint64
+				back := p.Dial
+				p.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+					conn, err := back(ctx, network, address)
+					return &countedConn{Conn: conn, written: &reached}, err
+				}
+				p.Set(test.set)
+				is.True(post(c) != nil) // no answer within the timeout
+				is.Equal(min(reached.Load(), 1), test.runs)
+			})
+		})
+	}
+}
+
+// countedConn counts writes.
+type countedConn struct {
+	net.Conn
+	written *atomic.Uint64
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	c.written.Add(1)
+	return c.Conn.Write(p)
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,6 +26,7 @@
 	firstSeed = flag.Uint64("seed", 1, "first seed")
 	seeds     = flag.Int("seeds", 1, "number of seeds")
 	length    = flag.Duration("length", 8*time.Second, "how long faults are injected")
+	gateways  = flag.Int("gateways", 3, "gateway processes")
 	keepLogs  = flag.String("logs", "", "directory that keeps the logs of failed seeds")
 )
 
@@ -41,6 +42,16 @@
 	// length and the time until it is due, from the settings.
 	usageDue = 5 * time.Second
 	callers  = 6
+	// retryShare, retrySlack and retryWindow bound the extra runs of requests, as the
+	// settings of the gateways do.
+	retryShare  = 0.2
+	retrySlack  = 60
+	retryWindow = 10 * time.Second
+	// catchUp is how long a replica that has lost its disk counts as lost after it
+	// is back; no other disk may be lost until then.
+	catchUp = 4 * time.Second
+	// tornBytes is the longest torn write.
+	tornBytes = 300
 )
 
 // regressions are seeds that failed once, with the cause.
@@ -82,6 +93,7 @@
 	drains   []drained
 	faults   []string
 	hits     []time.Time // faults of processes
+	wipeable time.Time   // when the next disk may be lost
 	reads    int
 }
 
@@ -118,10 +130,13 @@
 		m.proxy.Set(func(f *fake.ProxyFaults) { *f = fake.ProxyFaults{} })
 	}
 	w.mu.Unlock()
+	for _, p := range w.replicas {
+		r.clearLinks(p)
+	}
 	r.heal()
 	stop()
 	calling.Wait()
-	r.judge()
+	r.judge(t.Errorf)
 	windows, broken := w.sink.Reports()
 	for end := time.Now().Add(usageDue); windows == 0 && time.Now().Before(end); {
 		time.Sleep(100 * time.Millisecond)
@@ -133,6 +148,11 @@
 	if windows == 0 {
 		t.Error("no usage window was reported")
 	}
+	peak := 0
+	for _, p := range slices.Concat(w.replicas, w.gateways) {
+		peak += p.peakMemory()
+	}
+	t.Logf("seed %d: %d processes, %d MiB at their peaks", seed, len(w.replicas)+len(w.gateways), peak>>10)
 	t.Logf("seed %d: %d faults, %d requests, %d reads, %d usage windows", seed, len(r.faults), len(r.outcomes), r.reads, windows)
 }
 
@@ -215,9 +235,9 @@
 
 // fault injects one fault; what ends it later runs beside.
 func (r *run) fault(random *rand.Rand, pending *sync.WaitGroup) {
-	kind := random.IntN(12)
+	kind := random.IntN(18)
 	pause := time.Duration(200+random.IntN(1800)) * time.Millisecond
-	gateway, replica := r.gateways[random.IntN(gateways)], r.replicas[random.IntN(registries)]
+	gateway, replica := r.gateways[random.IntN(len(r.gateways))], r.replicas[random.IntN(registries)]
 	target, share := random.IntN(16), 5+random.IntN(40)
 	note := func(what string, p *process) {
 		name := ""
@@ -272,6 +292,38 @@
 			m.proxy.Set(func(x *fake.ProxyFaults) { *x = f })
 			pending.Go(func() { time.Sleep(pause); m.proxy.Set(func(x *fake.ProxyFaults) { *x = fake.ProxyFaults{} }) })
 		}
+	case 12, 13:
+		f := []fake.ProxyFaults{{Refuse: true}, {Hold: true}, {HoldTo: true}, {HoldFrom: true}, {Delay: 80 * time.Millisecond}}[random.IntN(5)]
+		note(fmt.Sprintf("links %+v", f), replica)
+		if f.Refuse {
+			replica.proxy.Drop()
+		}
+		replica.proxy.Set(func(x *fake.ProxyFaults) { *x = f })
+		pending.Go(func() { time.Sleep(pause); r.clearLinks(replica) })
+	case 14:
+		note("open links fall silent", replica)
+		replica.proxy.HoldOpen()
+	case 15:
+		tail := make([]byte, 1+random.IntN(tornBytes))
+		for i := range tail {
+			tail[i] = byte(random.UintN(256))
+		}
+		note(fmt.Sprintf("kill in a write, %d bytes torn", len(tail)), replica)
+		r.restart(replica, syscall.SIGKILL, pause, pending, func() error { return replica.tear(tail) })
+	case 16:
+		if now := time.Now(); now.After(r.wipeable) {
+			r.wipeable = now.Add(pause + recovery + catchUp)
+			note("lose the disk", replica)
+			r.restart(replica, syscall.SIGKILL, pause, pending, func() error {
+				r.write(replica, replica.formed)
+				return os.RemoveAll(replica.dir)
+			})
+		}
+	case 17:
+		note("kill with all other replicas", replica)
+		for _, p := range r.replicas {
+			r.restart(p, syscall.SIGKILL, pause, pending)
+		}
 	case 11:
 		if m := r.pick(target, 2); m != nil {
 			note("drain "+m.Name, nil)
@@ -282,8 +334,18 @@
 	}
 }
 
-// restart ends a process by a signal and starts it again.
-func (r *run) restart(p *process, s syscall.Signal, pause time.Duration, pending *sync.WaitGroup) {
+// clearLinks ends the faults of the links of a replica. Those that fell silent
+// stay so.
+func (r *run) clearLinks(replica *process) {
+	replica.proxy.Set(func(x *fake.ProxyFaults) { *x = fake.ProxyFaults{} })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hits = append(r.hits, time.Now())
+}
+
+// restart ends a process by a signal and starts it again, after what is done to
+// its files in the meantime.
+func (r *run) restart(p *process, s syscall.Signal, pause time.Duration, pending *sync.WaitGroup, meanwhile ...func() error) {
 	p.signal(syscall.SIGCONT)
 	p.signal(s)
 	pending.Go(func() {
@@ -298,6 +360,11 @@
 		}
 		p.mu.Unlock()
 		if !running {
+			for _, f := range meanwhile {
+				if err := f(); err != nil {
+					r.t.Errorf("%s: %v", p.name, err)
+				}
+			}
 			r.start(p)
 		}
 		r.mu.Lock()
@@ -352,30 +419,30 @@
 	return true
 }
 
-// judge checks what callers and targets saw.
-func (r *run) judge() {
+// judge checks what callers and targets saw, and reports what no fault excuses.
+func (r *run) judge(report func(format string, args ...any)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	served := 0
 	for _, o := range r.outcomes {
 		runs := r.ledger.Runs(o.ID)
 		if o.Path == "/order/" && len(runs) > 1 {
-			r.t.Errorf("order %s ran %d times: %+v", o.ID, len(runs), runs)
+			report("order %s ran %d times: %+v", o.ID, len(runs), runs)
 		}
 		switch o.Status {
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 			if len(runs) > 0 {
-				r.t.Errorf("%s %s was refused with %d and ran: %+v", o.Path, o.ID, o.Status, runs)
+				report("%s %s was refused with %d and ran: %+v", o.Path, o.ID, o.Status, runs)
 			}
 		case http.StatusUnauthorized, http.StatusNotFound:
-			r.t.Errorf("%s %s with a valid key got %d", o.Path, o.ID, o.Status)
+			report("%s %s with a valid key got %d", o.Path, o.ID, o.Status)
 		case http.StatusOK:
 			want := standin.Answer(o.ID)
 			if o.Path == "/stream/" {
 				want = standin.Events(o.ID, 0)
 			}
 			if o.Whole && (o.Body != want || !o.Marked) {
-				r.t.Errorf("%s %s got a whole answer of %d bytes that is not its own", o.Path, o.ID, len(o.Body))
+				report("%s %s got a whole answer of %d bytes that is not its own", o.Path, o.ID, len(o.Body))
 			}
 			if o.Whole {
 				served++
@@ -385,22 +452,48 @@
 	for id, runs := range r.ledger.All() {
 		for _, x := range runs {
 			if x.Customer != "c1" {
-				r.t.Errorf("%s ran for customer %q", id, x.Customer)
+				report("%s ran for customer %q", id, x.Customer)
 			}
 		}
 	}
 	if n := r.ledger.Keys(); n > 0 {
-		r.t.Errorf("%d requests reached a target with a key", n)
+		report("%d requests reached a target with a key", n)
 	}
 	if served*4 < len(r.outcomes) {
-		r.t.Errorf("%d of %d requests were served", served, len(r.outcomes))
+		report("%d of %d requests were served", served, len(r.outcomes))
+	}
+	r.judgeRetries(report)
+	r.judgeDrains(report)
+}
+
+// judgeRetries requires that requests run again within the budget of the fleet.
+func (r *run) judgeRetries(report func(format string, args ...any)) {
+	var extra []time.Time
+	for _, runs := range r.ledger.All() {
+		slices.SortFunc(runs, func(a, b standin.Run) int { return a.Start.Compare(b.Start) })
+		for _, x := range runs[1:] {
+			extra = append(extra, x.Start)
+		}
+	}
+	slices.SortFunc(extra, time.Time.Compare)
+	for i, at := range extra {
+		in := 0
+		for _, t := range extra[i:] {
+			if t.Sub(at) < retryWindow {
+				in++
+			}
+		}
+		// No window has more requests than there were at all.
+		if allowed := retryShare*float64(len(r.outcomes)) + retrySlack; float64(in) > allowed {
+			report("%d extra runs within %v, %.0f are allowed", in, retryWindow, allowed)
+			return
+		}
 	}
-	r.judgeDrains()
 }
 
 // judgeDrains requires that no request starts at a target that has drained,
 // later than a gateway in touch may learn of it.
-func (r *run) judgeDrains() {
+func (r *run) judgeDrains(report func(format string, args ...any)) {
 	for _, d := range r.drains {
 		at := d.m.Drained()
 		if at.IsZero() || !r.calm(at, inForce) {
@@ -409,7 +502,7 @@
 		for id, runs := range r.ledger.All() {
 			for _, x := range runs {
 				if x.Target == d.m.Name && x.Start.After(at.Add(inForce)) {
-					r.t.Errorf("%s started at %s %v after it was draining", id, x.Target, x.Start.Sub(at))
+					report("%s started at %s %v after it was draining", id, x.Target, x.Start.Sub(at))
 				}
 			}
 		}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,7 +22,6 @@
 
 const (
 	registries = 3
-	gateways   = 3
 	targets    = 3
 	pool       = "orders"
 )
@@ -29,7 +29,9 @@
 // process is one program of the product.
 type process struct {
 	name, settings, log string
-	dir                 string // data directory of a registry
+	dir                 string      // data directory of a registry
+	proxy               *fake.Proxy // before the links of a registry
+	formed              string      // settings of a registry whose log exists
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -82,7 +84,7 @@
 	s := &http.Server{Handler: &w.sink, ReadHeaderTimeout: time.Minute}
 	t.Cleanup(func() { _ = s.Close() })
 	go func() { _ = s.Serve(sink) }()
-	link, operator, front, ready := w.port(), w.port(), w.port(), w.port()
+	link, inner, operator, front, ready := w.port(), w.port(), w.port(), w.port(), w.port()
 	var seeds []string
 	for i := range registries {
 		seeds = append(seeds, fmt.Sprintf(`"127.0.0.%d:%d"`, 10+i, operator))
@@ -93,14 +95,24 @@
 		ip := fmt.Sprintf("127.0.0.%d", 10+i)
 		p := w.process(fmt.Sprintf("registry-%d", i))
 		p.dir = filepath.Join(w.dir, p.name, "data")
-		w.write(p, fmt.Sprintf("host = %q\naddresses = [%q]\n%s%s[registry]\nlink = \"%s:%d\"\noperator = \"%s:%d\"\ndata = %q\nform = true\n"+
-			"losses = 1\nusage = %q\nusage-window = \"1s\"\nusage-due = \"4s\"\n",
-			p.name, ip, common, peers, ip, link, ip, operator, p.dir, sink.Addr().String()))
+		text := func(form bool) string {
+			return fmt.Sprintf("host = %q\naddresses = [%q]\n%s%s[registry]\nlink = \"%s:%d\"\nlisten = \"%s:%d\"\n"+
+				"operator = \"%s:%d\"\ndata = %q\nform = %v\nlosses = 1\nusage = %q\nusage-window = \"1s\"\nusage-due = \"4s\"\n",
+				p.name, ip, common, peers, ip, link, ip, inner, ip, operator, p.dir, form, sink.Addr().String())
+		}
+		w.write(p, text(true))
+		p.formed = text(false)
+		p.proxy = &fake.Proxy{Target: fmt.Sprintf("%s:%d", ip, inner)}
+		l, err := (&net.ListenConfig{}).Listen(w.ctx, "tcp", fmt.Sprintf("%s:%d", ip, link))
+		if err != nil {
+			t.Fatal(err)
+		}
+		go p.proxy.Serve(w.ctx, l)
 		w.replicas = append(w.replicas, p)
 		w.control = append(w.control, fmt.Sprintf("%s:%d", ip, operator))
 	}
-	for i := range gateways {
-		ip := fmt.Sprintf("127.0.0.%d", 20+i)
+	for i := range *gateways {
+		ip := fmt.Sprintf("127.0.%d.%d", 1+i/200, 20+i%200)
 		p := w.process(fmt.Sprintf("gateway-%d", i))
 		w.write(p, fmt.Sprintf("host = %q\naddresses = [%q]\n%s%s[gateway]\nlisten = \"%s:%d\"\nready = \"%s:%d\"\nretry-share = 0.2\n"+
 			"retry-slack = 60\nusage-window = \"1s\"\n[[gateway.data-centres]]\nname = \"z\"\nregion = \"r\"\n",
@@ -161,6 +173,39 @@
 	}
 }
 
+// peakMemory returns the most memory that the process has used, in KiB; zero if it
+// has ended.
+func (p *process) peakMemory() (kib int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), "VmHWM:")
+	_, _ = fmt.Sscan(rest, &kib)
+	return kib
+}
+
+// tear appends what a torn write leaves behind the last synced record of the log
+// of a process that is not running.
+func (p *process) tear(tail []byte) error {
+	names, err := filepath.Glob(filepath.Join(p.dir, "log-*"))
+	if err != nil || len(names) == 0 {
+		return err
+	}
+	f, err := os.OpenFile(slices.Max(names), os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	_, err = f.Write(tail)
+	return err
+}
+
 func (p *process) wait() {
 	p.mu.Lock()
 	done := p.done
