core/place: let a request wait only while its targets are expected to answer in time

Cause: a request waited for a place for a quarter of its objective, whatever its targets take. Change: the wait ends where the objective less the expected time at the engines does; who cannot have a place by then is refused at once. Test: TestWaitsWhileInTime fails without the change.

--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -41,8 +41,9 @@
 )
 
 type waiter struct {
-	id  uint64
-	ask Ask
+	id    uint64
+	ask   Ask
+	until time.Time
 }
 
 // Offer decides on a request. With Wait, id names the request in later grants
@@ -58,17 +59,17 @@
 			return Decision{Step: Send, Target: t.take(now)}
 		}
 	}
-	at := p.expected(now, x, a, ahead+1)
-	if at.After(a.Latest()) {
+	at, until := p.expected(now, x, a, ahead+1), p.until(now, x, a)
+	if at.After(until) {
 		return Decision{Step: Refuse, Reason: Full, RetryAt: p.promise(now, x, a, at), Queue: ahead}
 	}
-	x.enqueue(waiter{id: id, ask: a})
-	return Decision{Step: Wait, Queue: ahead}
+	x.enqueue(waiter{id: id, ask: a, until: until})
+	return Decision{Step: Wait, Until: until, Queue: ahead}
 }
 
-// Latest is until when the request may wait for a place: a target that is within
-// its limit then answers in time.
-func (a Ask) Latest() time.Time {
+// latest is until when the request may wait for a place by its objective alone: a
+// target that is within its limit then answers in time.
+func (a Ask) latest() time.Time {
 	at := a.Start.Add(time.Duration(waitShare * float64(a.Objective)))
 	if a.Objective <= 0 || a.Deadline.Before(at) {
 		return a.Deadline
@@ -76,6 +77,43 @@
 	return at
 }
 
+// until is until when a may wait for a place: the answer is then expected to be in
+// time, by what requests to its targets have taken lately.
+func (p *Placer) until(now time.Time, x *pool, a Ask) time.Time {
+	latest := a.latest()
+	if a.Objective <= 0 {
+		return latest
+	}
+	at := a.Start.Add(a.Objective - p.way(now, x, a))
+	if at.Before(latest) {
+		return at
+	}
+	return latest
+}
+
+// way is the expected time from a place to the first event.
+func (p *Placer) way(now time.Time, x *pool, a Ask) time.Duration {
+	decode := p.usable(now, x, a, false)
+	if a.Affinity == "" {
+		if t := p.cheapest(decode, a); t != nil {
+			return t.expected()
+		}
+		return 0
+	}
+	last := home(decode, a.Affinity)
+	if last == nil {
+		return 0
+	}
+	if a.Split {
+		first := home(append(decode, p.usable(now, x, a, true)...), a.Affinity)
+		if first.record.Role == fleet.Prefill {
+			return first.expected() + last.expected()
+		}
+		return first.expected()
+	}
+	return last.expected()
+}
+
 // serves reports whether a target of the pool may serve a at all.
 func (x *pool) serves(a Ask) bool {
 	return slices.ContainsFunc(x.targets, func(t *target) bool { return t.fits(a, false) })
@@ -103,7 +141,7 @@
 		if c := cmp.Compare(x.ask.Rank, y.ask.Rank); c != 0 {
 			return c
 		}
-		if c := x.ask.Latest().Compare(y.ask.Latest()); c != 0 {
+		if c := x.until.Compare(y.until); c != 0 {
 			return c
 		}
 		return -1 // behind those that came earlier
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -49,6 +49,7 @@
 	Target  roster.Record // with Send
 	Reason  Reason        // with Refuse
 	RetryAt time.Time     // with Refuse: when a place is expected
+	Until   time.Time     // with Wait: when the request is to be withdrawn
 	Queue   int           // requests that wait ahead
 }
 
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -287,6 +287,41 @@
 	is.Equal(p.Offer(start, 500, late).Step, place.Refuse)
 }
 
+// Guards against requests that wait for a place and are then answered late, while
+// others would be answered in time: a request waits only as long as its targets
+// are expected to answer in time, and is refused at once else.
+func TestWaitsWhileInTime(t *testing.T) {
+	for name, test := range map[string]struct {
+		took time.Duration // to the first event
+		step place.Step
+		wait time.Duration
+	}{
+		"fast": {50 * time.Millisecond, place.Wait, objective / 4},
+		"slow": {200 * time.Millisecond, place.Wait, objective - 200*time.Millisecond},
+		"late": {244 * time.Millisecond, place.Refuse, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var list []roster.Record
+			for i := range 16 {
+				list = append(list, record(fmt.Sprint("t", i), fleet.Mixed, "kt"))
+			}
+			p := placer(list...)
+			for _, r := range list {
+				p.Begun(start, r, test.took, 0, objective)
+			}
+			fill(t, p, ask(nil))
+			d := p.Offer(start, 1, ask(nil))
+			is.Equal(d.Step, test.step)
+			if test.step == place.Wait {
+				is.Equal(d.Until, start.Add(test.wait))
+			} else {
+				is.True(d.RetryAt.After(start))
+			}
+		})
+	}
+}
+
 // Guards against a queue at the target: the limit shrinks while first events are
 // late and grows while they are early and the limit is used.
 func TestLimit(t *testing.T) {
--- a/core/place/replay_test.go
+++ b/core/place/replay_test.go
@@ -284,7 +284,7 @@
 	case !decided:
 		w.waiting[gateway][id] = run
 		w.wake(p, gateway)
-		w.at(a.Latest(), func() {
+		w.at(d.Until, func() {
 			if w.waiting[gateway][id] != nil {
 				delete(w.waiting[gateway], id)
 				p.(placed).p.Withdraw(w.now, id, a.Pool)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -217,7 +217,7 @@
 		return r, d.Reason, d.RetryAt
 	case place.Wait:
 	}
-	late := time.NewTimer(time.Until(a.Latest()))
+	late := time.NewTimer(time.Until(d.Until))
 	defer late.Stop()
 	select {
 	case r = <-granted:
