core/quorum: take in a replica whose disk was lost before its identity was recorded

Cause: a voter of a new log whose data directory came back empty before the membership recorded it was answered that it is a member, while the leader ignored it since another directory had answered under its name. It stayed out for good. Change: while the membership records no directory, the one that has answered the leader counts.

--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -5,6 +5,7 @@
 package quorum
 
 import (
+	"cmp"
 	"time"
 
 	"papayarock/core/fleet"
@@ -25,13 +26,16 @@
 
 // Admit returns the change that brings an applicant nearer to membership. A
 // voter with another data directory is removed first: the new directory does
-// not hold the votes and entries that the old one promised.
-func Admit(members log.Membership, a Applicant) (Change, bool) {
+// not hold the votes and entries that the old one promised. answered is the
+// directory that has answered the leader under the applicant's name, zero if none
+// has: it counts while the membership records none.
+func Admit(members log.Membership, a Applicant, answered log.Identity) (Change, bool) {
 	m, ok := members.Find(a.Host)
-	switch {
-	case !ok:
+	if !ok {
 		return Change{log.AddLearner, a.Host}, true
-	case m.Identity != 0 && m.Identity != a.Identity:
+	}
+	known := cmp.Or(m.Identity, answered)
+	if known != 0 && known != a.Identity {
 		return Change{log.Remove, a.Host}, true
 	}
 	return Change{}, false
