io/registry: acknowledge the first document once all voters are recorded

Cause: a new log whose leader ended right after the first commit had no leader until that one was back: the voter without an entry helps no candidate with entries until its directory is recorded. Seen once as TestEmptyDirectory, "document accepted: not within 30 s". Change: the leader waits up to 300 ms for the directories of all voters to be recorded before it acknowledges a document. A voter that is away at the start still leaves the gap.

--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"papayarock/core/catalog"
 	"papayarock/core/fleet"
+	"papayarock/core/log"
 	"papayarock/core/roster"
 	"papayarock/io/identity"
 	"papayarock/io/link"
@@ -24,6 +26,10 @@
 const (
 	// commitTimeout bounds one commit. Callers give a call up after a second.
 	commitTimeout = 900 * time.Millisecond
+	// identityWait bounds the wait for the data directories of the voters of a new
+	// log: a few round trips and syncs.
+	identityWait   = 300 * time.Millisecond
+	identityPeriod = 10 * time.Millisecond
 	// snapshotEntries keeps the log within a few MB when documents of 100 KB
 	// come in quick succession.
 	snapshotEntries = 200
@@ -225,10 +231,31 @@
 	err := r.commit(ctx, &wire.RegistryCommand{Command: &wire.RegistryCommand_Catalog{
 		Catalog: &wire.CatalogPut{Version: version, Document: document},
 	}})
+	if err == nil {
+		r.awaitIdentities(ctx)
+	}
 	r.log.Info("catalog submitted", "version", version, "bytes", len(document), "error", err)
 	return err
 }
 
+// awaitIdentities waits until the membership records the data directories of all
+// voters, or for identityWait: a new log that loses its leader before cannot elect
+// another one until it is back, since a directory without entries helps no
+// candidate that has some.
+func (r *Registry) awaitIdentities(ctx context.Context) {
+	for end := time.Now().Add(identityWait); time.Now().Before(end); {
+		unknown := func(m log.Member) bool { return !m.Learner && m.Identity == 0 }
+		if !slices.ContainsFunc(r.group.Members(), unknown) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(identityPeriod):
+		}
+	}
+}
+
 func (r *Registry) commit(ctx context.Context, c *wire.RegistryCommand) error {
 	b, err := proto.Marshal(c)
 	if err != nil {
