--- a/io/registry/machine.go
+++ b/io/registry/machine.go
@@ -28,11 +28,12 @@
 	document []byte
 	windows  map[int64]map[fleet.Customer]uint64 // fixed and not known to be sent
 	closed   int64                               // newest fixed window
+	progress map[int64]map[source]uint64         // of windows that are not fixed
 	changed  chan struct{}                       // closed and replaced with each new catalog
 }
 
 func newMachine() *machine {
-	return &machine{windows: make(map[int64]map[fleet.Customer]uint64), changed: make(chan struct{})}
+	return &machine{windows: make(map[int64]map[fleet.Customer]uint64), progress: make(map[int64]map[source]uint64), changed: make(chan struct{})}
 }
 
 // Apply changes the state by one committed command. It returns nil, or an error
@@ -53,6 +54,11 @@
 		if w > m.closed {
 			m.closed = w
 			m.windows[w] = decodeCounts(c.Close.GetCounts())
+			maps.DeleteFunc(m.progress, func(n int64, _ map[source]uint64) bool { return n <= w })
+		}
+	case *wire.RegistryCommand_Progress:
+		if w := c.Progress.GetWindow(); w > m.closed {
+			m.progress[w] = decodeProgress(c.Progress)
 		}
 	case *wire.RegistryCommand_Sent:
 		delete(m.windows, c.Sent.GetWindow())
@@ -79,6 +85,9 @@
 	for _, n := range slices.Sorted(maps.Keys(m.windows)) {
 		image.Windows = append(image.Windows, &wire.WindowClose{Window: n, Counts: encodeCounts(m.windows[n])})
 	}
+	for _, n := range slices.Sorted(maps.Keys(m.progress)) {
+		image.Progress = append(image.Progress, encodeProgress(n, m.progress[n]))
+	}
 	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(image)
 	return b, errors.Wrap(err, "encode registry state")
 }
@@ -98,6 +107,10 @@
 	for _, w := range image.GetWindows() {
 		m.windows[w.GetWindow()] = decodeCounts(w.GetCounts())
 	}
+	clear(m.progress)
+	for _, p := range image.GetProgress() {
+		m.progress[p.GetWindow()] = decodeProgress(p)
+	}
 	return nil
 }
 
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -303,6 +303,7 @@
 	Gateways int
 	Closed   int64 // newest fixed usage window
 	Unsent   int   // fixed windows that are not known to be sent
+	Counting int   // windows with committed figures that are not fixed
 	Log      any
 }
 
@@ -310,7 +311,7 @@
 func (r *Registry) Dump() any {
 	version, _, _ := r.machine.catalog()
 	unsent, closed := r.machine.unsent()
-	d := Dump{Version: version, Closed: closed, Unsent: len(unsent), Log: r.group.Dump()}
+	d := Dump{Version: version, Closed: closed, Unsent: len(unsent), Counting: r.machine.counting(), Log: r.group.Dump()}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	d.Targets, d.Gateways = r.roster.Since(0), len(r.feeds)
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -301,3 +301,39 @@
 		is.Equal(len(holders), 1)
 	}
 }
+
+// Guards against usage that is lost when the gateway that counted it and all
+// replicas end together.
+func TestUsageSurvivesRestart(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3)
+	g.put(1, "one")
+	number := time.Now().UnixMilli()/window.Milliseconds() + 1
+	var pool link.Pool
+	t.Cleanup(pool.Close)
+	leads := func() bool {
+		for i, n := range g.nodes {
+			s, err := pool.Open(t.Context(), link.Address{AddrPort: g.addrs[i]}, &wire.FeedOpen{Host: "gateway", Run: 1})
+			is.NoErr(err)
+			is.NoErr(s.Send(&wire.FeedReport{Counts: []*wire.FeedCount{{Window: number, Customer: "klang", Count: 5}}}))
+			if n.Dump().(registry.Dump).Counting > 0 {
+				return true
+			}
+		}
+		return false
+	}
+	g.eventually("the figures are committed", leads)
+	for i := range g.nodes {
+		g.nodes[i].stop()
+	}
+	for i := range g.nodes {
+		g.start(i, false)
+	}
+	reported := func() []map[fleet.Customer]uint64 {
+		g.sink.mu.Lock()
+		defer g.sink.mu.Unlock()
+		return g.sink.windows[number]
+	}
+	g.eventually("the window is reported", func() bool { return len(reported()) > 0 })
+	is.Equal(reported()[0], map[fleet.Customer]uint64{"klang": 5})
+}
--- a/io/registry/usage.go
+++ b/io/registry/usage.go
@@ -26,7 +26,8 @@
 	missed = 30 * time.Second
 	// usageTimeout bounds one report to the platform.
 	usageTimeout = 1500 * time.Millisecond
-	// maxLate is the number of past windows that a new leader fixes at most.
+	// maxLate is the number of past windows without committed figures that a new
+	// leader fixes at most.
 	maxLate = 3
 	// keepWindows is how many windows of counts a replica keeps.
 	keepWindows = 12
@@ -37,6 +38,7 @@
 	if r.o.Usage == nil || r.o.Window <= 0 {
 		return
 	}
+	var next time.Time // commit of figures
 	for {
 		select {
 		case <-ctx.Done():
@@ -49,6 +51,10 @@
 		if !held {
 			continue
 		}
+		if !time.Now().Before(next) {
+			next = time.Now().Add(progressPeriod)
+			r.commitProgress(ctx, now)
+		}
 		r.closeWindows(ctx, now)
 		r.sendWindows(ctx, term)
 	}
@@ -61,7 +67,7 @@
 func (r *Registry) closeWindows(ctx context.Context, now time.Time) {
 	last := r.windowAt(now) - 1
 	_, closed := r.machine.unsent()
-	for w := max(closed+1, last-maxLate); w <= last; w++ {
+	for w := r.machine.firstOpen(max(closed+1, last-maxLate)); w <= last; w++ {
 		end := time.UnixMilli((w + 1) * r.o.Window.Milliseconds())
 		complete := r.complete(now, end.Add(settle))
 		if !complete && now.Before(end.Add(time.Duration(closeShare*float64(r.o.Due)))) {
@@ -102,10 +108,8 @@
 }
 
 func (r *Registry) sum(window int64) map[fleet.Customer]uint64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	out := make(map[fleet.Customer]uint64)
-	for s, n := range r.counts[window] {
+	for s, n := range r.figures(window) {
 		out[s.customer] += n
 	}
 	return out
