io/registry: restart the replica half a second after a failed write

Cause: a full disk fails a write and the attempts to open the log again within milliseconds, and after five failures the supervisor waits 15 s. Change: the registry itself opens the log again each half second while writes fail. Test: TestDiskFull fails without the change.

--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -16,6 +16,7 @@
 	"papayarock/core/fleet"
 	"papayarock/core/log"
 	"papayarock/core/roster"
+	"papayarock/io/disk"
 	"papayarock/io/identity"
 	"papayarock/io/link"
 	"papayarock/io/logstream"
@@ -26,6 +27,10 @@
 const (
 	// commitTimeout bounds one commit. Callers give a call up after a second.
 	commitTimeout = 900 * time.Millisecond
+	// storagePause is the pause after a failed write. The supervisor would give the
+	// replica up for 15 s after a few failures in a row, which a full disk causes
+	// within milliseconds.
+	storagePause = 500 * time.Millisecond
 	// identityWait bounds the wait for the data directories of the voters of a new
 	// log: a few round trips and syncs.
 	identityWait   = 300 * time.Millisecond
@@ -71,6 +76,7 @@
 	Form   bool             // the seeds form a new log if the data directory is empty
 	Voters int              // wanted
 	Data   string           // directory
+	FS     disk.FS          // nil means the file system of the host
 	Links  *link.Pool
 	Log    hclog.Logger
 	Usage  UsageSink        // nil if nobody takes usage
@@ -140,7 +146,7 @@
 	}
 	var err error
 	r.group, err = replica.New(replica.Options{
-		Self: r.self, Members: members, Dir: o.Data, Machine: r.machine, Transport: r.send,
+		Self: r.self, Members: members, FS: o.FS, Dir: o.Data, Machine: r.machine, Transport: r.send,
 		Log: o.Log.Named("log"), SnapshotEntries: snapshotEntries,
 	})
 	return r, err
@@ -159,7 +165,7 @@
 	return link.Address{AddrPort: a}, err == nil
 }
 
-// Serve runs the replica until ctx ends or its storage fails.
+// Serve runs the replica until ctx ends or its data directory cannot be used.
 func (r *Registry) Serve(ctx context.Context) error {
 	running, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -172,7 +178,24 @@
 	wg.Go(func() { r.memberLoop(running) })
 	wg.Go(func() { r.usageLoop(running) })
 	wg.Go(func() { r.expireLoop(running) })
-	return r.group.Serve(running)
+	return r.replicate(running)
+}
+
+// replicate runs the replica of the log until ctx ends or its data directory cannot
+// be used at all. A disk that refuses writes may take them again.
+func (r *Registry) replicate(ctx context.Context) error {
+	for {
+		err := r.group.Serve(ctx)
+		if ctx.Err() != nil || !errors.Is(err, disk.ErrWrite) {
+			return err
+		}
+		r.log.Error("storage failed, replica restarts", "data", r.o.Data, "pause", storagePause, "error", err)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(storagePause):
+		}
+	}
 }
 
 func (r *Registry) expireLoop(ctx context.Context) {
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 
 	"papayarock/core/fleet"
 	"papayarock/core/roster"
+	"papayarock/io/disk"
 	"papayarock/io/link"
 	"papayarock/io/registry"
 	"papayarock/io/wire"
@@ -52,6 +55,7 @@
 	dirs  []string
 	sink  *sink
 	nodes []*node
+	disk  *fullDisk // of the replicas that start from now on; nil for the host's
 }
 
 type node struct {
@@ -85,7 +89,12 @@
 func (g *group) start(i int, form bool) {
 	g.t.Helper()
 	links := &link.Pool{}
+	var files disk.FS
+	if g.disk != nil {
+		files = g.disk
+	}
 	r, err := registry.New(registry.Options{
+		FS:   files,
 		Self: g.addrs[i], Name: g.addrs[i].String(), Seeds: g.addrs[:3], Form: form, Voters: 3, Data: g.dirs[i], Links: links,
 		Log: hclog.NewNullLogger(), Usage: g.sink, Window: window, Due: 2 * window,
 	})
@@ -337,3 +346,49 @@
 	g.eventually("the window is reported", func() bool { return len(reported()) > 0 })
 	is.Equal(reported()[0], map[fleet.Customer]uint64{"klang": 5})
 }
+
+// fullDisk refuses to create files and to write to them while it is full.
+type fullDisk struct {
+	disk.OS
+	full atomic.Bool
+}
+
+func (f *fullDisk) Create(name string) (disk.File, error) {
+	if f.full.Load() {
+		return nil, syscall.ENOSPC
+	}
+	file, err := f.OS.Create(name)
+	return &fullFile{file, f}, err
+}
+
+type fullFile struct {
+	disk.File
+	on *fullDisk
+}
+
+func (f *fullFile) Write(p []byte) (int, error) {
+	if f.on.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(p)
+}
+
+// Guards against a replica that stays out for long, or for good, after its disk has
+// refused writes for a while.
+func TestDiskFull(t *testing.T) {
+	g := newGroup(t, 3)
+	g.put(1, "one")
+	g.nodes[2].stop()
+	g.disk = &fullDisk{}
+	g.start(2, false)
+	g.eventually("read", func() bool { return g.reads(2, 1, "one") })
+	g.disk.full.Store(true)
+	for v := uint64(2); v < 8; v++ {
+		g.put(v, "later")
+	}
+	g.disk.full.Store(false)
+	g.nodes[0].stop() // the one whose disk was full is needed for a majority
+	g.nodes[0] = nil
+	g.put(9, "nine")
+	g.eventually("read", func() bool { return g.reads(2, 9, "nine") })
+}
