--- /dev/null
+++ b/io/gateway/bench_test.go
@@ -0,0 +1,57 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"papayarock/core/fleet"
+	"papayarock/io/logsink"
+)
+
+// BenchmarkLogging compares the processor time of a request with and without the
+// lines on it: served requests, of which a sample is logged, and requests without a
+// route, which all are. It includes what the caller and the target use.
+//
+//	go test -run xxx -bench Logging ./io/gateway
+func BenchmarkLogging(b *testing.B) {
+	for name, test := range map[string]struct {
+		path string
+		log  bool
+	}{
+		"served/off":  {"/r/1", false},
+		"served/on":   {"/r/1", true},
+		"refused/off": {"/none/1", false},
+		"refused/on":  {"/none/1", true},
+	} {
+		b.Run(name, func(b *testing.B) {
+			log := hclog.NewNullLogger()
+			if test.log {
+				sink := logsink.New(io.Discard)
+				defer sink.Close(time.Second)
+				log = hclog.New(&hclog.LoggerOptions{Name: "papayarock", Output: sink})
+			}
+			x := newRigWith(b, log)
+			x.catalog(1, route(nil))
+			x.target("first", fleet.Mixed, serves("one"))
+			before := processorTime(b)
+			for b.Loop() {
+				x.ask(func(q *http.Request) { q.URL.Path = test.path })
+			}
+			b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "cpu-us/op")
+		})
+	}
+}
+
+// processorTime returns what this process has used.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/io/gateway/rig_test.go
+++ b/io/gateway/rig_test.go
@@ -81,7 +81,7 @@
 
 // rig is a gateway with its callers' server and targets.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	gateway *gateway.Gateway
 	front   *httptest.Server
 
@@ -94,7 +94,7 @@
 
 func newRig(t *testing.T) *rig { return newRigWith(t, hclog.NewNullLogger()) }
 
-func newRigWith(t *testing.T, log hclog.Logger) *rig {
+func newRigWith(t testing.TB, log hclog.Logger) *rig {
 	x := &rig{t: t}
 	x.gateway = gateway.New(gateway.Options{
 		DataCentre: "kt", Regions: map[fleet.DataCentre]fleet.Region{"kt": "east"}, Dialect: dialect{}, Decode: decode,
