--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -35,15 +35,19 @@
 		does func(r *run)
 		want string // part of the only report; empty for none
 	}{
-		"nothing wrong":        {func(r *run) { ran(r, "a", 1); r.outcomes = append(r.outcomes, served("a", "/order/")) }, ""},
-		"repeated read":        {func(r *run) { ran(r, "a", 2); r.outcomes = append(r.outcomes, served("a", "/read/")) }, ""},
-		"repeated order":       {func(r *run) { ran(r, "a", 2); r.outcomes = append(r.outcomes, served("a", "/order/")) }, "ran 2 times"},
-		"refused after a run":  {func(r *run) { ran(r, "a", 1); r.outcomes = append(r.outcomes, refused("a", 503)) }, "was refused"},
-		"valid key refused":    {func(r *run) { r.outcomes = append(r.outcomes, refused("a", 401)) }, "valid key"},
-		"answer of another":    {func(r *run) { o := served("b", "/order/"); o.ID = "a"; r.outcomes = append(r.outcomes, o) }, "not its own"},
-		"answer without mark":  {func(r *run) { o := served("a", "/order/"); o.Marked = false; r.outcomes = append(r.outcomes, o) }, "not its own"},
-		"event of a stream":    {func(r *run) { o := served("a", "/stream/"); o.Body += "id: 9\n\n"; r.outcomes = append(r.outcomes, o) }, "not its own"},
-		"part of an answer":    {func(r *run) { o := served("a", "/order/"); o.Body, o.Whole = "an", false; r.outcomes = append(r.outcomes, o) }, ""},
+		"nothing wrong":       {func(r *run) { ran(r, "a", 1); r.outcomes = append(r.outcomes, served("a", "/order/")) }, ""},
+		"repeated read":       {func(r *run) { ran(r, "a", 2); r.outcomes = append(r.outcomes, served("a", "/read/")) }, ""},
+		"repeated order":      {func(r *run) { ran(r, "a", 2); r.outcomes = append(r.outcomes, served("a", "/order/")) }, "ran 2 times"},
+		"refused after a run": {func(r *run) { ran(r, "a", 1); r.outcomes = append(r.outcomes, refused("a", 503)) }, "was refused"},
+		"valid key refused":   {func(r *run) { r.outcomes = append(r.outcomes, refused("a", 401)) }, "valid key"},
+		"answer of another":   {func(r *run) { o := served("b", "/order/"); o.ID = "a"; r.outcomes = append(r.outcomes, o) }, "not its own"},
+		"answer without mark": {func(r *run) { o := served("a", "/order/"); o.Marked = false; r.outcomes = append(r.outcomes, o) }, "not its own"},
+		"event of a stream":   {func(r *run) { o := served("a", "/stream/"); o.Body += "id: 9\n\n"; r.outcomes = append(r.outcomes, o) }, "not its own"},
+		"part of an answer": {func(r *run) {
+			o := served("a", "/order/")
+			o.Body, o.Whole = "an", false
+			r.outcomes = append(r.outcomes, o)
+		}, ""},
 		"key at a target":      {func(r *run) { r.ledger.AddKey() }, "with a key"},
 		"customer of another":  {func(r *run) { r.ledger.Add("a", standin.Run{Customer: "c2", Start: start}) }, "for customer"},
 		"nobody served":        {func(r *run) { r.outcomes = nil; r.outcomes = append(r.outcomes, refused("a", 503)) }, "were served"},
