--- a/io/gateway/framing.go
+++ b/io/gateway/framing.go
@@ -61,8 +61,12 @@
 			n := min(f.left, int64(len(p)))
 			f.left -= n
 			p = p[n:]
-			if f.left == 0 {
-				f.part = map[part]part{inBody: inHead, inChunk: inSize}[f.part]
+			switch {
+			case f.left > 0:
+			case f.part == inChunk:
+				f.part = inSize
+			default:
+				f.part = inHead
 			}
 		case inSize, inTrailer:
 			p = f.line(p)
--- a/io/registry/usage.go
+++ b/io/registry/usage.go
@@ -38,7 +38,7 @@
 	if r.o.Usage == nil || r.o.Window <= 0 {
 		return
 	}
-	var next time.Time // commit of figures
+	var commits time.Time // next commit of figures
 	for {
 		select {
 		case <-ctx.Done():
@@ -51,8 +51,8 @@
 		if !held {
 			continue
 		}
-		if !time.Now().Before(next) {
-			next = time.Now().Add(progressPeriod)
+		if !time.Now().Before(commits) {
+			commits = time.Now().Add(progressPeriod)
 			r.commitProgress(ctx, now)
 		}
 		r.closeWindows(ctx, now)
