io/replica: log suspensions of the host and reads of the catalog

The logs could not tell a leader whose host had been suspended from one that was frozen or cut off, and a read that succeeded left no line. A suspension is the difference by which CLOCK_BOOTTIME gains on CLOCK_MONOTONIC. The event loop logs it with whether this replica leads; a read of the catalog logs the version and whether this replica leads.

No behaviour changes: leases are still measured with the monotonic clock.

--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -364,6 +364,7 @@
 		return 0, nil, errors.Wrap(ErrCatalogUnconfirmed, err.Error())
 	}
 	version, document, _ = r.machine.catalog()
+	r.log.Info("catalog read", "version", version, "leads", r.member.Leader() == r.self)
 	return version, document, nil
 }
 
--- a/io/replica/loop.go
+++ b/io/replica/loop.go
@@ -18,8 +18,9 @@
 	pending       map[uint64]*request // requests without a result, by id
 	results       map[uint64]any      // of StateMachine.Apply in the current step, by index
 	appliedIndex  uint64
-	snapshotIndex uint64 // index of the last snapshot
-	commandBytes  uint64 // of commands applied since the last snapshot
+	snapshotIndex uint64        // index of the last snapshot
+	commandBytes  uint64        // of commands applied since the last snapshot
+	suspended     time.Duration // of the host, as last logged
 }
 
 func (l *loop) run(ctx context.Context) error {
@@ -57,10 +58,24 @@
 		if err != nil {
 			return err
 		}
-		timer.Reset(time.Until(l.node.NextTick()))
+		timer.Reset(l.node.NextTick().Sub(l.o.Clock.Now()))
+		l.logSuspension()
 	}
 }
 
+// minLoggedSuspension is the shortest suspension that is logged.
+const minLoggedSuspension = 10 * time.Millisecond
+
+// logSuspension logs that the host has been suspended since the last call.
+func (l *loop) logSuspension() {
+	total := l.o.Clock.Suspended()
+	if total-l.suspended < minLoggedSuspension {
+		return
+	}
+	l.o.Log.Warn("the host was suspended", "for", total-l.suspended, "leads", !l.lease.Load().Expires.IsZero())
+	l.suspended = total
+}
+
 // stepRequests passes r and the requests queued behind it to the node, up to maxBatch.
 // All commands are proposed in one step, so that they share a write.
 func (l *loop) stepRequests(r *request) error {
@@ -97,7 +112,7 @@
 // step passes an event to the node and carries out the resulting actions.
 func (l *loop) step(ev log.Event) error {
 	l.mu.Lock()
-	actions := l.node.Step(time.Now(), ev)
+	actions := l.node.Step(l.o.Clock.Now(), ev)
 	lease := l.node.Lease()
 	l.mu.Unlock()
 	// The loss of the lease is published before the actions are carried out, and a lease
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -16,6 +16,7 @@
 	"papayarock/core/fleet"
 	"papayarock/core/log"
 	"papayarock/io/disk"
+	"papayarock/io/truetime"
 	"papayarock/io/wire"
 )
 
@@ -72,6 +73,7 @@
 	StateMachine  StateMachine
 	Transport     Transport
 	Log           hclog.Logger
+	Clock         Clock
 
 	Lease         time.Duration // zero means log.DefaultLease
 	Heartbeat     time.Duration // zero means log.DefaultHeartbeat
@@ -81,6 +83,12 @@
 	SnapshotBytes   uint64 // bytes of commands between snapshots; zero means DefaultSnapshotBytes
 }
 
+// Clock is the time of a host. The zero value is that of the host of this process.
+type Clock struct {
+	Now       func() time.Time     // nil means time.Now
+	Suspended func() time.Duration // total time for which the host has been suspended; nil means that of truetime.Suspension
+}
+
 // Defaults for zero fields of Options.
 const (
 	DefaultSnapshotEntries = 10_000
@@ -121,6 +129,12 @@
 		return nil, errors.Wrap(ErrOptions, "host, data directory, state machine and transport are required")
 	}
 	o.Log = cmp.Or[hclog.Logger](o.Log, hclog.NewNullLogger())
+	if o.Clock.Now == nil {
+		o.Clock.Now = time.Now
+	}
+	if o.Clock.Suspended == nil {
+		o.Clock.Suspended = new(truetime.Suspension).Total
+	}
 	o.Lease = cmp.Or(o.Lease, log.DefaultLease)
 	o.Heartbeat = cmp.Or(o.Heartbeat, log.DefaultHeartbeat)
 	o.LongestAction = cmp.Or(o.LongestAction, log.DefaultLongestAction)
@@ -194,7 +208,7 @@
 			return err
 		}
 	}
-	node := log.New(time.Now(), log.Options{
+	node := log.New(m.o.Clock.Now(), log.Options{
 		Self: m.o.Self, Identity: d.identity, Stored: d.stored,
 		Random: rand.New(rand.NewPCG(randomUint64(), randomUint64())),
 		Lease:  m.o.Lease, Heartbeat: m.o.Heartbeat, LongestAction: m.o.LongestAction,
@@ -230,7 +244,7 @@
 // must end before expires.
 func (m *Member) Lease() (term uint64, expires time.Time, held bool) {
 	l := m.lease.Load()
-	return l.Term, l.Expires, l.Held(time.Now())
+	return l.Term, l.Expires, l.Held(m.o.Clock.Now())
 }
 
 // Dump is a copy of the state of a Member, for diagnosis.
--- a/io/truetime/truetime.go
+++ b/io/truetime/truetime.go
@@ -45,11 +45,11 @@
 // boottime returns the time since the host booted, including suspended time. On
 // systems without such a clock it returns the time since processStart.
 func boottime(processStart time.Time) time.Duration {
-	var t unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) != nil {
+	t, err := readClock(unix.CLOCK_BOOTTIME)
+	if err != nil {
 		return time.Since(processStart)
 	}
-	return time.Duration(t.Nano())
+	return t
 }
 
 // Now returns the wall-clock time. With samples of the last maxSampleAge (10 s) from
