io/replica: reproduce an old read from a leader whose host was suspended

The clock of the host stands still for 3 s while the other members elect a leader and commit a command. After that, the first leader completes a read without this command, since its lease of 1 s appears to be valid.

--- a/io/replica/replica_test.go
+++ b/io/replica/replica_test.go
@@ -59,7 +59,8 @@
 	t               testing.TB
 	network         *fake.Network
 	root            string
-	snapshotEntries uint64 // applied between snapshots; zero means the default
+	snapshotEntries uint64                       // applied between snapshots; zero means the default
+	clocks          map[fleet.Host]replica.Clock // of hosts whose clocks a test controls
 	members         map[fleet.Host]*member
 }
 
@@ -86,7 +87,7 @@
 	m := &member{machine: &commandList{}, done: make(chan error, 1)}
 	r, err := replica.New(replica.Options{
 		Self: h, InitialVoters: voters, DataDir: c.dir(h), FS: fs, StateMachine: m.machine, Transport: c.network.Endpoint(h),
-		SnapshotEntries: c.snapshotEntries,
+		SnapshotEntries: c.snapshotEntries, Clock: c.clocks[h],
 	})
 	if err != nil {
 		c.t.Fatal(err)
