io/replica: count the time for which the host was suspended against leases

What callers saw: an operator's read returned a version of the document that was older than one acknowledged before.

Cause: leases and elections were measured with the monotonic clock of time.Now, which stands still while a host is suspended. A leader that woke up counted on a lease that had long ended. It answered reads without asking another replica, although a new leader might have acknowledged newer documents in the meantime.

Change: Clock.now adds the measured suspension to time.Now. Node, Lease and the repair of the membership use it, so after a suspension the leader has to confirm a read with a round of heartbeats, or steps down.

Tests of io/replica, io/registry and io/controller pass.

--- a/io/registry/member.go
+++ b/io/registry/member.go
@@ -136,7 +136,7 @@
 	for h, p := range status.Peers {
 		lastHeard[h] = p.Confirmed
 	}
-	if c, ok := quorum.NextRepairChange(status.Members, r.self, r.options.Voters, lastHeard, time.Now().Add(-voterTimeout)); ok {
+	if c, ok := quorum.NextRepairChange(status.Members, r.self, r.options.Voters, lastHeard, r.member.Now().Add(-voterTimeout)); ok {
 		r.changeMembership(ctx, c)
 	}
 }
--- a/io/replica/loop.go
+++ b/io/replica/loop.go
@@ -58,7 +58,7 @@
 		if err != nil {
 			return err
 		}
-		timer.Reset(l.node.NextTick().Sub(l.o.Clock.Now()))
+		timer.Reset(l.node.NextTick().Sub(l.o.Clock.now()))
 		l.logSuspension()
 	}
 }
@@ -112,7 +112,7 @@
 // step passes an event to the node and carries out the resulting actions.
 func (l *loop) step(ev log.Event) error {
 	l.mu.Lock()
-	actions := l.node.Step(l.o.Clock.Now(), ev)
+	actions := l.node.Step(l.o.Clock.now(), ev)
 	lease := l.node.Lease()
 	l.mu.Unlock()
 	// The loss of the lease is published before the actions are carried out, and a lease
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -85,10 +85,15 @@
 
 // Clock is the time of a host. The zero value is that of the host of this process.
 type Clock struct {
-	Now       func() time.Time     // nil means time.Now
+	Now       func() time.Time     // stands still while the host is suspended; nil means time.Now
 	Suspended func() time.Duration // total time for which the host has been suspended; nil means that of truetime.Suspension
 }
 
+// now returns the time by which leases and elections are measured. It includes the time
+// for which the host was suspended: a leader that counted its lease without it would
+// still rely on the lease after the other members have elected another leader.
+func (c Clock) now() time.Time { return c.Now().Add(c.Suspended()) }
+
 // Defaults for zero fields of Options.
 const (
 	DefaultSnapshotEntries = 10_000
@@ -208,7 +213,7 @@
 			return err
 		}
 	}
-	node := log.New(m.o.Clock.Now(), log.Options{
+	node := log.New(m.o.Clock.now(), log.Options{
 		Self: m.o.Self, Identity: d.identity, Stored: d.stored,
 		Random: rand.New(rand.NewPCG(randomUint64(), randomUint64())),
 		Lease:  m.o.Lease, Heartbeat: m.o.Heartbeat, LongestAction: m.o.LongestAction,
@@ -241,10 +246,15 @@
 
 // Lease returns the term of this member, the end of its lease, and whether it may begin
 // an external action now, which is an effect outside the replicated state. The action
-// must end before expires.
+// must end before expires, which is a time of Clock.Now and valid until the host is
+// suspended.
 func (m *Member) Lease() (term uint64, expires time.Time, held bool) {
 	l := m.lease.Load()
-	return l.Term, l.Expires, l.Held(m.o.Clock.Now())
+	suspended := m.o.Clock.Suspended()
+	if !l.Expires.IsZero() {
+		expires = l.Expires.Add(-suspended)
+	}
+	return l.Term, expires, l.Held(m.o.Clock.Now().Add(suspended))
 }
 
 // Dump is a copy of the state of a Member, for diagnosis.
--- a/io/replica/status.go
+++ b/io/replica/status.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"time"
+
 	"papayarock/core/fleet"
 	"papayarock/core/log"
 )
@@ -26,3 +28,6 @@
 	}
 	return m.node.Status().Members
 }
+
+// Now returns the time by which the times in the Status of this member are measured.
+func (m *Member) Now() time.Time { return m.o.Clock.now() }
