io/gateway: log the shared prompt segments of attempts that broke off

The logs named no segments, so that requests that had crashed engines could not be related to each other. Only failed attempts are logged, so the volume grows by some tens of bytes for each of these lines.

--- a/io/gateway/codec.go
+++ b/io/gateway/codec.go
@@ -28,12 +28,17 @@
 // AffinityKey returns the key for session affinity: the id of the last prompt segment that
 // other requests share, or an empty string if there is none.
 func (i RequestInfo) AffinityKey() string {
-	if len(i.Segments) < 2 {
+	shared := i.SharedSegments()
+	if len(shared) == 0 {
 		return ""
 	}
-	return i.Segments[len(i.Segments)-2].ID
+	return shared[len(shared)-1].ID
 }
 
+// SharedSegments returns the segments of the prompt that other requests may share: all but
+// the last.
+func (i RequestInfo) SharedSegments() []PromptSegment { return i.Segments[:max(0, len(i.Segments)-1)] }
+
 // ForwardInfo holds the parameters that the gateway adds to a forwarded request.
 type ForwardInfo struct {
 	Target      fleet.TargetName // the only target that may execute the request
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -145,10 +145,20 @@
 	}
 	a.reportOutcome(outcome)
 	a.g.log.Info("attempt failed", "id", a.params.ID, "target", a.record.Target, "outcome", outcome, "took", time.Since(a.sent),
-		"announced", time.Since(a.record.Heard), "replicas", a.g.replicas(), "error", err)
+		"announced", time.Since(a.record.Heard), "replicas", a.g.replicas(), "segments", a.segmentList(), "error", err)
 	return execution
 }
 
+// segmentList returns the ids of the shared prompt segments, separated by commas, for the
+// log. Requests that end the same way can be related by them.
+func (a *attempt) segmentList() string {
+	var ids []string
+	for _, s := range a.params.SharedSegments() {
+		ids = append(ids, s.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // reportFirstEvent reports the first event of a stream, or else the response, to the
 // placer. Only the first call has an effect.
 func (a *attempt) reportFirstEvent() {
