--- a/io/gateway/fixture_test.go
+++ b/io/gateway/fixture_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -25,7 +26,8 @@
 )
 
 // testCodec is a minimal HeaderCodec for tests. Requests have Id, Key, After (last event
-// id), Wait (milliseconds to the deadline) and Prompt (tokens). To targets it adds Target,
+// id), Wait (milliseconds to the deadline), Prompt (tokens) and Segments (ids of prompt
+// segments). To targets it adds Target,
 // Left (milliseconds to the deadline), Customer, Prefill and Cache. Responses have Id,
 // Not-Run (not executed) and Mark (proof of origin).
 type testCodec struct{}
@@ -36,6 +38,9 @@
 		info.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
 	}
 	info.PromptTokens, _ = strconv.Atoi(r.Header.Get("Prompt"))
+	for _, id := range strings.Fields(r.Header.Get("Segments")) {
+		info.Segments = append(info.Segments, gateway.PromptSegment{ID: id, Tokens: 1})
+	}
 	return info
 }
 
