core/quarantine: reject prompts with a segment that crashes targets

Cause: no process relates a crash to the prompts under which it happened. The prompts look sound and arrive at all gateways, so that no gateway sees enough of them alone.

Change: gateways record the segments of the prompts that were at a run of a target when its connections ended before or at the beginning of a response, and the segments that they have served. They report this to the leader of the registry, which quarantines a segment after three runs once so many other requests were served that a sound segment would most likely have been among them. A segment that was served before needs much more evidence, so that a failure of all targets does not reject the load.

--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -14,9 +14,17 @@
 	// once.
 	runsToSuspect = 2
 	runsToConvict = 3
-	// maxChance is the probability, for a sound segment, that none of the requests served
-	// meanwhile had it, up to which it is quarantined.
-	maxChance = 0.02
+	// maxChanceNew and maxChance are the probabilities, for a sound segment, that none of the
+	// requests served meanwhile had it, up to which it is quarantined. The first one is for
+	// segments that no gateway remembers to have served. The other one is low since a segment
+	// that has been served before is probably sound, and may be a large part of the load.
+	maxChanceNew = 0.01
+	maxChance    = 1e-6
+	// While targets crash as soon as they are back, hardly any requests are served. A segment
+	// that was never served is then quarantined after runsWithoutService runs if it is in
+	// minNewShare of the requests, although most requests served before were without it.
+	runsWithoutService = 5
+	minNewShare        = 0.1
 )
 
 // Judge combines the reports of gateways, which are identified by a G. The zero value is
@@ -24,6 +32,7 @@
 type Judge[G comparable] struct {
 	reports     map[G]receivedReport
 	suspects    map[Segment]*suspect[G]
+	cleared     map[Segment]time.Time // when suspects were last served
 	quarantined map[Segment]time.Time // until when
 	sequence    uint64
 }
@@ -48,16 +57,22 @@
 	share float64 // estimated share of the requests in the pool that have the segment
 }
 
-// Add adds the report of a gateway that has applied the verdict with the given sequence,
-// and returns the segments that are new in quarantine.
-func (j *Judge[G]) Add(now time.Time, from G, sequence uint64, r Report) []Segment {
+// Add adds the report of one of the gateways, which has applied the verdict with the given
+// sequence. It returns the segments that are new in quarantine.
+func (j *Judge[G]) Add(now time.Time, from G, gateways int, sequence uint64, r Report) []Segment {
 	if j.reports == nil {
 		j.reports, j.suspects = make(map[G]receivedReport), make(map[Segment]*suspect[G])
-		j.quarantined = make(map[Segment]time.Time)
+		j.cleared, j.quarantined = make(map[Segment]time.Time), make(map[Segment]time.Time)
 	}
 	j.reports[from] = receivedReport{r, now, sequence}
 	maps.DeleteFunc(j.reports, func(_ G, r receivedReport) bool { return now.Sub(r.received) > evidenceTTL })
 	maps.DeleteFunc(j.quarantined, func(_ Segment, until time.Time) bool { return !until.After(now) })
+	maps.DeleteFunc(j.cleared, func(_ Segment, at time.Time) bool { return now.Sub(at) > evidenceTTL })
+	for s, at := range r.Cleared {
+		if at.After(j.cleared[s]) {
+			j.cleared[s] = at
+		}
+	}
 	changed := j.updateSuspects(now)
 	var added []Segment
 	for s, until := range r.Quarantined {
@@ -66,13 +81,11 @@
 			changed = true
 		}
 	}
-	for s, x := range j.suspects {
-		if j.convicts(x) {
-			j.quarantined[s] = now.Add(quarantineTTL)
-			delete(j.suspects, s)
-			added = append(added, s)
-			changed = true
-		}
+	for _, s := range j.convict(gateways) {
+		j.quarantined[s] = now.Add(quarantineTTL)
+		delete(j.suspects, s)
+		added = append(added, s)
+		changed = true
 	}
 	if changed {
 		j.sequence++
@@ -80,9 +93,40 @@
 	return added
 }
 
-// Verdict returns the current verdict.
-func (j *Judge[G]) Verdict() Verdict {
-	return Verdict{Sequence: j.sequence, Suspects: slices.Sorted(maps.Keys(j.suspects)), Quarantined: maps.Clone(j.quarantined)}
+// convict returns the suspects to be quarantined. If some of them have never been served,
+// these are the only ones: a segment of the same prompts that has been served before is
+// probably sound. Segments that have never been served and come with each other can't be
+// told apart, and are quarantined together.
+func (j *Judge[G]) convict(gateways int) []Segment {
+	var servedBefore, neverServed []Segment
+	runs := 0
+	for s, x := range j.suspects {
+		switch {
+		case !j.convicts(s, x, gateways):
+		case j.cleared[s].IsZero():
+			neverServed = append(neverServed, s)
+			runs = max(runs, x.runs)
+		default:
+			servedBefore = append(servedBefore, s)
+		}
+	}
+	if len(neverServed) == 0 {
+		return servedBefore
+	}
+	for s, x := range j.suspects {
+		if x.runs >= runs && j.cleared[s].IsZero() && !slices.Contains(neverServed, s) {
+			neverServed = append(neverServed, s)
+		}
+	}
+	return neverServed
+}
+
+// VerdictSince returns the current verdict, and false if it has the given sequence.
+func (j *Judge[G]) VerdictSince(sequence uint64) (Verdict, bool) {
+	if sequence == j.sequence {
+		return Verdict{}, false
+	}
+	return Verdict{Sequence: j.sequence, Suspects: slices.Sorted(maps.Keys(j.suspects)), Quarantined: maps.Clone(j.quarantined)}, true
 }
 
 // updateSuspects updates the suspects from all reports, and reports whether their set has
@@ -127,25 +171,23 @@
 	if e.breaks[Starting] > 0 {
 		phase = Starting
 	}
-	return float64(e.segments[s][phase]) / float64(e.breaks[phase])
+	if e.breaks[phase] == 0 {
+		return 0
+	}
+	return min(1, float64(e.segments[s][phase])/float64(e.breaks[phase]))
 }
 
 // collectEvidence returns the evidence against the segments that are to be suspected.
 func (j *Judge[G]) collectEvidence(now time.Time) map[Segment]evidence {
 	endings := j.mergeCrashes(now)
-	cleared := make(map[Segment]time.Time)
-	for _, r := range j.reports {
-		for s, at := range r.Cleared {
-			if at.After(cleared[s]) {
-				cleared[s] = at
-			}
-		}
-	}
 	// The endings of each segment, in order of time.
 	bySegment := make(map[Segment][]*ending)
 	for _, e := range endings {
+		if j.explained(e) {
+			continue
+		}
 		for s := range e.segments {
-			if e.fraction(s) > 0 && e.at.After(cleared[s]) && j.quarantined[s].IsZero() {
+			if e.fraction(s) > 0 && e.at.After(j.cleared[s]) {
 				bySegment[s] = append(bySegment[s], e)
 			}
 		}
@@ -158,7 +200,7 @@
 		found := evidence{pool: list[0].pool, runs: len(list)}
 		total, sum := 1, 0.0 // one more than the endings, since a few endings overstate the share
 		for _, e := range endings {
-			if e.pool == found.pool && !e.at.Before(list[0].at) {
+			if e.pool == found.pool && !e.at.Before(list[0].at) && !j.explained(e) {
 				total++
 				sum += e.fraction(s)
 			}
@@ -169,6 +211,17 @@
 	return out
 }
 
+// explained reports whether a run ended under a segment that is in quarantine. Its other
+// segments are not suspected for that.
+func (j *Judge[G]) explained(e *ending) bool {
+	for s := range j.quarantined {
+		if e.fraction(s) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // mergeCrashes returns the ends of runs as seen by all gateways, in order of time.
 func (j *Judge[G]) mergeCrashes(now time.Time) []*ending {
 	latest := make(map[Run]time.Time)
@@ -205,16 +258,24 @@
 
 // convicts reports whether a suspect is to be quarantined. Its segment has not been served
 // since the first of the crashes, which is unlikely for a sound one after many other
-// requests have been served.
-func (j *Judge[G]) convicts(x *suspect[G]) bool {
-	if x.runs < runsToConvict {
+// requests have been served. Only gateways that know of the suspicion count, since the
+// others do not report yet that they have served the segment.
+func (j *Judge[G]) convicts(s Segment, x *suspect[G], gateways int) bool {
+	if x.runs < runsToConvict || 2*len(x.base) < gateways {
 		return false
 	}
-	var served uint64
+	var since, total uint64 // requests served since the suspicion, and in all
 	for from, base := range x.base {
-		if n := j.reports[from].Served[x.pool]; n > base {
-			served += n - base
+		n := j.reports[from].Served[x.pool]
+		total += n
+		if n > base {
+			since += n - base
 		}
 	}
-	return math.Pow(1-x.share, float64(served)) <= maxChance
+	chance := func(served uint64) float64 { return math.Pow(1-x.share, float64(served)) }
+	if !j.cleared[s].IsZero() {
+		return chance(since) <= maxChance
+	}
+	return chance(since) <= maxChanceNew ||
+		x.runs >= runsWithoutService && x.share >= minNewShare && chance(total) <= maxChance
 }
--- a/core/quarantine/report.go
+++ b/core/quarantine/report.go
@@ -22,11 +22,11 @@
 // Phase is how far the response to a request had got when it broke off.
 type Phase uint8
 
-// Phases. A request whose response has delivered an event has survived the beginning of
-// its response, so that its segments are not suspected.
+// Phases. A request whose target has survived the beginning of the response does not count
+// when its response breaks off later.
 const (
 	Queued   Phase = iota // no response header
-	Starting              // a response header, but no event
+	Starting              // the beginning of the response
 )
 
 // Breaks counts requests that broke off, by phase.
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -19,6 +19,7 @@
 
 	"papayarock/core/fleet"
 	"papayarock/core/place"
+	"papayarock/core/quarantine"
 	"papayarock/core/roles"
 	"papayarock/core/roster"
 	"papayarock/io/link"
@@ -75,6 +76,11 @@
 	TakeSightings() []place.Sighting
 	// AddSightings receives prefixes that other gateways have seen.
 	AddSightings(list []place.Sighting)
+	// Evidence returns what this gateway knows of prompt segments that crash targets, and
+	// its version, which changes with it and is zero if there is nothing to report.
+	Evidence() (r quarantine.Report, version uint64)
+	// ApplyVerdict receives the result of the evidence of all gateways.
+	ApplyVerdict(v quarantine.Verdict)
 }
 
 // Client maintains a feed to each registry replica. Create it with New.
@@ -213,8 +219,8 @@
 		if err := stream.Receive(&m); err != nil {
 			return err
 		}
-		status.set(m.GetLeads(), int(m.GetGateways()))
 		c.handleUpdate(serveCtx, address, &m)
+		status.set(&m)
 	}
 }
 
@@ -253,6 +259,9 @@
 		c.options.Engines.UpdateEngines(wire.DecodeFeedBacklogs(m.GetBacklogs()), wire.DecodeFeedRoleChanges(now, m.GetRoleChanges()))
 		c.options.Engines.AddSightings(wire.DecodeFeedPrefixes(m.GetPrefixes()))
 	}
+	if m.GetVerdict() != nil && c.options.Engines != nil {
+		c.options.Engines.ApplyVerdict(wire.DecodeFeedVerdict(now, m.GetVerdict()))
+	}
 	var members []netip.AddrPort
 	for _, text := range m.GetMembers() {
 		if member, err := netip.ParseAddrPort(text); err == nil {
@@ -267,8 +276,9 @@
 func (c *Client) sendReports(ctx context.Context, stream *link.Stream, status *streamStatus) {
 	nextReport := time.Now().Add(reportPeriod)
 	sent := make(map[countKey]uint64)
+	var sentEvidence uint64 // version
 	for {
-		leads, interval := status.get()
+		leads, interval, verdict := status.get()
 		c.mu.Lock()
 		newCatalog := c.newCatalog
 		c.mu.Unlock()
@@ -285,6 +295,11 @@
 			if c.options.Loads != nil {
 				report.Loads = wire.EncodeFeedLoads(c.options.Loads())
 			}
+			if leads && c.options.Engines != nil {
+				if evidence, version := c.options.Engines.Evidence(); version != sentEvidence {
+					report.Evidence, sentEvidence = wire.EncodeFeedEvidence(time.Now(), verdict, evidence), version
+				}
+			}
 		}
 		report.Version = c.options.CatalogVersion()
 		if leads && c.options.Engines != nil {
@@ -327,20 +342,26 @@
 	mu       sync.Mutex
 	leads    bool
 	gateways int
+	verdict  uint64 // sequence of the last verdict
 }
 
-func (s *streamStatus) set(leads bool, gateways int) {
+// set records an update that has been handled.
+func (s *streamStatus) set(m *wire.FeedUpdate) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leads, s.gateways = leads, gateways
+	s.leads, s.gateways = m.GetLeads(), int(m.GetGateways())
+	if m.GetVerdict() != nil {
+		s.verdict = m.GetVerdict().GetSequence()
+	}
 }
 
-// get returns whether the replica leads, and the interval of reports to it.
-func (s *streamStatus) get() (leads bool, interval time.Duration) {
+// get returns whether the replica leads, the interval of reports to it, and the sequence
+// of its last verdict that the gateway has applied.
+func (s *streamStatus) get() (leads bool, interval time.Duration, verdict uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.leads {
-		return false, reportPeriod
+		return false, reportPeriod, s.verdict
 	}
-	return true, registry.BacklogInterval(s.gateways)
+	return true, registry.BacklogInterval(s.gateways), s.verdict
 }
--- a/io/gateway/feed_fuzz_test.go
+++ b/io/gateway/feed_fuzz_test.go
@@ -10,6 +10,7 @@
 
 	"papayarock/core/fleet"
 	"papayarock/core/place"
+	"papayarock/core/quarantine"
 	"papayarock/core/roster"
 	"papayarock/io/wire"
 )
@@ -31,6 +32,9 @@
 		Backlogs:    wire.EncodeFeedBacklogs(map[fleet.TargetName]place.Backlog{"first": {Prompts: 2, Tokens: 4000}}),
 		Prefixes:    wire.EncodeFeedPrefixes([]place.Sighting{{Target: "first", Prefix: 7}}),
 		RoleChanges: wire.EncodeFeedRoleChanges(now, []place.RoleChange{{Target: "first", Started: now, Role: fleet.Decode, Expires: now.Add(time.Second)}}),
+		Verdict: wire.EncodeFeedVerdict(now, quarantine.Verdict{
+			Sequence: 3, Suspects: []quarantine.Segment{5}, Quarantined: map[quarantine.Segment]time.Time{6: now.Add(time.Minute)},
+		}),
 	}
 	add := func() {
 		text, err := proto.Marshal(update)
@@ -64,6 +68,8 @@
 		x.gateway.UpdateTargets(records, int(m.GetGateways()))
 		x.gateway.UpdateEngines(wire.DecodeFeedBacklogs(m.GetBacklogs()), wire.DecodeFeedRoleChanges(time.Now(), m.GetRoleChanges()))
 		x.gateway.AddSightings(wire.DecodeFeedPrefixes(m.GetPrefixes()))
+		x.gateway.ApplyVerdict(wire.DecodeFeedVerdict(time.Now(), m.GetVerdict()))
+		x.gateway.Evidence()
 		x.gateway.Backlogs()
 		x.gateway.Loads()
 		x.gateway.Dump()
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"papayarock/core/catalog"
 	"papayarock/core/fleet"
 	"papayarock/core/place"
+	"papayarock/core/quarantine"
 	"papayarock/core/retry"
 	"papayarock/core/roster"
 	"papayarock/io/upstream"
@@ -75,6 +76,7 @@
 	mu            sync.Mutex
 	roster        roster.Roster
 	placer        *place.Placer
+	observer      quarantine.Observer
 	gateways      int // number of gateways, as reported by the registry
 	nextID        uint64
 	waiting       map[uint64]chan place.Choice // queued requests, by placer id
@@ -301,6 +303,24 @@
 	return g.placer.TakeSightings()
 }
 
+// Evidence returns what this gateway knows of prompt segments that crash targets, and its
+// version, for the registry.
+func (g *Gateway) Evidence() (r quarantine.Report, version uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.observer.Report(time.Now())
+}
+
+// ApplyVerdict applies the result of the evidence of all gateways.
+func (g *Gateway) ApplyVerdict(v quarantine.Verdict) {
+	g.mu.Lock()
+	added := g.observer.Apply(time.Now(), v)
+	g.mu.Unlock()
+	for _, s := range added {
+		g.log.Warn("rejecting requests with a prompt segment that crashes targets", "segment", s, "until", v.Quarantined[s])
+	}
+}
+
 // UpdateEngines applies the backlogs of the other gateways at prefill engines, and the
 // role changes in progress.
 func (g *Gateway) UpdateEngines(others map[fleet.TargetName]place.Backlog, changes []place.RoleChange) {
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -67,6 +67,11 @@
 	r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "papayarock_gateway_connections_total", Help: "Connections opened to targets.",
 	}, func() float64 { return float64(g.options.Upstream.Dials.Load()) }))
+	gauge("quarantined_segments", "Prompt segments that crash targets and are rejected.", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.observer.Quarantined())
+	})
 	gauge("waiting_requests", "Requests that wait for a place.", func() float64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -13,6 +13,7 @@
 
 	"papayarock/core/catalog"
 	"papayarock/core/place"
+	"papayarock/core/quarantine"
 	"papayarock/core/retry"
 	"papayarock/core/roster"
 	"papayarock/io/upstream"
@@ -48,6 +49,7 @@
 	record             roster.Record // of the target
 	sent               time.Time     // start of the attempt, before dialling
 	dialTime           time.Duration
+	survived           bool          // the target has survived the beginning of the response
 	firstEventReported bool          // the first event has been reported to the placer
 	prefillOnly        bool          // the target only computes the prefill
 	cacheImported      bool          // the target imports the KV cache of the prompt
@@ -143,6 +145,9 @@
 		// not counted without a response.
 		a.countUsage()
 	}
+	if failure == nil || failure.MaybeSent {
+		a.recordBreak(quarantine.Queued, err)
+	}
 	a.reportOutcome(outcome)
 	a.g.log.Info("attempt failed", "id", a.params.ID, "target", a.record.Target, "outcome", outcome, "took", time.Since(a.sent),
 		"announced", time.Since(a.record.Heard), "replicas", a.g.replicas(), "segments", a.segmentList(), "error", err)
@@ -196,6 +201,7 @@
 func (a *attempt) forwardResponse(r *upstream.Response, info ResponseInfo) (retry.Execution, bool) {
 	buffered, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedResponseBytes+1))
 	if err != nil {
+		a.recordBreak(quarantine.Starting, err)
 		a.reportOutcome(place.Failed)
 		a.g.log.Info("answer broke off", "id", a.params.ID, "target", a.record.Target, "status", r.Status, "bytes", len(buffered), "error", err)
 		return retry.Executed, false
@@ -209,6 +215,7 @@
 		return retry.Executed, false
 	}
 	a.reportFirstEvent()
+	a.recordSurvival()
 	outcome := place.Served
 	if r.Status >= http.StatusInternalServerError {
 		outcome = place.Erred
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -14,6 +14,7 @@
 	"papayarock/core/catalog"
 	"papayarock/core/fleet"
 	"papayarock/core/place"
+	"papayarock/core/quarantine"
 	"papayarock/core/retry"
 	"papayarock/core/roster"
 )
@@ -48,6 +49,7 @@
 	reasonCallerLeft      = "caller-left"
 	reasonAnswerCut       = "answer-cut"
 	reasonAnswered        = "answered"
+	reasonQuarantined     = "segment-quarantined"
 )
 
 // job is the state of one request from a caller.
@@ -61,6 +63,7 @@
 	customer fleet.Customer
 	rank     int
 	pool     string
+	segments []quarantine.Segment // of the prompt, without the last one
 	body     []byte
 	started  time.Time // arrival of the request
 	deadline time.Time // deadline of the complete response
@@ -159,6 +162,7 @@
 		key = j.params.ID
 	}
 	j.pool = j.route.PickPool(key)
+	j.segments = j.sharedSegments()
 	return true
 }
 
@@ -299,6 +303,9 @@
 // acquireTarget gets a target from the placer. If there is none, it responds to the
 // caller and returns false.
 func (j *job) acquireTarget(ctx context.Context, request place.Request) (place.Choice, bool) {
+	if j.rejectQuarantined() {
+		return place.Choice{}, false
+	}
 	start := time.Now()
 	choice, reason, retryAt := j.g.acquireTarget(ctx, request)
 	j.queueTime += time.Since(start)
@@ -306,6 +313,10 @@
 		j.fail(string(reason), retryAt)
 		return choice, false
 	}
+	if j.rejectQuarantined() { // in the time that the request was queued
+		j.g.reportOutcome(choice.Target, place.End{Outcome: place.Abandoned, Uncached: choice.Uncached})
+		return choice, false
+	}
 	if ctx.Err() != nil {
 		j.g.reportOutcome(choice.Target, place.End{Outcome: place.Abandoned, Uncached: choice.Uncached})
 		j.fail(reasonTimeout, time.Time{})
@@ -390,7 +401,11 @@
 func (j *job) reject(status int, reason string, retryAt time.Time) bool {
 	h := j.w.Header()
 	if status == http.StatusServiceUnavailable {
-		wait := min(max(time.Until(retryAt), minRetryAfter), maxRetryAfter)
+		limit := maxRetryAfter
+		if reason == reasonQuarantined {
+			limit = time.Until(retryAt) // earlier retries are rejected, too
+		}
+		wait := min(max(time.Until(retryAt), minRetryAfter), limit)
 		j.retryAfter = wait
 		// Seconds, rounded up to 10 ms.
 		h.Set("Retry-After", strconv.FormatFloat(math.Ceil(wait.Seconds()*100)/100, 'f', -1, 64))
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"papayarock/core/place"
+	"papayarock/core/quarantine"
 	"papayarock/core/retry"
 	"papayarock/io/upstream"
 )
@@ -97,6 +98,9 @@
 		stall.pause() // a caller that reads slowly is not a stall of the target
 		a.reportFirstEvent()
 		pace.add(time.Now())
+		if pace.last.Sub(pace.first) >= responseStart {
+			a.recordSurvival()
+		}
 		if !a.headerSent {
 			a.copyHeaders(r)
 			a.w.WriteHeader(r.Status)
@@ -121,6 +125,7 @@
 		a.w.WriteHeader(r.Status)
 		a.headerSent = true
 	}
+	a.recordSurvival()
 	a.reportPause(pace)
 	a.reportOutcome(place.Served)
 	a.recordResponse(r.Status)
@@ -161,6 +166,7 @@
 	case ctx.Err() != nil:
 		outcome = place.Abandoned
 	}
+	a.recordBreak(quarantine.Starting, err)
 	a.reportOutcome(outcome)
 	a.g.log.Info("answer broke off", "id", a.params.ID, "target", a.record.Target, "after", a.lastEventID, "answered", a.headerSent, "segments", a.segmentList(), "error", err)
 	return retry.Executed, false
--- a/io/registry/feed.go
+++ b/io/registry/feed.go
@@ -116,6 +116,7 @@
 	leads         bool      // as last sent
 	gateways      int       // as last sent
 	sightings     uint64    // position in the log of sightings
+	verdict       uint64    // sequence of the verdict as last sent
 }
 
 // changeSignals returns channels that are closed when the catalog or the roster changes.
@@ -161,6 +162,9 @@
 		var sightings []place.Sighting
 		sightings, state.sightings = r.sightings.Since(state.sightings, state.gateway)
 		update.Prefixes = wire.EncodeFeedPrefixes(sightings)
+		if verdict, changed := r.judge.VerdictSince(state.verdict); changed {
+			update.Verdict, state.verdict = wire.EncodeFeedVerdict(now, verdict), verdict.Sequence
+		}
 		update.RoleChanges = wire.EncodeFeedRoleChanges(now, slices.Collect(maps.Values(r.roleChanges)))
 	}
 	r.mu.Unlock()
@@ -239,6 +243,9 @@
 		r.gatewayVersions[from] = max(r.gatewayVersions[from], m.GetVersion())
 		r.backlogs[from] = reportedBacklog{time.Now(), wire.DecodeFeedBacklogs(m.GetBacklogs())}
 		r.sightings.Add(time.Now(), from, wire.DecodeFeedPrefixes(m.GetPrefixes()))
+		if e := m.GetEvidence(); e != nil {
+			r.recordEvidence(time.Now(), from, e)
+		}
 		for _, c := range m.GetCounts() {
 			r.recordCount(from, c.GetWindow(), fleet.Customer(c.GetCustomer()), c.GetCount())
 		}
@@ -252,6 +259,14 @@
 	}
 }
 
+// recordEvidence passes the evidence of a gateway to the judge. The caller holds mu.
+func (r *Registry) recordEvidence(now time.Time, from gatewayRun, m *wire.FeedEvidence) {
+	sequence, report := wire.DecodeFeedEvidence(now, m)
+	for _, s := range r.judge.Add(now, from, len(r.openFeeds), sequence, report) {
+		r.log.Warn("prompt segment quarantined, targets crashed under it", "segment", s, "reported-by", from.host)
+	}
+}
+
 // recordReport records that a gateway sent a report, or that its feed was closed
 // if feedOpen is false.
 func (r *Registry) recordReport(from gatewayRun, feedOpen bool) {
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -16,6 +16,7 @@
 	"papayarock/core/fleet"
 	"papayarock/core/log"
 	"papayarock/core/place"
+	"papayarock/core/quarantine"
 	"papayarock/core/roles"
 	"papayarock/core/roster"
 	"papayarock/io/disk"
@@ -134,6 +135,7 @@
 	meters          map[string]*roles.Meter[gatewayRun] // by pool
 	backlogs        map[gatewayRun]reportedBacklog
 	sightings       place.SightingLog[gatewayRun]
+	judge           quarantine.Judge[gatewayRun]          // of prompt segments that crash targets
 	gatewayVersions map[gatewayRun]uint64                 // catalog version of each gateway, as reported
 	roleChanges     map[fleet.TargetName]place.RoleChange // ordered by this replica and not announced yet
 	watched         roster.Roster                         // targets of all replicas, while this replica leads
