core/place: send no requests to targets that say that they are leaving

What callers saw: nothing yet; the rule is new on the platform. A target that leaves sets Server-Leaving in all its responses, and requests that reach it later break the rule.

Cause: only announcements made a target leave the choice of a gateway. They may arrive seconds after the response.

An announcement does not undo this, since it may be older.

--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -154,7 +154,7 @@
 // prefill is set, only prefill engines are eligible, and otherwise only other
 // targets.
 func (t *target) eligible(req Request, prefill bool) bool {
-	return t.record.Condition == roster.Ready && t.goneAt.IsZero() && (t.record.Role == fleet.Prefill) == prefill &&
+	return t.record.Condition == roster.Ready && t.goneAt.IsZero() && !t.leaving && (t.record.Role == fleet.Prefill) == prefill &&
 		!slices.Contains(req.Exclude, t.record.Target)
 }
 
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -285,6 +285,17 @@
 	return p.grantWaiting(now, p.pool(r.Pool))
 }
 
+// RecordLeaving records that the given run of a target has said that it is leaving. It gets
+// no further requests. RecordLeaving returns false if that is known already.
+func (p *Placer) RecordLeaving(r roster.Record) bool {
+	t := p.find(r)
+	if t == nil || t.leaving {
+		return false
+	}
+	t.leaving = true
+	return true
+}
+
 // countImport counts a KV cache that was offered to a decode engine.
 func (x *pool) countImport(e End) {
 	x.counters.Imports++
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -57,6 +57,26 @@
 	return nil
 }
 
+// Guards against requests to a target that has said that it is leaving, also if it is the
+// only one and announces itself as ready, and against avoiding its next run.
+func TestLeavingTarget(t *testing.T) {
+	is := is.New(t)
+	r := newRecord("a", fleet.Mixed, "kt")
+	p := newPlacer(r)
+	is.True(p.RecordLeaving(r))
+	is.True(!p.RecordLeaving(r))
+	r.Heard = start.Add(time.Second)
+	p.Update(start.Add(time.Second), []roster.Record{r})
+	d := p.Offer(start.Add(time.Second), 1, newRequest(func(a *place.Request) { a.Start = start.Add(time.Second) }))
+	is.Equal(d.Reason, place.NoTarget)
+	next := r
+	next.Started = start.Add(2 * time.Second)
+	p.Update(start.Add(2*time.Second), []roster.Record{next})
+	is.True(!p.RecordLeaving(r)) // a late response of the former run
+	d = p.Offer(start.Add(2*time.Second), 2, newRequest(func(a *place.Request) { a.Start = start.Add(2 * time.Second) }))
+	is.Equal(d.Action, place.Send)
+}
+
 // Requests must not go to a target of the wrong role, a draining target, or one
 // that was already tried.
 func TestOfferTarget(t *testing.T) {
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -85,7 +85,11 @@
 	// because it changed its role or because another target now has its
 	// address. It is zero if the target has announced itself since.
 	goneAt time.Time
-	change RoleChange // in progress; zero if there is none
+	// leaving is set once the target has said in a response that it is leaving. Unlike
+	// goneAt, it holds for the rest of the run: the next announcement may be older than the
+	// response.
+	leaving bool
+	change  RoleChange // in progress; zero if there is none
 }
 
 // changingRole reports whether t is changing its role.
--- a/io/gateway/codec.go
+++ b/io/gateway/codec.go
@@ -63,6 +63,7 @@
 	NotExecuted bool // the target has not executed the request and will not
 	Misdirected bool // the request reached a target other than the addressed one
 	Authentic   bool // the response carries the target's proof of origin
+	Leaving     bool // the target will end soon and wants no further requests
 }
 
 // HeaderCodec encodes and decodes the header fields that callers and targets use, and the
--- a/io/gateway/prefill.go
+++ b/io/gateway/prefill.go
@@ -61,7 +61,7 @@
 	}
 	defer func() { _ = r.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxPrefillResponseBytes))
-	info := j.g.options.HeaderCodec.DecodeResponse(r.Status, r.Header)
+	info := a.decodeResponse(r)
 	outcome, handle := place.Served, ""
 	switch {
 	case err != nil:
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -70,7 +70,7 @@
 		return a.handleNoResponse(err), false
 	}
 	defer func() { _ = r.Body.Close() }()
-	info := j.g.options.HeaderCodec.DecodeResponse(r.Status, r.Header)
+	info := a.decodeResponse(r)
 	switch {
 	case info.NotExecuted || info.Misdirected:
 		outcome := place.RejectedFull
@@ -99,6 +99,21 @@
 	return a.forwardResponse(r, info)
 }
 
+// decodeResponse decodes a response header, and records what it says of the target.
+func (a *attempt) decodeResponse(r *upstream.Response) ResponseInfo {
+	info := a.g.options.HeaderCodec.DecodeResponse(r.Status, r.Header)
+	if !info.Leaving || info.Misdirected { // a misdirected response comes from another target
+		return info
+	}
+	a.g.mu.Lock()
+	added := a.g.placer.RecordLeaving(a.record)
+	a.g.mu.Unlock()
+	if added {
+		a.g.log.Info("target is leaving", "target", a.record.Target, "id", a.params.ID, "announced", time.Since(a.record.Heard))
+	}
+	return info
+}
+
 // retriesServerErrors reports whether a 5xx response of a target leads to a retry at
 // another target instead of being forwarded.
 func (j *job) retriesServerErrors() bool {
