core/place: send no requests to a target that has refused with Retry-After

What callers saw: nothing yet; the rule is new on the platform. A target that refuses a request with status 503 may state for how long it wants no requests from that gateway.

Cause: no code read the field from responses of targets. A gateway avoided a target that was full for at most 400 ms, and used it even then if there was no other one.

Change: the codec decodes the field into ResponseInfo.RetryAt. The placer does not choose that run of the target before, not as the last resort either, wakes queued requests at that time, and refuses requests at once if it is too late for them. Unused KV caches at the target are left to expire.

TestRetryAt covers the queue.

--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -240,11 +240,27 @@
 		}
 	}
 	if perSecond == 0 {
-		return now.Add(defaultRetryDelay)
+		return p.nextUsable(now, x, req)
 	}
 	return now.Add(time.Duration(float64(n) / perSecond * float64(time.Second)))
 }
 
+// nextUsable returns when a request can be admitted although no target is usable now: once
+// the first of those that have asked for no requests wants some again.
+func (p *Placer) nextUsable(now time.Time, x *pool, req Request) time.Time {
+	var earliest time.Time
+	for _, t := range x.targets {
+		paused := now.Before(t.retryAt) && t.eligible(req, false)
+		if paused && (earliest.IsZero() || t.retryAt.Before(earliest)) {
+			earliest = t.retryAt
+		}
+	}
+	if earliest.IsZero() {
+		return now.Add(defaultRetryDelay)
+	}
+	return earliest
+}
+
 // grantWaiting admits queued requests while their targets have capacity.
 func (p *Placer) grantWaiting(now time.Time, x *pool) []Grant {
 	if len(x.waiting) == 0 {
@@ -361,11 +377,12 @@
 }
 
 // usable returns the targets that may serve req. Stale, ejected, full and probed
-// targets are returned only if there is no healthy one, and never for prefill.
+// targets are returned only if there is no healthy one, and never for prefill. Targets
+// that have asked for no requests are not returned.
 func (p *Placer) usable(now time.Time, x *pool, req Request, prefill bool) []*target {
 	var healthy, fallback []*target
 	for _, t := range x.targets {
-		if !t.eligible(req, prefill) || t.changingRole(now) {
+		if !t.eligible(req, prefill) || t.changingRole(now) || now.Before(t.retryAt) {
 			continue
 		}
 		if now.Before(t.ejectedUntil) || now.Before(t.fullUntil) || now.Sub(t.record.Heard) > staleAfter || t.probing() {
@@ -391,17 +408,21 @@
 	return max(minInFlight, slotOversubscription*t.record.Slots/p.gateways)
 }
 
-// NextWake returns the earliest time at which the limit of a target admits a queued
-// request without any further event, or zero if there is none. The time may
-// have passed already.
-func (p *Placer) NextWake() time.Time {
+// NextWake returns the earliest time at which a target admits a queued request without any
+// further event, by its limit or since it wants requests again, or zero if there is none.
+// The time may have passed already.
+func (p *Placer) NextWake(now time.Time) time.Time {
 	var earliest time.Time
 	for _, x := range p.pools {
 		if len(x.waiting) == 0 {
 			continue
 		}
 		for _, t := range x.targets {
-			if at, ok := t.nextAdmission(); ok && !at.IsZero() && (earliest.IsZero() || at.Before(earliest)) {
+			at, ok := t.nextAdmission()
+			if t.retryAt.After(now) && t.retryAt.After(at) {
+				at = t.retryAt
+			}
+			if ok && !at.IsZero() && (earliest.IsZero() || at.Before(earliest)) {
 				earliest = at
 			}
 		}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -296,6 +296,20 @@
 	return true
 }
 
+// RecordRetryAt records that the given run of a target wants no requests before a time. It
+// gets none until then, not even if there is no other target.
+func (p *Placer) RecordRetryAt(r roster.Record, at time.Time) {
+	if t := p.find(r); t != nil && at.After(t.retryAt) {
+		t.retryAt = at
+	}
+}
+
+// Paused reports whether the given run of a target wants no requests now.
+func (p *Placer) Paused(now time.Time, r roster.Record) bool {
+	t := p.find(r)
+	return t != nil && now.Before(t.retryAt)
+}
+
 // countImport counts a KV cache that was offered to a decode engine.
 func (x *pool) countImport(e End) {
 	x.counters.Imports++
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -77,6 +77,31 @@
 	is.Equal(d.Action, place.Send)
 }
 
+// Guards against requests to a target within the time for which it wants none, also if it is
+// the only one, against requests that wait although that time ends too late for them, and
+// against queued requests that are not admitted when it ends.
+func TestRetryAt(t *testing.T) {
+	is := is.New(t)
+	r := newRecord("a", fleet.Mixed, "kt")
+	p := newPlacer(r)
+	wake := start.Add(20 * time.Millisecond)
+	p.RecordRetryAt(r, wake)
+	p.RecordRetryAt(r, start) // an earlier response
+	is.True(p.Paused(start, r))
+	is.Equal(p.Offer(start, 1, newRequest(nil)).Action, place.Wait)
+	is.Equal(p.NextWake(start), wake)
+	is.Equal(len(p.Tick(wake.Add(-1))), 0)
+	is.Equal(len(p.Tick(wake)), 1)
+	is.Equal(p.NextWake(wake), time.Time{})
+
+	p.RecordRetryAt(r, start.Add(time.Minute))
+	d := p.Offer(start, 2, newRequest(nil))
+	is.Equal(d.Reason, place.Full)
+	other := newRecord("b", fleet.Mixed, "klang")
+	p.Update(start, []roster.Record{other})
+	is.Equal(p.Offer(start, 3, newRequest(nil)).Choice.Target.Target, other.Target)
+}
+
 // Requests must not go to a target of the wrong role, a draining target, or one
 // that was already tried.
 func TestOfferTarget(t *testing.T) {
@@ -427,7 +452,7 @@
 	longWait := at()
 	longWait.Objective, longWait.Deadline = 200*time.Second, now.Add(time.Minute)
 	is.Equal(p.Offer(now, 3, longWait).Action, place.Wait)
-	wake := p.NextWake()
+	wake := p.NextWake(now)
 	is.True(wake.After(now))
 	is.Equal(len(p.Tick(now)), 0)
 	is.Equal(len(p.Tick(wake)), 1)
--- a/core/place/replay_test.go
+++ b/core/place/replay_test.go
@@ -76,7 +76,7 @@
 	offer(now time.Time, id uint64, a place.Request) (place.Decision, bool) // false if queued
 	firstEvent(now time.Time, r roster.Record, took time.Duration) []place.Grant
 	finish(now time.Time, r roster.Record) []place.Grant
-	wake() time.Time
+	wake(now time.Time) time.Time
 	tick(now time.Time) []place.Grant
 }
 
@@ -96,7 +96,7 @@
 	return x.p.Finish(now, r, place.End{Outcome: place.Served, Answered: true})
 }
 
-func (x placerPolicy) wake() time.Time                  { return x.p.NextWake() }
+func (x placerPolicy) wake(now time.Time) time.Time     { return x.p.NextWake(now) }
 func (x placerPolicy) tick(now time.Time) []place.Grant { return x.p.Tick(now) }
 
 // leastLoaded is the baseline, the policy used before Placer: each request goes
@@ -125,7 +125,7 @@
 	return nil
 }
 
-func (x leastLoaded) wake() time.Time              { return time.Time{} }
+func (x leastLoaded) wake(time.Time) time.Time     { return time.Time{} }
 func (x leastLoaded) tick(time.Time) []place.Grant { return nil }
 
 // result counts requests by how they ended.
@@ -301,7 +301,7 @@
 
 // wake schedules a tick for when the gateway can admit a request by time alone.
 func (s *simulation) wake(p policy, gateway int) {
-	at := p.wake()
+	at := p.wake(s.now)
 	if at.IsZero() || s.timers[gateway] {
 		return
 	}
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -80,6 +80,7 @@
 	ejectedUntil time.Time     // end of the last ejection
 	ejection     time.Duration // length of the last ejection; zero after a request was served
 	fullUntil    time.Time     // the target rejected a request as full; avoided until then
+	retryAt      time.Time     // the target has asked for no requests until then
 	rejections   int           // consecutive
 	// goneAt is when the target reported that it is not the requested one,
 	// because it changed its role or because another target now has its
--- a/io/gateway/codec.go
+++ b/io/gateway/codec.go
@@ -64,6 +64,9 @@
 	Misdirected bool // the request reached a target other than the addressed one
 	Authentic   bool // the response carries the target's proof of origin
 	Leaving     bool // the target will end soon and wants no further requests
+	// RetryAt is when the target wants requests again. It is zero if the target has not
+	// stated that with a refusal.
+	RetryAt time.Time
 }
 
 // HeaderCodec encodes and decodes the header fields that callers and targets use, and the
@@ -79,8 +82,9 @@
 	// MatchesRequest reports whether a response belongs to the request with the given id.
 	// A connection to a target may also deliver responses to earlier requests.
 	MatchesRequest(id string, status int, h http.Header) bool
-	// DecodeResponse decodes the status and the header of a target's response.
-	DecodeResponse(status int, h http.Header) ResponseInfo
+	// DecodeResponse decodes the status and the header of a target's response. A relative
+	// time counts from now.
+	DecodeResponse(now time.Time, status int, h http.Header) ResponseInfo
 	// DecodeKVCacheHandle decodes the KV cache handle from the response to a prefill
 	// request.
 	DecodeKVCacheHandle(body []byte) (string, error)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -250,7 +250,7 @@
 // scheduleWake sets a timer, unless one is set, for the next time at which the placer
 // may admit a queued request without any other event. The caller holds mu.
 func (g *Gateway) scheduleWake() {
-	at := g.placer.NextWake()
+	at := g.placer.NextWake(time.Now())
 	if at.IsZero() || g.wakeScheduled {
 		return
 	}
--- a/io/gateway/prefill.go
+++ b/io/gateway/prefill.go
@@ -87,8 +87,15 @@
 	return KVCacheRef{}, retry.Barred
 }
 
-// releaseKVCache asks a prefill engine, in the background, to drop an unused KV cache.
+// releaseKVCache asks a prefill engine, in the background, to drop an unused KV cache. If
+// the engine wants no requests, the cache is left to expire.
 func (j *job) releaseKVCache(source roster.Record, c KVCacheRef) {
+	j.g.mu.Lock()
+	paused := j.g.placer.Paused(time.Now(), source)
+	j.g.mu.Unlock()
+	if paused {
+		return
+	}
 	method, uri := j.g.options.HeaderCodec.KVCacheReleaseRequest(c.Handle)
 	id := j.params.ID
 	go func() {
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -101,15 +101,22 @@
 
 // decodeResponse decodes a response header, and records what it says of the target.
 func (a *attempt) decodeResponse(r *upstream.Response) ResponseInfo {
-	info := a.g.options.HeaderCodec.DecodeResponse(r.Status, r.Header)
-	if !info.Leaving || info.Misdirected { // a misdirected response comes from another target
-		return info
+	now := time.Now()
+	info := a.g.options.HeaderCodec.DecodeResponse(now, r.Status, r.Header)
+	if info.Misdirected {
+		return info // it comes from another target
 	}
 	a.g.mu.Lock()
-	added := a.g.placer.RecordLeaving(a.record)
+	leaves := info.Leaving && a.g.placer.RecordLeaving(a.record)
+	if !info.RetryAt.IsZero() {
+		a.g.placer.RecordRetryAt(a.record, info.RetryAt)
+	}
 	a.g.mu.Unlock()
-	if added {
-		a.g.log.Info("target is leaving", "target", a.record.Target, "id", a.params.ID, "announced", time.Since(a.record.Heard))
+	if leaves {
+		a.g.log.Info("target is leaving", "target", a.record.Target, "id", a.params.ID, "announced", now.Sub(a.record.Heard))
+	}
+	if !info.RetryAt.IsZero() {
+		a.g.log.Info("target wants no requests for a time", "target", a.record.Target, "id", a.params.ID, "status", r.Status, "for", info.RetryAt.Sub(now))
 	}
 	return info
 }
