io/upstream: do not take an earlier refusal for the response to the next request

Cause: a response without a request id was taken for the response to the request that was just sent if its status was 300 or higher. A target in trouble that sends an earlier refusal once more on a kept connection, without the id, made the gateway report the running request as not run, or send it to another target.

Change: on a connection that has carried a request before, only responses with the id of the request match. Others are skipped, as those with another id were before. On a new connection there is no earlier response.

--- a/io/gateway/codec.go
+++ b/io/gateway/codec.go
@@ -79,9 +79,9 @@
 	// fields of h that are reserved for the gateway, and removes values that the caller
 	// has put there. A relative deadline counts from now.
 	EncodeForward(now time.Time, h http.Header, f ForwardInfo)
-	// MatchesRequest reports whether a response belongs to the request with the given id.
-	// A connection to a target may also deliver responses to earlier requests.
-	MatchesRequest(id string, status int, h http.Header) bool
+	// MatchesRequest reports whether a response belongs to the request with the given id. A
+	// connection that was kept after earlier requests may deliver their responses again.
+	MatchesRequest(id string, kept bool, status int, h http.Header) bool
 	// DecodeResponse decodes the status and the header of a target's response. A relative
 	// time counts from now.
 	DecodeResponse(now time.Time, status int, h http.Header) ResponseInfo
--- a/io/gateway/fixture_test.go
+++ b/io/gateway/fixture_test.go
@@ -64,7 +64,9 @@
 	}
 }
 
-func (testCodec) MatchesRequest(id string, _ int, h http.Header) bool { return h.Get("Id") == id }
+func (testCodec) MatchesRequest(id string, _ bool, _ int, h http.Header) bool {
+	return h.Get("Id") == id
+}
 
 func (testCodec) DecodeResponse(_ time.Time, status int, h http.Header) gateway.ResponseInfo {
 	return gateway.ResponseInfo{NotExecuted: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Authentic: h.Get("Mark") != ""}
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -136,7 +136,9 @@
 	id := a.params.ID
 	q := &upstream.Request{
 		Method: a.r.Method, URI: a.r.RequestURI, Host: a.r.Host, Header: h, Body: a.body,
-		Matches: func(status int, h http.Header) bool { return a.g.options.HeaderCodec.MatchesRequest(id, status, h) },
+		Matches: func(kept bool, status int, h http.Header) bool {
+			return a.g.options.HeaderCodec.MatchesRequest(id, kept, status, h)
+		},
 	}
 	r, err := a.g.options.Upstream.Do(ctx, endpoint(a.record), q)
 	if err == nil {
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -47,6 +47,7 @@
 	limit   *limitedReader // below reader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
+	kept    bool      // the connection has been in the pool
 	expires time.Time // set by putIdle: the pool closes the connection after this time
 }
 
--- a/io/upstream/do.go
+++ b/io/upstream/do.go
@@ -34,9 +34,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte // if nil, no Content-Length is sent
-	// Matches reports whether a response belongs to this request. If nil, every
-	// response does.
-	Matches func(status int, h http.Header) bool
+	// Matches reports whether a response belongs to this request. kept says that the
+	// connection has carried requests before, whose responses may come again. If nil, every
+	// response matches.
+	Matches func(kept bool, status int, h http.Header) bool
 }
 
 // Error reports that Do obtained no response to a request.
@@ -155,7 +156,7 @@
 		if r.StatusCode >= 100 && r.StatusCode < 200 {
 			continue
 		}
-		if q.Matches == nil || q.Matches(r.StatusCode, r.Header) {
+		if q.Matches == nil || q.Matches(c.kept, r.StatusCode, r.Header) {
 			return r, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxSkippedBytes))
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -98,7 +98,7 @@
 }
 
 func (p *Pool) putIdle(endpoint Endpoint, c *conn, expires time.Time) {
-	c.expires = expires
+	c.kept, c.expires = true, expires
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
--- a/io/upstream/upstream_test.go
+++ b/io/upstream/upstream_test.go
@@ -101,7 +101,7 @@
 func request(id string) *upstream.Request {
 	return &upstream.Request{
 		Method: http.MethodPost, URI: "/" + id, Host: "h.example", Header: http.Header{"Id": {id}}, Body: []byte("body"),
-		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Matches: func(_ bool, _ int, h http.Header) bool { return h.Get("Id") == id },
 	}
 }
 
