io/gateway: do not take a response that ended after its header for complete

Cause: a response with neither a length nor chunks ends with its connection. If the target closes right after the header, the body is empty, and the gateway forwarded it as complete, for streams as well.

Change: upstream.Response.Delimited says whether the end of the body is marked. A response that is not delimited and has no body, or no event, has broken off: it is sent again or ends with status 502.

--- a/io/gateway/crash.go
+++ b/io/gateway/crash.go
@@ -70,7 +70,7 @@
 // isConnectionEnd reports whether an error says that the target has closed or reset the
 // connection.
 func isConnectionEnd(err error) bool {
-	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errPartialEvent} {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errPartialEvent, errNoBody} {
 		if errors.Is(err, end) {
 			return true
 		}
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -24,6 +24,10 @@
 // if the response is truncated.
 const maxBufferedResponseBytes = 256 << 10
 
+// errNoBody ends an attempt whose response ended right after the header, without a length
+// of zero. The target has most likely broken off.
+var errNoBody = errors.New("response of unknown length ended after its header")
+
 // hopByHopHeaders are the header fields that are not forwarded: those that apply to a
 // single connection, and Content-Length and Expect, which the gateway handles itself.
 var hopByHopHeaders = []string{
@@ -224,6 +228,9 @@
 // request can be retried.
 func (a *attempt) forwardResponse(r *upstream.Response, info ResponseInfo) (retry.Execution, bool) {
 	buffered, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedResponseBytes+1))
+	if err == nil && len(buffered) == 0 && !r.Delimited {
+		err = errNoBody
+	}
 	if err != nil {
 		a.recordBreak(quarantine.Starting, err)
 		a.reportOutcome(place.Failed)
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -90,7 +90,10 @@
 	for {
 		event, err := e.next()
 		if errors.Is(err, io.EOF) {
-			break
+			if pace.events > 0 || r.Delimited {
+				break
+			}
+			err = errNoBody
 		}
 		if err != nil {
 			return a.handleTruncatedStream(ctx, err)
--- a/io/upstream/do.go
+++ b/io/upstream/do.go
@@ -60,11 +60,14 @@
 // Response is the response to a request. Body must be closed. The connection
 // returns to the pool only if the body has been read to io.EOF before that.
 type Response struct {
-	Status   int
-	Header   http.Header
-	Length   int64 // of the body; -1 if not known in advance
-	Body     io.ReadCloser
-	DialTime time.Duration // time to connect; zero on a pooled connection
+	Status int
+	Header http.Header
+	Length int64 // of the body; -1 if not known in advance
+	// Delimited reports whether a length or chunks mark the end of the body. Otherwise it ends
+	// with the connection, so that a body that broke off looks complete.
+	Delimited bool
+	Body      io.ReadCloser
+	DialTime  time.Duration // time to connect; zero on a pooled connection
 }
 
 // Do sends a request and returns its response once the header has been read.
@@ -90,7 +93,7 @@
 	}
 	b := &body{ctx: ctx, pool: p, endpoint: endpoint, conn: c, response: r, written: written, stop: stop}
 	return &Response{
-		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, Body: b, DialTime: dialTime,
+		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, Delimited: delimited(r) || r.Body == http.NoBody, Body: b, DialTime: dialTime,
 	}, nil
 }
 
@@ -209,11 +212,13 @@
 	return nil
 }
 
+// delimited reports whether a length or chunks mark the end of the body.
+func delimited(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+
 // reusable reports whether the connection can carry another request: the response
 // delimits its body, no further data follows, and the request was written completely.
 func (b *body) reusable() bool {
-	delimited := b.response.ContentLength >= 0 || len(b.response.TransferEncoding) > 0
-	if b.response.Close || !delimited || b.conn.reader.Buffered() > 0 {
+	if b.response.Close || !delimited(b.response) || b.conn.reader.Buffered() > 0 {
 		return false
 	}
 	select {
