io/controller: count the time for which the host was suspended in the age of the copy

What callers would have seen: a key that was withdrawn while the host of a relay was suspended is accepted for up to 3 s after the host has woken up, at the nodes that poll this relay.

Cause: the same as for the lease of a suspended leader. The age of the copy of the configuration was measured with the monotonic clock, which stands still while the host is suspended.

Change: the age is measured with Member.Now, which counts suspensions. The test clock moved to internal/fake, since two packages use it.

Evidence: the case "a suspended relay is not current" fails if Member.Now returns the monotonic clock only, and passes with this change.

--- a/io/controller/cluster_test.go
+++ b/io/controller/cluster_test.go
@@ -23,6 +23,7 @@
 	"papayarock/internal/memlink"
 	"papayarock/io/controller"
 	"papayarock/io/link"
+	"papayarock/io/replica"
 	"papayarock/io/subscribe"
 )
 
@@ -35,6 +36,7 @@
 	listeners map[netip.AddrPort]*fake.MemoryListener
 	replicas  map[fleet.Host]*controller.Controller
 	stops     map[fleet.Host]func()
+	clocks    map[fleet.Host]replica.Clock // of hosts that may be suspended
 
 	mu          sync.Mutex
 	isolated    map[fleet.Host]bool // isolated hosts
@@ -63,8 +65,13 @@
 
 // newCluster starts three voters. Learners get an address and are not started.
 func newCluster(t *testing.T, learners ...fleet.Host) *cluster {
+	return newClusterWithClocks(t, nil, learners...)
+}
+
+func newClusterWithClocks(t *testing.T, clocks map[fleet.Host]replica.Clock, learners ...fleet.Host) *cluster {
 	c := &cluster{
-		t: t, addresses: make(map[fleet.Host]netip.AddrPort), listeners: make(map[netip.AddrPort]*fake.MemoryListener),
+		clocks: clocks,
+		t:      t, addresses: make(map[fleet.Host]netip.AddrPort), listeners: make(map[netip.AddrPort]*fake.MemoryListener),
 		replicas: make(map[fleet.Host]*controller.Controller), stops: make(map[fleet.Host]func()),
 		operators: make(map[fleet.Host]netip.AddrPort), isolated: make(map[fleet.Host]bool), partitioned: make(map[fleet.Host]bool),
 		conns: make(map[fleet.Host][]*silentConn),
@@ -86,6 +93,7 @@
 	pool := c.pool(h)
 	r, err := controller.New(controller.Options{
 		Self: h, Voters: voters, Addresses: c.addresses, OperatorAddresses: c.operators, DataDir: dir, Links: pool, Log: hclog.NewNullLogger(),
+		Clock: c.clocks[h],
 	})
 	is.NoErr(err)
 	l := fake.NewMemoryListener()
@@ -228,6 +236,7 @@
 		"a change is in force in time":                        changeIsInForceInTime,
 		"a change does not wait for a node that left":         changeDoesNotWaitForStoppedNode,
 		"an isolated leader cannot keep an old configuration": isolatedLeaderCannotKeepOldConfiguration,
+		"a suspended relay is not current":                    suspendedRelayIsNotCurrent,
 		"an isolated leader commits nothing":                  isolatedLeaderCommitsNothing,
 		"a revision carries only the differences":             revisionCarriesDifferences,
 		"operators race under an equal base":                  operatorsRace,
@@ -418,6 +427,28 @@
 	})
 }
 
+// Guards against a relay that takes its copy for current after its host was suspended: nodes
+// that poll it would accept a key that was withdrawn meanwhile.
+func suspendedRelayIsNotCurrent(t *testing.T) {
+	is := is.New(t)
+	hosts := make(map[fleet.Host]*fake.SuspendableHost)
+	clocks := make(map[fleet.Host]replica.Clock)
+	for _, h := range []fleet.Host{"c1", "c2", "c3"} {
+		hosts[h] = &fake.SuspendableHost{}
+		clocks[h] = replica.Clock{Now: hosts[h].Now, Suspended: hosts[h].Suspended}
+	}
+	c := newClusterWithClocks(t, clocks)
+	defer c.stop()
+	await(t, "no leader", func() bool { return c.leader() != "" })
+	relay := anyFollower(c)[0]
+	await(t, "the relay is not current", func() bool { return c.replicas[relay].Status().Current })
+	c.partition(relay)
+	hosts[relay].Suspend()
+	time.Sleep(10 * time.Second)
+	hosts[relay].Wake()
+	is.True(!c.replicas[relay].Status().Current)
+}
+
 // Guards against a command that an isolated leader reports as committed.
 func isolatedLeaderCommitsNothing(t *testing.T) {
 	is := is.New(t)
--- a/io/controller/confirm.go
+++ b/io/controller/confirm.go
@@ -79,7 +79,7 @@
 func (c *Controller) confirm(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	sent := time.Now()
+	sent := c.member.Now()
 	if err := c.member.ReadBarrier(ctx); err != nil {
 		return errors.Wrap(err, "confirm copy")
 	}
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -51,6 +51,7 @@
 	DataDir           string
 	Links             *link.Pool
 	Log               hclog.Logger
+	Clock             replica.Clock
 	PlatformURL       *url.URL      // platform interface that starts and stops targets; nil disables such orders
 	UsageURL          *url.URL      // platform interface that receives usage reports; nil disables them
 	UsageWindow       time.Duration // length of a usage window; 0 disables sealing
@@ -107,7 +108,7 @@
 	}
 	var err error
 	c.member, err = replica.New(replica.Options{
-		Self: o.Self, InitialVoters: o.Voters, DataDir: o.DataDir, StateMachine: c.machine, Transport: c.transport, Log: o.Log.Named("log"),
+		Self: o.Self, InitialVoters: o.Voters, DataDir: o.DataDir, StateMachine: c.machine, Transport: c.transport, Log: o.Log.Named("log"), Clock: o.Clock,
 	})
 	return c, err
 }
@@ -223,7 +224,7 @@
 func (c *Controller) Status() operator.Status {
 	term, expires, held := c.member.Lease()
 	index, _ := c.machine.config()
-	_, current := c.age(time.Now())
+	_, current := c.age()
 	s := operator.Status{
 		Host: string(c.self), Leader: string(c.member.Leader()), Leading: held, Term: term,
 		Revision: index.Revision, Current: current,
--- a/io/controller/lists.go
+++ b/io/controller/lists.go
@@ -22,7 +22,7 @@
 // A copy that is only fresh enough to serve callers may lack the operator's own last
 // change, and a next change based on it would be refused as a conflict.
 func (c *Controller) currentSnapshot(w http.ResponseWriter, r *http.Request) (*state.Snapshot, bool) {
-	if _, ok := c.age(time.Now()); !ok {
+	if _, ok := c.age(); !ok {
 		writeError(w, http.StatusServiceUnavailable, "stale", errStale)
 		return nil, false
 	}
--- a/io/controller/poll.go
+++ b/io/controller/poll.go
@@ -24,7 +24,7 @@
 		return s.Send(&wire.ControlPollAnswer{Last: true})
 	}
 	c.waitForNewer(ctx, revision)
-	age, ok := c.age(time.Now())
+	age, ok := c.age()
 	if !ok {
 		return s.Send(&wire.ControlPollAnswer{Stale: true, Last: true})
 	}
@@ -107,12 +107,15 @@
 }
 
 // age returns the age of this replica's copy of the configuration, and whether the
-// copy is fresh. While a replica holds the lease, its copy is always fresh.
-func (c *Controller) age(now time.Time) (time.Duration, bool) {
+// copy is fresh. While a replica holds the lease, its copy is always fresh. The age
+// includes the time for which the host was suspended, in which a key may have been
+// withdrawn.
+func (c *Controller) age() (time.Duration, bool) {
 	if _, _, held := c.member.Lease(); held {
 		return 0, true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.member.Now()
 	return c.copy.Age(now), c.copy.Fresh(now)
 }
--- a/io/replica/suspend_test.go
+++ b/io/replica/suspend_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"testing"
 	"time"
 
@@ -11,48 +10,10 @@
 
 	"papayarock/core/fleet"
 	"papayarock/internal/bubble"
+	"papayarock/internal/fake"
 	"papayarock/io/replica"
 )
 
-// suspendableHost is a host whose monotonic clock stands still while it is suspended.
-type suspendableHost struct {
-	mu        sync.Mutex
-	stoppedAt time.Time     // zero while the host runs
-	suspended time.Duration // until the host woke up last
-}
-
-func (h *suspendableHost) clock() replica.Clock {
-	return replica.Clock{Now: h.now, Suspended: h.total}
-}
-
-func (h *suspendableHost) now() time.Time {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !h.stoppedAt.IsZero() {
-		return h.stoppedAt
-	}
-	return time.Now().Add(-h.suspended)
-}
-
-func (h *suspendableHost) total() time.Duration {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.suspended
-}
-
-func (h *suspendableHost) suspend() {
-	now := h.now()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.stoppedAt = now
-}
-
-func (h *suspendableHost) wake() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.suspended, h.stoppedAt = time.Since(h.stoppedAt), time.Time{}
-}
-
 // Guards against a leader that counts on its lease after its host was suspended, although
 // another leader has committed commands in the meantime: a read then misses them.
 func TestSuspendedLeaderDoesNotServeOldState(t *testing.T) {
@@ -61,11 +22,11 @@
 		c := newCluster(t, time.Millisecond)
 		defer c.stopAll()
 		hosts := []fleet.Host{"a", "b", "c"}
-		clocks := make(map[fleet.Host]*suspendableHost)
+		clocks := make(map[fleet.Host]*fake.SuspendableHost)
 		c.clocks = make(map[fleet.Host]replica.Clock)
 		for _, h := range hosts {
-			clocks[h] = &suspendableHost{}
-			c.clocks[h] = clocks[h].clock()
+			clocks[h] = &fake.SuspendableHost{}
+			c.clocks[h] = replica.Clock{Now: clocks[h].Now, Suspended: clocks[h].Suspended}
 			c.start(h, nil, hosts...)
 		}
 		is.Equal(c.propose("one"), 1)
@@ -75,11 +36,11 @@
 			c.network.SetBlocked(leader, h, true)
 			c.network.SetBlocked(h, leader, true)
 		}
-		clocks[leader].suspend()
+		clocks[leader].Suspend()
 		delete(c.members, leader)
 		time.Sleep(3 * time.Second)
 		is.Equal(c.propose("two"), 2)
-		clocks[leader].wake()
+		clocks[leader].Wake()
 		c.members[leader] = suspended
 		_, _, held := suspended.replica.Lease()
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
