core/roster: let a late sign-off not take back a reused address

What callers saw: nothing reported. A gateway may send requests to a target that has ended, at an address that a third target has now; that one answers 421.

Cause: t announces an address, u takes it over, t signs off, v announces the address. The sign-off made t the holder of the address again, so that the announcement of v marked t as left, which it was, and u stayed ready.

Change: a sign-off does not change the holder of an address that is taken.

Evidence: the case "reuse after a late sign-off" of TestAnnounce failed before, with u ready, and passes.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -107,8 +107,8 @@
 		now = old.Heard // another replica received a later announcement
 	}
 	r.records[a.Target] = Record{Announcement: a, Heard: now}
-	if a.Address.IsValid() {
-		r.byAddress[a.Address] = a.Target
+	if _, taken := r.byAddress[a.Address]; a.Address.IsValid() && (a.Condition != Left || !taken) {
+		r.byAddress[a.Address] = a.Target // a late sign-off does not take the address back from its next holder
 	}
 	if sameRun && sameContent(old.Announcement, a) {
 		return Refreshed
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -50,6 +50,7 @@
 		"late, from the former holder": {[]roster.Announcement{newAnnouncement("u", 2, 1, roster.Ready), newAnnouncement("t", 1, 9, roster.Ready)}, map[string]roster.Condition{"u": roster.Ready}},
 		"moved":                        {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), withAddress(newAnnouncement("t", 1, 2, roster.Ready), otherAddress), newAnnouncement("u", 1, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Ready, "u": roster.Ready}},
 		"sign-off after reuse":         {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), newAnnouncement("u", 2, 1, roster.Ready), newAnnouncement("t", 1, 2, roster.Left)}, map[string]roster.Condition{"t": roster.Left, "u": roster.Ready}},
+		"reuse after a late sign-off":  {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), newAnnouncement("u", 2, 1, roster.Ready), newAnnouncement("t", 1, 2, roster.Left), newAnnouncement("v", 3, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Left, "u": roster.Left, "v": roster.Ready}},
 		"two at two addresses":         {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), withAddress(newAnnouncement("u", 1, 1, roster.Ready), otherAddress)}, map[string]roster.Condition{"t": roster.Ready, "u": roster.Ready}},
 		"repeated announcement":        {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), newAnnouncement("t", 1, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Ready}},
 	} {
