io/gateway: do not cut a stalled stream that no other target can continue

What callers saw: streams of busy targets ended in the middle.

Cause: a resumable stream was ended at its target after half of the time for which the caller waits, before it was known whether another target takes it. Under load the other targets are full as well, and the request had only been preempted by its engine, which would have gone on.

Change: a stalled stream is left at its target as long as no healthy target with free capacity, a retry of the route and of the budget are available. This is checked again every 50 ms until the caller gives up.

Evidence: both cases of TestPausedStreamWithoutOtherTarget failed before (the stream was cut) and pass. TestHasSpare covers the choice. Silent and dripping targets are still left after one second (TestOutcomes).

--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -158,6 +158,17 @@
 		!slices.Contains(req.Exclude, t.record.Target)
 }
 
+// wantsRequests reports whether t may be sent requests at now at all.
+func (t *target) wantsRequests(now time.Time) bool {
+	return !t.changingRole(now) && !now.Before(t.retryAt)
+}
+
+// healthy reports whether t is expected to serve a request that is sent at now.
+func (t *target) healthy(now time.Time) bool {
+	return t.wantsRequests(now) && !now.Before(t.ejectedUntil) && !now.Before(t.fullUntil) &&
+		now.Sub(t.record.Heard) <= staleAfter && !t.probing()
+}
+
 // countAhead returns the number of queued requests that are at least as urgent
 // as req.
 func (x *pool) countAhead(req Request) int {
@@ -382,13 +393,13 @@
 func (p *Placer) usable(now time.Time, x *pool, req Request, prefill bool) []*target {
 	var healthy, fallback []*target
 	for _, t := range x.targets {
-		if !t.eligible(req, prefill) || t.changingRole(now) || now.Before(t.retryAt) {
+		if !t.eligible(req, prefill) || !t.wantsRequests(now) {
 			continue
 		}
-		if now.Before(t.ejectedUntil) || now.Before(t.fullUntil) || now.Sub(t.record.Heard) > staleAfter || t.probing() {
-			fallback = append(fallback, t)
-		} else {
+		if t.healthy(now) {
 			healthy = append(healthy, t)
+		} else {
+			fallback = append(fallback, t)
 		}
 	}
 	if len(healthy) == 0 && !prefill {
@@ -408,6 +419,15 @@
 	return max(minInFlight, slotOversubscription*t.record.Slots/p.gateways)
 }
 
+// HasSpare reports whether a healthy target has capacity for req now and has not refused the
+// last request, so that req can be expected to run at once if it is sent.
+func (p *Placer) HasSpare(now time.Time, req Request) bool {
+	x := p.pool(req.Pool)
+	return x.countAhead(req) == 0 && slices.ContainsFunc(x.targets, func(t *target) bool {
+		return t.eligible(req, false) && t.healthy(now) && t.rejections == 0 && p.hasCapacity(now, t)
+	})
+}
+
 // NextWake returns the earliest time at which a target admits a queued request without any
 // further event, by its limit or since it wants requests again, or zero if there is none.
 // The time may have passed already.
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -77,6 +77,37 @@
 	is.Equal(d.Action, place.Send)
 }
 
+// Guards against moving a request to a target that will most likely refuse it.
+func TestHasSpare(t *testing.T) {
+	later := start.Add(time.Second)
+	for name, test := range map[string]struct {
+		change func(p *place.Placer, r roster.Record)
+		want   bool
+	}{
+		"idle":             {func(*place.Placer, roster.Record) {}, true},
+		"has refused":      {func(p *place.Placer, r roster.Record) { p.Finish(start, r, place.End{Outcome: place.RejectedFull}) }, false},
+		"has failed":       {func(p *place.Placer, r roster.Record) { p.Finish(later, r, place.End{Outcome: place.Unreachable}) }, false},
+		"wants no request": {func(p *place.Placer, r roster.Record) { p.RecordRetryAt(r, later.Add(time.Second)) }, false},
+		"leaves":           {func(p *place.Placer, r roster.Record) { p.RecordLeaving(r) }, false},
+		"at its limit": {func(p *place.Placer, r roster.Record) {
+			for id := range uint64(100) {
+				p.Offer(later, id, newRequest(func(a *place.Request) { a.Start = later; a.Deadline = later }))
+			}
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRecord("a", fleet.Mixed, "kt")
+			p := newPlacer(r)
+			test.change(p, r)
+			a := newRequest(nil)
+			is.Equal(p.HasSpare(later, a), test.want)
+			a.Exclude = []fleet.TargetName{r.Target}
+			is.True(!p.HasSpare(later, a))
+		})
+	}
+}
+
 // Guards against requests to a target within the time for which it wants none, also if it is
 // the only one, against requests that wait although that time ends too late for them, and
 // against queued requests that are not admitted when it ends.
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -44,11 +44,16 @@
 	}
 }
 
-// withdraw takes one retry from the budget and reports whether there was one.
-func (b *Budget) withdraw() bool {
+// Available reports whether the budget allows another retry.
+func (b *Budget) Available() bool {
 	// Allows for rounding errors in the sum of shares.
 	const rounding = 1e-9
-	if b.tokens < 1-rounding {
+	return b.tokens >= 1-rounding
+}
+
+// withdraw takes one retry from the budget and reports whether there was one.
+func (b *Budget) withdraw() bool {
+	if !b.Available() {
 		return false
 	}
 	b.tokens--
--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,38 +17,106 @@
 // target may be gone without a reset of its connections.
 var errStalled = errors.New("no complete event from the target in time")
 
+// stallRecheck is the interval at which a stalled stream is checked for a target that can
+// continue it.
+const stallRecheck = 50 * time.Millisecond
+
 // stallWatch cancels an attempt when its stream stalls. It does nothing for requests that
 // are not streams.
 type stallWatch struct {
-	stream retry.Stream
-	timer  *time.Timer // nil if the request is not a stream
-	cancel context.CancelCauseFunc
+	stream  retry.Stream
+	canMove func() bool // reports whether another target can continue the stream now
+	cancel  context.CancelCauseFunc
+	timer   *time.Timer // nil if the request is not a stream
+
+	mu     sync.Mutex
+	last   time.Time // of the last complete event, or the start of the attempt
+	begun  bool      // the stream can be continued after its last event
+	paused bool
 }
 
 // watchStream returns a context that is cancelled with errStalled when the stream of the
 // attempt stalls. The caller must call stop.
 func (a *attempt) watchStream(ctx context.Context) (context.Context, *stallWatch) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &stallWatch{cancel: cancel}
+	w := &stallWatch{cancel: cancel, last: a.sent}
 	if a.route.Kind == catalog.Stream {
 		w.stream = retry.Stream{Objective: a.route.Objective, MaxPause: a.route.MaxPause, Resumable: a.route.Resumable}
-		w.timer = time.AfterFunc(time.Until(w.stream.StallDeadline(a.sent, false)), func() { cancel(errStalled) })
+		w.canMove = a.canMove
+		w.timer = time.AfterFunc(time.Until(w.stream.StallDeadline(a.sent, false)), w.check)
 	}
 	return ctx, w
 }
 
+// check cancels the attempt if its stream has stalled and another target can continue it, or
+// if the caller has given up by now. A target that is busy may only have preempted the
+// request, and the stream would be cut if no other target took it.
+func (w *stallWatch) check() {
+	now := time.Now()
+	w.mu.Lock()
+	paused, begun, last := w.paused, w.begun, w.last
+	w.mu.Unlock()
+	if paused {
+		return
+	}
+	abandoned := w.stream.StallDeadline(last, false)
+	stalled := w.stream.StallDeadline(last, begun)
+	switch {
+	case !now.Before(abandoned), !now.Before(stalled) && w.canMove():
+		w.cancel(errStalled)
+	case now.Before(stalled):
+		w.schedule(stalled)
+	default:
+		w.schedule(earlier(now.Add(stallRecheck), abandoned))
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// schedule sets the time of the next check, unless the watch is paused.
+func (w *stallWatch) schedule(at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.paused {
+		w.timer.Reset(time.Until(at))
+	}
+}
+
+// canMove reports whether another target can continue the stream of the attempt now.
+func (a *attempt) canMove() bool {
+	request := a.placementRequest(false)
+	request.Exclude = append(slices.Clone(a.tried), a.record.Target)
+	a.g.mu.Lock()
+	defer a.g.mu.Unlock()
+	return a.failedAttempts+1 < max(1, a.route.Attempts) && a.g.budget(a.pool).Available() && a.g.placer.HasSpare(time.Now(), request)
+}
+
 // pause stops the watch while the gateway does not read from the target.
 func (w *stallWatch) pause() {
-	if w.timer != nil {
-		w.timer.Stop()
+	if w.timer == nil {
+		return
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.paused = true
+	w.timer.Stop()
 }
 
-// progress records that a complete event has been forwarded, and resumes the watch.
-func (w *stallWatch) progress() {
-	if w.timer != nil {
-		w.timer.Reset(time.Until(w.stream.StallDeadline(time.Now(), true)))
+// progress records that a complete event has been forwarded, and resumes the watch. begun
+// says whether the stream can be continued after that event.
+func (w *stallWatch) progress(begun bool) {
+	if w.timer == nil {
+		return
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last, w.begun, w.paused = time.Now(), begun, false
+	w.timer.Reset(time.Until(w.stream.StallDeadline(w.last, begun)))
 }
 
 // drainTimeout limits the time for reading a body that is not forwarded.
--- a/io/gateway/stall_test.go
+++ b/io/gateway/stall_test.go
@@ -42,3 +42,55 @@
 	is.Equal(bytes.Count(body, []byte("id: ")), events)
 	is.Equal(len(x.requests()), 1)
 }
+
+// pauses sends events after the one that the caller has, and pauses before the third one.
+func pauses(events int, pause time.Duration) targetHandler {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Mark", "m")
+		w.Header().Set("Content-Type", "text/event-stream")
+		from, _ := strconv.Atoi(r.Header.Get("After"))
+		for i := from + 1; i <= events; i++ {
+			if i == 3 {
+				time.Sleep(pause)
+			}
+			_, _ = io.WriteString(w, "id: "+strconv.Itoa(i)+"\ndata: piece "+strconv.Itoa(i)+"\n\n")
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+// Guards against cutting a stream that its target has only preempted for a time, as an engine
+// does under load, although no other target can continue it.
+func TestPausedStreamWithoutOtherTarget(t *testing.T) {
+	const pause = 1500 * time.Millisecond // the stream counts as stalled after a second, its caller leaves after two
+	for name, others := range map[string]func(x *fixture){
+		"only target": func(*fixture) {},
+		"other target is full": func(x *fixture) {
+			x.target("second", fleet.Mixed, respondsWith(http.StatusServiceUnavailable, "Not-Run"))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			x := newFixture(t)
+			x.catalog(1, route(quick))
+			x.target("first", fleet.Mixed, pauses(5, pause))
+			done := make(chan response)
+			go func() { done <- x.send(nil) }()
+			time.Sleep(pause / 3)
+			others(x)
+			full := time.NewTicker(20 * time.Millisecond) // requests that find the other target full
+			defer full.Stop()
+			for {
+				select {
+				case got := <-done:
+					is.NoErr(got.err) // the stream was cut
+					is.Equal(got.body, eventText(5))
+					return
+				case <-full.C:
+					go x.send(func(q *http.Request) { q.Header.Set("Id", "other"); q.Header.Set("After", "3") })
+				}
+			}
+		})
+	}
+}
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -118,10 +118,10 @@
 			a.recordEnd(reasonCallerLeft, r.Status)
 			panic(http.ErrAbortHandler)
 		}
-		stall.progress()
 		if e.lastID != "" {
 			a.lastEventID = e.lastID
 		}
+		stall.progress(a.lastEventID != "")
 	}
 	if !a.headerSent {
 		a.copyHeaders(r)
