io/gateway: let a stream that broke off wait for any target with capacity

What callers saw: streams ended in the middle although another target could have continued them a little later.

Cause: the rest of a stream was placed like a new request. Its objective for the first event had passed long before, so that it was refused at once if no target had free capacity; and it was bound to the target of its prompt prefix, although that was busy.

Change: the rest of a stream has no objective and no affinity. It may be queued until its caller gives up on the next event.

Evidence: TestTruncatedStreamWaitsForTarget failed before (cut after the second event) and passes.

--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -74,6 +74,7 @@
 	execution        retry.Execution // combined over all attempts
 	tried            []fleet.TargetName
 	lastEventID      string           // id of the last event received by the caller
+	lastEventAt      time.Time        // when it was forwarded
 	headerSent       bool             // the response header has been written
 	target           fleet.TargetName // target of the last attempt
 	queueTime        time.Duration    // time spent queued for a target
@@ -260,10 +261,22 @@
 		Pool: j.pool, Rank: j.targetRank(), Split: split, Exclude: j.tried, Objective: j.objective(), Start: j.started,
 		Deadline: j.deadline.Add(-minSendTime), MaxPause: j.route.MaxPause, Prompt: j.prompt(), TransferTime: j.kvCacheTransferTime(),
 	}
-	request.Affinity = j.affinity()
+	if !j.headerSent {
+		request.Affinity = j.affinity()
+		return request
+	}
+	// The objective for the first event does not apply to the rest of a stream. The caller
+	// waits for the next event for a while, so any target will do.
+	request.Start, request.Objective = j.lastEventAt, 0
+	request.Deadline = earlier(request.Deadline, j.stream().StallDeadline(j.lastEventAt, false))
 	return request
 }
 
+// stream describes the pauses that the request may have if its response is a stream.
+func (j *job) stream() retry.Stream {
+	return retry.Stream{Objective: j.route.Objective, MaxPause: j.route.MaxPause, Resumable: j.route.Resumable}
+}
+
 // affinity returns the key of the shared tokens of the prompt, or an empty string if the
 // route does not use them.
 func (j *job) affinity() string {
--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"papayarock/core/catalog"
+	"papayarock/core/place"
 	"papayarock/core/retry"
 )
 
@@ -41,7 +42,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &stallWatch{cancel: cancel, last: a.sent}
 	if a.route.Kind == catalog.Stream {
-		w.stream = retry.Stream{Objective: a.route.Objective, MaxPause: a.route.MaxPause, Resumable: a.route.Resumable}
+		w.stream = a.stream()
 		w.canMove = a.canMove
 		w.timer = time.AfterFunc(time.Until(w.stream.StallDeadline(a.sent, false)), w.check)
 	}
@@ -87,10 +88,10 @@
 	}
 }
 
-// canMove reports whether another target can continue the stream of the attempt now.
+// canMove reports whether another target can continue the stream of the attempt now. It uses
+// only fields that do not change during the attempt, since it runs beside it.
 func (a *attempt) canMove() bool {
-	request := a.placementRequest(false)
-	request.Exclude = append(slices.Clone(a.tried), a.record.Target)
+	request := place.Request{Pool: a.pool, Rank: a.targetRank(), Exclude: append(slices.Clone(a.tried), a.record.Target)}
 	a.g.mu.Lock()
 	defer a.g.mu.Unlock()
 	return a.failedAttempts+1 < max(1, a.route.Attempts) && a.g.budget(a.pool).Available() && a.g.placer.HasSpare(time.Now(), request)
--- a/io/gateway/stall_test.go
+++ b/io/gateway/stall_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -94,3 +95,31 @@
 		})
 	}
 }
+
+// Guards against cutting a stream whose target has failed when the other target is busy for
+// less time than the caller waits for the next event.
+func TestTruncatedStreamWaitsForTarget(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(t)
+	x.catalog(1, route(quick))
+	release := make(chan struct{})
+	x.target("second", fleet.Mixed, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Id") != "id-1" {
+			<-release
+		}
+		streams(5, 0)(w, r)
+	})
+	var busy sync.WaitGroup
+	for i := range 3 { // one more than a new target is sent before it has answered
+		busy.Go(func() { x.send(func(q *http.Request) { q.Header.Set("Id", "busy-"+strconv.Itoa(i)) }) })
+	}
+	for len(x.requests()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	x.target("first", fleet.Mixed, streams(5, 2))
+	time.AfterFunc(500*time.Millisecond, func() { close(release) })
+	got := x.send(nil)
+	is.NoErr(got.err) // the stream was cut
+	is.Equal(got.body, eventText(5))
+	busy.Wait()
+}
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -119,7 +119,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		if e.lastID != "" {
-			a.lastEventID = e.lastID
+			a.lastEventID, a.lastEventAt = e.lastID, time.Now()
 		}
 		stall.progress(a.lastEventID != "")
 	}
