--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -89,7 +89,7 @@
 		"has failed":       {func(p *place.Placer, r roster.Record) { p.Finish(later, r, place.End{Outcome: place.Unreachable}) }, false},
 		"wants no request": {func(p *place.Placer, r roster.Record) { p.RecordRetryAt(r, later.Add(time.Second)) }, false},
 		"leaves":           {func(p *place.Placer, r roster.Record) { p.RecordLeaving(r) }, false},
-		"at its limit": {func(p *place.Placer, r roster.Record) {
+		"at its limit": {func(p *place.Placer, _ roster.Record) {
 			for id := range uint64(100) {
 				p.Offer(later, id, newRequest(func(a *place.Request) { a.Start = later; a.Deadline = later }))
 			}
