io/registry: mend the test that usage counts survive a restart

Cause: while it waited, the test opened a feed to each replica every 5 ms and closed none. Under load the replicas were busy with thousands of feeds and did not commit the counts while their window of one second was open; after that, the condition could not be met any more.

Change: the test opens one feed to each replica and reports the same counts for all windows of the next minute. After the restart each window that was not final before has to be reported with exactly these counts; before, one window was checked.

--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -322,34 +323,43 @@
 	is := is.New(t)
 	g := newGroup(t, 3)
 	g.put(1, "one")
-	number := time.Now().UnixMilli()/window.Milliseconds() + 1
+	counts := map[fleet.Customer]uint64{"klang": 5}
+	// All windows in which the group may commit counts, since that takes longer than a
+	// window if the processor is busy.
+	var report wire.FeedReport
+	first := time.Now().UnixMilli() / window.Milliseconds()
+	for number := first; number < first+60; number++ {
+		report.Counts = append(report.Counts, &wire.FeedCount{Window: number, Customer: "klang", Count: counts["klang"]})
+	}
 	var pool link.Pool
 	t.Cleanup(pool.Close)
-	committed := func() bool {
-		for i, n := range g.nodes {
-			s, err := pool.Open(t.Context(), link.Address{AddrPort: g.addrs[i]}, &wire.FeedOpen{Host: "gateway", Run: 1})
-			is.NoErr(err)
-			is.NoErr(s.Send(&wire.FeedReport{Counts: []*wire.FeedCount{{Window: number, Customer: "klang", Count: 5}}}))
-			if n.Dump().(registry.Dump).Counting > 0 {
-				return true
-			}
-		}
-		return false
+	for i := range g.nodes {
+		s, err := pool.Open(t.Context(), link.Address{AddrPort: g.addrs[i]}, &wire.FeedOpen{Host: "gateway", Run: 1})
+		is.NoErr(err)
+		is.NoErr(s.Send(&report))
 	}
-	g.eventually("the counts are committed", committed)
+	g.eventually("the counts are committed", func() bool {
+		return slices.ContainsFunc(g.nodes, func(n *node) bool { return n.Dump().(registry.Dump).Counting > 0 })
+	})
 	for i := range g.nodes {
 		g.nodes[i].stop()
 	}
+	g.sink.mu.Lock()
+	clear(g.sink.windows) // those that were final before
+	g.sink.mu.Unlock()
 	for i := range g.nodes {
 		g.start(i, false)
 	}
-	reported := func() []map[fleet.Customer]uint64 {
+	g.eventually("a window is reported", func() bool {
 		g.sink.mu.Lock()
 		defer g.sink.mu.Unlock()
-		return g.sink.windows[number]
+		return len(g.sink.windows) > 0
+	})
+	g.sink.mu.Lock()
+	defer g.sink.mu.Unlock()
+	for _, reports := range g.sink.windows {
+		is.Equal(reports[0], counts)
 	}
-	g.eventually("the window is reported", func() bool { return len(reported()) > 0 })
-	is.Equal(reported()[0], map[fleet.Customer]uint64{"klang": 5})
 }
 
 // fullDisk fails to create and write files with ENOSPC while full is set.
