io/gateway: do not join a stream that a target has started again

What callers saw: nothing reported. A target that ignores the id of the last event starts the stream again from its first event; the caller would get pieces twice, from two runs.

Cause: the events of the target that continues a stream were forwarded without a look at their ids.

Change: an event of a continued stream whose id is a number and not higher than that of the last event of the caller ends the attempt. Events without an id are forwarded.

Evidence: the case "stream started again" of TestOutcomes failed before (five more events, complete) and passes; "resumed, events without an id" guards against ending a sound one.

--- a/io/gateway/fixture_test.go
+++ b/io/gateway/fixture_test.go
@@ -287,6 +287,24 @@
 	}
 }
 
+// restarts sends events from the first one on, whatever the caller has received.
+func restarts(last int) targetHandler {
+	return func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Del("After")
+		streams(last, 0)(w, r)
+	}
+}
+
+// withComments sends an event without an id before and after those of f.
+func withComments(f targetHandler) targetHandler {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Mark", "m")
+		_, _ = io.WriteString(w, ": comment\n\n")
+		f(w, r)
+		_, _ = io.WriteString(w, ": comment\n\n")
+	}
+}
+
 // respondsWithoutEnd sends a status, header fields, and a body that never ends.
 func respondsWithoutEnd(status int, fields ...string) targetHandler {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -66,6 +66,8 @@
 		"dripping stream resumed":         {quick, stalls(2, ":"), streams(5, 0), 200, eventText(5), 2, false, false},
 		"silent before the first event":   {quick, stalls(0, ""), streams(5, 0), 200, eventText(5), 2, false, false}, // after 2 s
 		"stream stalled twice":            {quick, stalls(2, ""), stalls(3, ""), 200, eventText(3), 2, true, false},
+		"resumed, events without an id":   {resumable, streams(5, 2), withComments(streams(5, 0)), 200, eventText(2) + ": comment\n\n" + eventText(5)[len(eventText(2)):] + ": comment\n\n", 2, false, false},
+		"stream started again":            {resumable, streams(5, 2), restarts(5), 200, eventText(2), 2, true, false},
 		"stream resumed by a 500":         {resumable, streams(5, 2), respondsWith(500, "Mark"), 200, eventText(2), 2, true, false},
 		"stream resumed by a 404":         {resumable, streams(5, 2), respondsWith(404, "Mark"), 200, eventText(2), 2, true, false},
 		"stream resumed by a redirect":    {resumable, streams(5, 2), respondsWith(302, "Mark"), 200, eventText(2), 2, true, false},
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -27,12 +28,14 @@
 var (
 	errEventTooLarge = errors.New("stream event exceeds the size limit")
 	errPartialEvent  = errors.New("stream ended in the middle of an event")
+	errRepeatedEvent = errors.New("target sent an event that the caller has already received")
 )
 
 // eventReader splits a stream of server-sent events into single events.
 type eventReader struct {
 	r      *bufio.Reader
 	buf    bytes.Buffer
+	id     string // of the last event; empty if it has none
 	lastID string // id of the last event that has one
 }
 
@@ -69,6 +72,7 @@
 			id, hasID = strings.TrimPrefix(value, " "), true
 		}
 	}
+	e.id = id
 	if hasID {
 		e.lastID = id
 	}
@@ -87,6 +91,7 @@
 	e := newEventReader(r.Body)
 	controller := http.NewResponseController(a.w)
 	var pace paceMeter
+	resumed := a.headerSent
 	for {
 		event, err := e.next()
 		if errors.Is(err, io.EOF) {
@@ -95,6 +100,9 @@
 			}
 			err = errNoBody
 		}
+		if err == nil && resumed && repeats(a.lastEventID, e.id) {
+			err = errRepeatedEvent
+		}
 		if err != nil {
 			return a.handleTruncatedStream(ctx, err)
 		}
@@ -135,6 +143,18 @@
 	return retry.Executed, true
 }
 
+// repeats reports whether the event with an id is the last one that the caller has received,
+// or an earlier one: a target that ignores the id of the last event begins the stream
+// again. Ids that are not numbers can't be compared.
+func repeats(last, id string) bool {
+	m, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		return false
+	}
+	n, err := strconv.ParseUint(id, 10, 64)
+	return err == nil && n <= m
+}
+
 // paceMeter measures the mean pause between the events of a stream.
 type paceMeter struct {
 	first, last time.Time
