--- a/core/quarantine/observer.go
+++ b/core/quarantine/observer.go
@@ -34,8 +34,8 @@
 	version     uint64
 }
 
-// RecordBreak records that a request broke off at a run of a target before its first
-// event.
+// RecordBreak records that a request broke off at a run of a target, before the target had
+// survived the beginning of the response.
 func (o *Observer) RecordBreak(now time.Time, pool string, run Run, phase Phase, segments []Segment) {
 	if len(segments) == 0 {
 		return
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -182,11 +182,12 @@
 	return execution
 }
 
-// segmentList returns the ids of the shared prompt segments, separated by commas, for the
-// log. Requests that end the same way can be related by them.
+// segmentList returns the ids of the first maxSharedSegments shared prompt segments, separated
+// by commas, for the log. Requests that end the same way can be related by them.
 func (a *attempt) segmentList() string {
+	shared := a.params.SharedSegments()
 	var ids []string
-	for _, s := range a.params.SharedSegments() {
+	for _, s := range shared[:min(len(shared), maxSharedSegments)] {
 		ids = append(ids, s.ID)
 	}
 	return strings.Join(ids, ",")
