io/gateway: count a large response that broke off against its target

What callers saw: nothing new; the connection of the caller was closed, as it has to be. But a target that breaks off large responses was never ejected.

Cause: once more than 256 KiB had been forwarded, the outcome of the status was reported, whatever happened to the rest of the body.

Change: an error of the target while the rest is forwarded is reported as a failure, one of the caller as abandoned.

Evidence: TestLargeResponseTruncated/truncated failed before and passes.

--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -471,3 +472,28 @@
 	cancel()
 	<-done
 }
+
+// Guards against taking a target for healthy whose large responses break off after a part of
+// them has been forwarded.
+func TestLargeResponseTruncated(t *testing.T) {
+	const whole = 1 << 20 // more than the gateway buffers
+	for name, sent := range map[string]int{"complete": whole, "truncated": whole / 2} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			x, logs, _ := newFixtureWithLog(t)
+			x.catalog(1, route(nil))
+			x.target("first", fleet.Mixed, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Mark", "m")
+				w.Header().Set("Content-Length", strconv.Itoa(whole))
+				_, _ = w.Write(make([]byte, sent))
+				if sent < whole {
+					panic(http.ErrAbortHandler)
+				}
+			})
+			got := x.send(nil)
+			is.Equal(got.err != nil, sent < whole)
+			is.Equal(len(got.body) == whole, sent == whole)
+			is.Equal(strings.Contains(logs.linesFor("id-1"), "outcome=failed"), sent < whole) // counts against the target
+		})
+	}
+}
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -263,20 +263,43 @@
 			a.w.Header().Set("Content-Length", strconv.FormatInt(r.Length, 10))
 		}
 		a.w.WriteHeader(r.Status)
+		rest := &errorReader{source: r.Body}
 		if _, err = a.w.Write(buffered); err == nil {
-			_, err = io.Copy(a.w, r.Body)
+			_, err = io.Copy(a.w, rest)
+		}
+		switch {
+		case rest.err != nil && a.r.Context().Err() == nil:
+			outcome = place.Failed // the target broke off
+		case err != nil:
+			outcome = place.Abandoned
 		}
 		a.reportOutcome(outcome)
 	}
 	a.headerSent = true
 	if err != nil {
-		a.g.log.Info("forwarding response failed", "id", a.params.ID, "target", a.record.Target, "error", err)
+		a.g.log.Info("forwarding response failed", "id", a.params.ID, "target", a.record.Target, "outcome", outcome, "error", err)
 		a.abort() // panics
 	}
 	a.recordResponse(r.Status)
 	return retry.Executed, true
 }
 
+// errorReader keeps the error of its source, so that it can be told from an error of the
+// writer to which the source is copied.
+type errorReader struct {
+	source io.Reader
+	err    error // other than io.EOF
+}
+
+// Read reads from the source.
+func (r *errorReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.err = err
+	}
+	return n, err
+}
+
 // isNotExecutedStatus reports whether a status tells the caller that the request was not
 // executed.
 func isNotExecutedStatus(status int) bool {
