core/place: let queued retries not hold up new requests

What callers saw: under load, new requests were refused with status 503 although a target was free.

Cause: a request is sent at once only if no request of its rank is queued. Since the rest of a stream may wait for up to two seconds, a retry that excludes the free target can be queued ahead for that long.

Change: retries do not count as queued ahead. They get the capacity that becomes free before new requests do, since the queue is served with each event.

Evidence: TestQueuedRetryDoesNotBlock failed before (the request waited) and passes.

--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -170,11 +170,12 @@
 }
 
 // countAhead returns the number of queued requests that are at least as urgent
-// as req.
+// as req. Retries do not count: they wait for targets other than those that they exclude,
+// and get the capacity that becomes free there before new requests do.
 func (x *pool) countAhead(req Request) int {
 	n := 0
 	for _, w := range x.waiting {
-		if w.request.Rank <= req.Rank {
+		if w.request.Rank <= req.Rank && len(w.request.Exclude) == 0 {
 			n++
 		}
 	}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -77,6 +77,21 @@
 	is.Equal(d.Action, place.Send)
 }
 
+// Guards against requests that wait or are refused although a target is free, because a retry
+// that may not use this target is queued ahead of them.
+func TestQueuedRetryDoesNotBlock(t *testing.T) {
+	is := is.New(t)
+	busy, free := newRecord("a", fleet.Mixed, "kt"), newRecord("b", fleet.Mixed, "kt")
+	p := newPlacer(busy)
+	saturate(t, p, newRequest(nil))
+	p.Update(start, []roster.Record{free})
+	retry := newRequest(func(a *place.Request) { a.Exclude, a.Objective = []fleet.TargetName{free.Target}, 0 })
+	is.Equal(p.Offer(start, 1, retry).Action, place.Wait)
+	d := p.Offer(start, 2, newRequest(nil))
+	is.Equal(d.Action, place.Send)
+	is.Equal(d.Choice.Target.Target, free.Target)
+}
+
 // Guards against moving a request to a target that will most likely refuse it.
 func TestHasSpare(t *testing.T) {
 	later := start.Add(time.Second)
