io/feed, io/registry: log feeds without an update and outdated announcements

A gateway whose feeds all ended before the first update left no line, a replica only a debug line, and an announcement that counts as outdated none at all. The causes of a late return after a restart of all hosts could not be told apart.

--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -163,12 +163,19 @@
 // named as a member within forgetAfter.
 func (c *Client) maintainFeed(ctx context.Context, address netip.AddrPort) {
 	const forgetAfter = time.Minute
+	var failures uint64 // streams without an update, one after the other
 	for ctx.Err() == nil {
 		err := c.runStream(ctx, address)
 		c.mu.Lock()
 		if c.connected[address] {
 			delete(c.connected, address)
+			failures = 0
 			c.options.Log.Warn("feed lost", "replica", address, "left", len(c.connected), "error", err)
+		} else if ctx.Err() == nil {
+			// The streams 1, 2, 4, 8 and so on are logged, since a replica may be gone for long.
+			if failures++; failures&(failures-1) == 0 {
+				c.options.Log.Info("feed ended before its first update", "replica", address, "times", failures, "error", err)
+			}
 		}
 		forget := time.Since(c.lastNamed[address]) > forgetAfter && !slices.Contains(c.seeds, address)
 		if forget {
--- a/io/registry/feed.go
+++ b/io/registry/feed.go
@@ -33,6 +33,8 @@
 	// routes.
 	regionDocumentDelay = 400 * time.Millisecond
 	remoteDocumentDelay = time.Second
+	// slowDocument is the time from which sending a document is logged.
+	slowDocument = 500 * time.Millisecond
 )
 
 // BacklogInterval returns the interval at which the given number of gateways report
@@ -70,7 +72,12 @@
 	for {
 		catalogChanged, rosterChanged := r.changeSignals()
 		now := time.Now()
-		if err := s.Send(r.nextUpdate(now, &state)); err != nil {
+		update := r.nextUpdate(now, &state)
+		err := s.Send(update)
+		if took := time.Since(now); len(update.GetDocument()) > 0 && (err != nil || took > slowDocument) {
+			r.log.Warn("sending document was slow or failed", "gateway", from.host, "version", update.GetVersion(), "bytes", len(update.GetDocument()), "took", took, "error", err)
+		}
+		if err != nil {
 			return err
 		}
 		interval := FeedHeartbeat
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -279,7 +279,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	outcome := r.roster.Announce(time.Now(), a)
-	if outcome == roster.Changed {
+	switch outcome {
+	case roster.Refreshed:
+	case roster.Stale:
+		held, _ := r.roster.Get(a.Target)
+		r.log.Info("announcement outdated, ignored", "target", a.Target, "started", a.Started.UnixMilli(), "sequence", a.Sequence,
+			"address", a.Address, "held-started", held.Started.UnixMilli(), "held-sequence", held.Sequence, "held-condition", held.Condition)
+	case roster.Changed:
 		r.log.Info("target changed", "target", a.Target, "started", a.Started.UnixMilli(), "sequence", a.Sequence,
 			"pool", a.Pool, "address", a.Address, "condition", a.Condition, "role", a.Role)
 		close(r.rosterChanged)
