io/link: allow large messages the time of their transfer

After a restart of all hosts at scale, gateways answered 503 no-catalog. Each replica sends the document to each gateway, which shares its link between them. A message had 1 s at the replica and 1.5 s at the gateway, whatever its size, and a session was closed if a heartbeat was not answered in 3 s, even if the answer was queued behind the document. Each cut transfer was started again from the beginning, at all replicas at the same time, so that none ever ended.

A message may now also take its size at 16 KiB/s. It is sent in frames of 16 KiB, since a reader gets no byte of a yamux frame before all of it has arrived. A late heartbeat does not end a session that receives other data, for up to eight heartbeats.

--- a/io/link/batch.go
+++ b/io/link/batch.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // maxPendingBytes is the number of pending bytes above which Write blocks.
@@ -13,7 +14,8 @@
 // of its own. Data queued while a write is in progress is sent in the next one.
 type batchConn struct {
 	net.Conn
-	onClose func() // called before the connection is closed; may be nil
+	onClose  func()        // called before the connection is closed; may be nil
+	received atomic.Uint64 // bytes read from the connection
 
 	mu      sync.Mutex
 	cond    sync.Cond // signals changes of the fields below
@@ -29,6 +31,13 @@
 	return b
 }
 
+// Read reads from the connection and counts the bytes.
+func (b *batchConn) Read(p []byte) (int, error) {
+	n, err := b.Conn.Read(p)
+	b.received.Add(uint64(n))
+	return n, err
+}
+
 // Write queues p. It blocks while more than maxBatchBytes are pending.
 func (b *batchConn) Write(p []byte) (int, error) {
 	b.mu.Lock()
--- a/io/link/heartbeat.go
+++ b/io/link/heartbeat.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+
 	"papayarock/io/identity"
 )
 
@@ -16,15 +19,19 @@
 	// heartbeatInterval.
 	idleHeartbeatInterval = 3 * time.Second
 	heartbeatTimeout      = 3 * time.Second
+	// maxLateHeartbeats is the number of consecutive heartbeats that may be unanswered in time
+	// while the peer sends other data.
+	maxLateHeartbeats = 8
 )
 
-// monitorSession closes a session whose peer stops answering heartbeats, or whose
-// peer's certificate is revoked. Revocation is checked during the session too,
+// monitorSession closes a session whose peer stops answering heartbeats and sends nothing
+// else, or whose peer's certificate is revoked. Revocation is checked during the session too,
 // because streams between replicas stay open indefinitely.
 func monitorSession(s *session, credentials *identity.Credentials, peer Peer) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	lastPing := time.Now()
+	late := 0 // consecutive heartbeats
 	for {
 		select {
 		case <-s.CloseChan():
@@ -40,10 +47,18 @@
 				continue
 			}
 			lastPing = now
-			if _, err := s.Ping(); err != nil {
+			received := s.conn.received.Load()
+			_, err := s.Ping()
+			// On a slow link, the answer may be queued behind a large message for longer than
+			// heartbeatTimeout. Closing the session then would start the message again.
+			if late++; errors.Is(err, yamux.ErrTimeout) && s.conn.received.Load() != received && late <= maxLateHeartbeats {
+				continue
+			}
+			if err != nil {
 				_ = s.Close()
 				return
 			}
+			late = 0
 		}
 	}
 }
--- a/io/link/session.go
+++ b/io/link/session.go
@@ -17,18 +17,18 @@
 type session struct {
 	*yamux.Session
 	streams streamSet
+	conn    *batchConn
 }
 
 // newSession starts a session on c.
 func newSession(c net.Conn, serving bool) (*session, error) {
-	s := &session{}
-	b := newBatchConn(c)
-	b.onClose = s.streams.end
+	s := &session{conn: newBatchConn(c)}
+	s.conn.onClose = s.streams.end
 	var err error
 	if serving {
-		s.Session, err = yamux.Server(b, sessionConfig())
+		s.Session, err = yamux.Server(s.conn, sessionConfig())
 	} else {
-		s.Session, err = yamux.Client(b, sessionConfig())
+		s.Session, err = yamux.Client(s.conn, sessionConfig())
 	}
 	return s, err
 }
--- a/io/link/stream.go
+++ b/io/link/stream.go
@@ -33,11 +33,12 @@
 // Stream is a single call. One goroutine may send while another receives.
 type Stream struct {
 	// Timeout is the timeout of each Send, and of each Receive if ReceiveTimeout is
-	// zero. Zero means DefaultTimeout.
+	// zero. Zero means DefaultTimeout. A message may also take the time of its transfer
+	// at minBytesPerSecond.
 	Timeout time.Duration
-	// ReceiveTimeout is the timeout of each Receive if not zero. If it is negative,
-	// Receive has no deadline, but the heartbeats of the session still end a stream
-	// whose peer is unresponsive.
+	// ReceiveTimeout is the timeout of each Receive if not zero, up to the start of the
+	// message. If it is negative, Receive has no deadline, but the heartbeats of the
+	// session still end a stream whose peer is unresponsive.
 	ReceiveTimeout time.Duration
 	Peer           Peer
 
@@ -64,8 +65,20 @@
 	// for the next one. A replica has a stream to each gateway, and the largest messages,
 	// with a document, are rare.
 	maxKeptBufferBytes = 64 << 10
+	// minBytesPerSecond is the rate at which a message must be transferred at least. It is
+	// low because after a restart a host sends to hundreds of others, over a link that it
+	// shares with the requests.
+	minBytesPerSecond = 16 << 10
+	// maxFrameBytes limits one yamux frame. A reader gets no byte of a frame before all of it
+	// has arrived, and a heartbeat waits behind it.
+	maxFrameBytes = 16 << 10
 )
 
+// transferTime returns the longest time that the transfer of n bytes may take.
+func transferTime(n int) time.Duration {
+	return time.Duration(n) * time.Second / minBytesPerSecond
+}
+
 // NewStream returns a stream that frames messages on c. The serving side sends a
 // status byte before its first message.
 func NewStream(c net.Conn, serving bool) *Stream {
@@ -145,11 +158,16 @@
 	if len(s.writeBuffer) == 0 {
 		return nil
 	}
-	deadline := time.Now().Add(cmp.Or(s.Timeout, DefaultTimeout))
+	deadline := time.Now().Add(cmp.Or(s.Timeout, DefaultTimeout) + transferTime(len(s.writeBuffer)))
 	if err := s.setDeadline(s.conn.SetWriteDeadline, deadline); err != nil {
 		return err
 	}
-	_, err := s.conn.Write(s.writeBuffer)
+	var err error
+	for rest := s.writeBuffer; len(rest) > 0 && err == nil; {
+		var n int
+		n, err = s.conn.Write(rest[:min(len(rest), maxFrameBytes)])
+		rest = rest[n:]
+	}
 	s.writeBuffer = s.writeBuffer[:0]
 	if cap(s.writeBuffer) > maxKeptBufferBytes {
 		s.writeBuffer = nil
@@ -184,6 +202,11 @@
 		s.readBuffer = make([]byte, size)
 	}
 	s.readBuffer = s.readBuffer[:size]
+	if !deadline.IsZero() && s.reader.Buffered() < int(size) {
+		if err := s.setDeadline(s.conn.SetReadDeadline, deadline.Add(transferTime(int(size)))); err != nil {
+			return err
+		}
+	}
 	if _, err := io.ReadFull(s.reader, s.readBuffer); err != nil {
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
