io/registry: let only the nearest replica send the document to a gateway that starts

A gateway without a document got it from all replicas at once, so that after a restart of all hosts each replica sent it once per gateway of the whole deployment. The delay by which replicas of other data centres leave a new document to the nearest one now also applies to these gateways.

TestOnlyNearReplicaSendsDocumentAtOnce failed before: the first update of all three replicas contained the document.

--- a/io/registry/document_test.go
+++ b/io/registry/document_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
 
 	"papayarock/core/roster"
 	"papayarock/io/feed"
@@ -76,3 +77,28 @@
 	t.Cleanup(func() { cancel(); wg.Wait() })
 	g.eventually("document received", received.Load)
 }
+
+// Guards against all replicas sending the document at once to a gateway that has started
+// without one: after a restart of all hosts, that is one copy for each gateway and replica.
+func TestOnlyNearReplicaSendsDocumentAtOnce(t *testing.T) {
+	g := newGroup(t, 3, "z1", "z2", "z3")
+	g.put(4, "four")
+	var pool link.Pool
+	t.Cleanup(pool.Close)
+	for i := range g.nodes {
+		g.eventually("applied", func() bool { return g.hasCatalog(i, 4, "four") })
+		t.Run(string(g.centres[i]), func(t *testing.T) {
+			is := is.New(t)
+			s, err := pool.Open(t.Context(), link.Address{AddrPort: g.addrs[i]}, &wire.FeedOpen{Host: "gateway", Run: 1, DataCentre: "z2", Region: "z2"})
+			is.NoErr(err)
+			defer func() { is.NoErr(s.Close()) }()
+			var m wire.FeedUpdate
+			is.NoErr(s.Receive(&m))
+			is.Equal(string(m.GetDocument()) == "four", g.centres[i] == "z2") // in the first update
+			for len(m.GetDocument()) == 0 {
+				m.Reset()
+				is.NoErr(s.Receive(&m)) // the others send it later
+			}
+		})
+	}
+}
--- a/io/registry/feed.go
+++ b/io/registry/feed.go
@@ -28,7 +28,8 @@
 	// regionDocumentDelay and remoteDocumentDelay are how long a replica waits before it
 	// sends a new document to a gateway in another data centre of its region, and in
 	// another region. A replica nearer to the gateway has usually sent it by then. Large
-	// documents would otherwise cross regions once per replica and gateway. A gateway with
+	// documents would otherwise cross regions once per replica and gateway, and all at once
+	// after a restart, when no gateway has a document. A gateway with
 	// a link of 10 Mbit/s needs half a second to receive, apply and report one of 1,000
 	// routes.
 	regionDocumentDelay = 400 * time.Millisecond
@@ -145,7 +146,7 @@
 	switch {
 	case newest <= state.version:
 		state.documentDue = time.Time{}
-	case state.documentDue.IsZero() && state.version > 0:
+	case state.documentDue.IsZero():
 		state.documentDue = now.Add(state.documentDelay)
 	}
 	if newest > state.version && !now.Before(state.documentDue) {
