io/registry: test disks that are full one after another

Operators of similar systems saw changes refused long after the last of several disks had room again. The test fills the disks of three replicas in turn while documents are put, one of them without room for new files and two that accept half of each write, and then stops each replica in turn.

--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -34,6 +35,10 @@
 	terms   map[uint64]map[string]bool // holders by term
 }
 
+func newFakeSink() *fakeSink {
+	return &fakeSink{windows: make(map[int64][]map[fleet.Customer]uint64), terms: make(map[uint64]map[string]bool)}
+}
+
 func (s *fakeSink) ReportUsage(_ context.Context, holder string, term uint64, w registry.UsageWindow) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -56,7 +61,8 @@
 	dirs  []string
 	sink  *fakeSink
 	nodes []*node
-	disk  *fullDisk // used by replicas that are started later; nil means the host's file system
+	disk  *fullDisk   // used by replicas that are started later; nil means the host's file system
+	disks []*fullDisk // of the replicas by number; used instead of disk if not nil
 	// centres are the data centres of the replicas, each in a region of its own; may be nil.
 	centres []fleet.DataCentre
 }
@@ -67,7 +73,7 @@
 }
 
 func newGroup(t *testing.T, n int, centres ...fleet.DataCentre) *group {
-	g := &group{t: t, centres: centres, sink: &fakeSink{windows: make(map[int64][]map[fleet.Customer]uint64), terms: make(map[uint64]map[string]bool)}}
+	g := &group{t: t, centres: centres, sink: newFakeSink()}
 	for range n {
 		g.addrs = append(g.addrs, g.reserve())
 		g.dirs = append(g.dirs, t.TempDir())
@@ -96,6 +102,9 @@
 	if g.disk != nil {
 		fs = g.disk
 	}
+	if g.disks != nil {
+		fs = g.disks[i]
+	}
 	var centre fleet.DataCentre
 	regions := make(map[fleet.DataCentre]fleet.Region)
 	for n, c := range g.centres {
@@ -375,11 +384,12 @@
 // fullDisk fails to create and write files with ENOSPC while full is set.
 type fullDisk struct {
 	disk.OS
-	full atomic.Bool
+	full    atomic.Bool
+	partial bool // files can be created, and the first half of each write succeeds
 }
 
 func (f *fullDisk) Create(name string) (disk.File, error) {
-	if f.full.Load() {
+	if f.full.Load() && !f.partial {
 		return nil, syscall.ENOSPC
 	}
 	file, err := f.OS.Create(name)
@@ -392,6 +402,10 @@
 }
 
 func (f *fullFile) Write(p []byte) (int, error) {
+	if f.disk.full.Load() && f.disk.partial {
+		n, _ := f.File.Write(p[:len(p)/2])
+		return n, syscall.ENOSPC
+	}
 	if f.disk.full.Load() {
 		return 0, syscall.ENOSPC
 	}
@@ -417,3 +431,39 @@
 	g.put(9, "nine")
 	g.eventually("read", func() bool { return g.hasCatalog(2, 9, "nine") })
 }
+
+// Guards against replicas that do not take part again after their disks were full in turn:
+// changes were refused or stayed without an answer long after the last disk had room.
+func TestDisksFullInTurn(t *testing.T) {
+	g := &group{t: t, sink: newFakeSink()}
+	for range 3 {
+		g.addrs = append(g.addrs, g.reserve())
+		g.dirs = append(g.dirs, t.TempDir())
+		g.disks = append(g.disks, &fullDisk{partial: len(g.disks) > 0})
+	}
+	g.nodes = make([]*node, 3)
+	for i := range g.nodes {
+		g.start(i, true)
+	}
+	version := uint64(1)
+	g.put(version, "first")
+	for i := range g.disks {
+		g.disks[i].full.Store(true)
+		for end := time.Now().Add(time.Second); time.Now().Before(end); {
+			version++
+			g.put(version, strconv.FormatUint(version, 10))
+		}
+		g.disks[i].full.Store(false)
+	}
+	for i := range g.nodes {
+		g.eventually("read", func() bool { return g.hasCatalog(i, version, strconv.FormatUint(version, 10)) })
+	}
+	for i := range g.nodes { // each pair has to work
+		g.nodes[i].stop()
+		g.nodes[i] = nil
+		version++
+		g.put(version, "without one")
+		g.start(i, false)
+		g.eventually("read", func() bool { return g.hasCatalog(i, version, "without one") })
+	}
+}
