core/place: keep the request limit that a target names

No gateway read the header field.

The limit counts for all gateways together, so each sends its equal share. The first request of each gateway comes at another time, since all hear of a limit at once. A limit holds until a response to a later request names none. A target whose share is used up gets no request by any path, also if it is the only one; callers are told when the next share is free.

TestNamedRequestLimit (platform) failed before.

--- a/core/place/backlog_test.go
+++ b/core/place/backlog_test.go
@@ -36,7 +36,7 @@
 // are long, and is connected to the other gateways.
 func newBacklogPlacer(records ...roster.Record) *place.Placer {
 	p := newPlacer(records...)
-	p.SetGateways(3)
+	p.SetGateways(start, 3)
 	learnSpeed(p, records[0])
 	p.SetBacklogs(start, nil)
 	return p
--- a/core/place/long_prompts_test.go
+++ b/core/place/long_prompts_test.go
@@ -101,7 +101,7 @@
 	s.records = list
 	for range gateways {
 		p := newPlacer(list...)
-		p.SetGateways(gateways)
+		p.SetGateways(start, gateways)
 		s.placers = append(s.placers, p)
 		s.waiting = append(s.waiting, make(map[uint64]func(place.Choice)))
 	}
--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -160,7 +160,16 @@
 
 // wantsRequests reports whether t may be sent requests at now at all.
 func (t *target) wantsRequests(now time.Time) bool {
-	return !t.changingRole(now) && !now.Before(t.retryAt)
+	return !t.changingRole(now) && !now.Before(t.retryAt) && t.namedLimit.admits(now)
+}
+
+// nextWanted returns when t takes the next request as far as it has said itself. The time
+// may have passed.
+func (t *target) nextWanted() time.Time {
+	if t.namedLimit.perSecond > 0 && t.namedLimit.next.After(t.retryAt) {
+		return t.namedLimit.next
+	}
+	return t.retryAt
 }
 
 // healthy reports whether t is expected to serve a request that is sent at now.
@@ -248,7 +257,7 @@
 			continue
 		}
 		for _, t := range p.usable(now, x, req, prefill) {
-			perSecond += t.limit / t.expectedLatency().Seconds()
+			perSecond += p.admissionRate(t)
 		}
 	}
 	if perSecond == 0 {
@@ -257,14 +266,23 @@
 	return now.Add(time.Duration(float64(n) / perSecond * float64(time.Second)))
 }
 
+// admissionRate returns the requests per second that t is expected to admit.
+func (p *Placer) admissionRate(t *target) float64 {
+	rate := t.limit / t.expectedLatency().Seconds()
+	if t.namedLimit.perSecond > 0 {
+		rate = min(rate, t.namedLimit.share(p.limitGateways))
+	}
+	return rate
+}
+
 // nextUsable returns when a request can be admitted although no target is usable now: once
-// the first of those that have asked for no requests wants some again.
+// the first of those that have asked for no requests, or for fewer, wants some again.
 func (p *Placer) nextUsable(now time.Time, x *pool, req Request) time.Time {
 	var earliest time.Time
 	for _, t := range x.targets {
-		paused := now.Before(t.retryAt) && t.eligible(req, false)
-		if paused && (earliest.IsZero() || t.retryAt.Before(earliest)) {
-			earliest = t.retryAt
+		at := t.nextWanted()
+		if now.Before(at) && t.eligible(req, false) && (earliest.IsZero() || at.Before(earliest)) {
+			earliest = at
 		}
 	}
 	if earliest.IsZero() {
@@ -298,6 +316,7 @@
 	t.inFlight++
 	t.unanswered++
 	t.lastSent = now
+	t.namedLimit.take(now, p.limitGateways)
 	c := Choice{Target: t.record}
 	if req.CacheFrom == "" {
 		source, cached := p.prefixSource(now, x, t, req)
@@ -390,7 +409,7 @@
 
 // usable returns the targets that may serve req. Stale, ejected, full and probed
 // targets are returned only if there is no healthy one, and never for prefill. Targets
-// that have asked for no requests are not returned.
+// that have asked for no requests, or whose named limit is used up, are not returned.
 func (p *Placer) usable(now time.Time, x *pool, req Request, prefill bool) []*target {
 	var healthy, fallback []*target
 	for _, t := range x.targets {
@@ -440,8 +459,8 @@
 		}
 		for _, t := range x.targets {
 			at, ok := t.nextAdmission()
-			if t.retryAt.After(now) && t.retryAt.After(at) {
-				at = t.retryAt
+			if wanted := t.nextWanted(); wanted.After(now) && wanted.After(at) {
+				at = wanted
 			}
 			if ok && !at.IsZero() && (earliest.IsZero() || at.Before(earliest)) {
 				earliest = at
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -119,8 +119,12 @@
 	self     fleet.DataCentre
 	regions  map[fleet.DataCentre]fleet.Region
 	gateways int
-	targets  map[fleet.TargetName]*target
-	pools    map[string]*pool
+	// limitGateways is the number of gateways by which named limits are divided, and
+	// limitGatewaysAt when at least that many were last reported.
+	limitGateways   int
+	limitGatewaysAt time.Time
+	targets         map[fleet.TargetName]*target
+	pools           map[string]*pool
 	// backlogsUntil is until when the backlogs of the other gateways are current.
 	backlogsUntil time.Time
 	reportAge     reportAge // of the backlogs
@@ -146,13 +150,16 @@
 // each data centre.
 func New(self fleet.DataCentre, regions map[fleet.DataCentre]fleet.Region) *Placer {
 	return &Placer{
-		self: self, regions: regions, gateways: 1, targets: make(map[fleet.TargetName]*target),
+		self: self, regions: regions, gateways: 1, limitGateways: 1, targets: make(map[fleet.TargetName]*target),
 		pools: make(map[string]*pool),
 	}
 }
 
-// SetGateways sets the number of gateways that share the targets.
-func (p *Placer) SetGateways(n int) { p.gateways = max(1, n) }
+// SetGateways sets the number of gateways that share the targets, as reported at now.
+func (p *Placer) SetGateways(now time.Time, n int) {
+	p.gateways = max(1, n)
+	p.setLimitGateways(now, p.gateways)
+}
 
 // pool returns the named pool, which it creates if necessary.
 func (p *Placer) pool(name string) *pool {
@@ -304,10 +311,11 @@
 	}
 }
 
-// Paused reports whether the given run of a target wants no requests now.
+// Paused reports whether the given run of a target wants no requests now, or has named a
+// limit that requests should not use up for other ends.
 func (p *Placer) Paused(now time.Time, r roster.Record) bool {
 	t := p.find(r)
-	return t != nil && now.Before(t.retryAt)
+	return t != nil && (now.Before(t.retryAt) || t.namedLimit.perSecond > 0)
 }
 
 // countImport counts a KV cache that was offered to a decode engine.
--- a/core/place/replay_test.go
+++ b/core/place/replay_test.go
@@ -327,7 +327,7 @@
 func newPlacerPolicy(gateways int) func(list []roster.Record) policy {
 	return func(list []roster.Record) policy {
 		p := place.New("kt", regions)
-		p.SetGateways(gateways)
+		p.SetGateways(start, gateways)
 		p.Update(start, list)
 		return placerPolicy{p}
 	}
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -82,6 +82,7 @@
 	fullUntil    time.Time     // the target rejected a request as full; avoided until then
 	retryAt      time.Time     // the target has asked for no requests until then
 	rejections   int           // consecutive
+	namedLimit   namedLimit    // the target takes only so many requests
 	// goneAt is when the target reported that it is not the requested one,
 	// because it changed its role or because another target now has its
 	// address. It is zero if the target has announced itself since.
--- a/io/gateway/codec.go
+++ b/io/gateway/codec.go
@@ -67,6 +67,10 @@
 	// RetryAt is when the target wants requests again. It is zero if the target has not
 	// stated that with a refusal.
 	RetryAt time.Time
+	// Limited is set if the target names a limit, and Limit is the limit in requests per
+	// second of all gateways together.
+	Limited bool
+	Limit   float64
 }
 
 // HeaderCodec encodes and decodes the header fields that callers and targets use, and the
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -147,9 +147,9 @@
 	}
 	// A count of zero is ignored. The retry burst is divided by the count, so with too
 	// low a count the gateways together would exceed the burst.
-	if gateways > 0 && gateways != g.gateways {
+	if gateways > 0 {
 		g.gateways = gateways
-		g.placer.SetGateways(gateways)
+		g.placer.SetGateways(now, gateways)
 	}
 	g.deliverGrants(g.placer.Update(now, updated))
 }
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -115,7 +115,12 @@
 	if !info.RetryAt.IsZero() {
 		a.g.placer.RecordRetryAt(a.record, info.RetryAt)
 	}
+	limitChanged := a.g.placer.RecordLimit(now, a.sent, a.record, info.Limit, info.Limited)
+	gateways := a.g.gateways
 	a.g.mu.Unlock()
+	if limitChanged {
+		a.g.log.Info("target limit changed", "target", a.record.Target, "id", a.params.ID, "limited", info.Limited, "per-second", info.Limit, "gateways", gateways)
+	}
 	if leaves {
 		a.g.log.Info("target is leaving", "target", a.record.Target, "id", a.params.ID, "announced", now.Sub(a.record.Heard))
 	}
