io/gateway: answer requests before the end of a shutdown

A request that came late in a shutdown, on a connection that was already open, was sent on although the connections close before its response can be expected: it ended without any answer, also a non-idempotent one. Requests that were still waiting for a response at that time ended the same way.

Once the load balancer sends no more connections, a request is rejected as not run if its deadline is later than the end of the shutdown. Requests that have no response 0.2 s before the end get status 504, or 503 if they have not run.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -30,6 +30,9 @@
 	// false. It covers the two failed probes, one second apart, after which the load
 	// balancer stops sending connections.
 	drainDelay = 2500 * time.Millisecond
+	// answerMargin is how long before the end of a shutdown the requests without a response
+	// are answered. It covers sending the responses.
+	answerMargin = 200 * time.Millisecond
 	// minWakeInterval is the minimum interval between checks of the queue by the timer of
 	// scheduleWake.
 	minWakeInterval = 2 * time.Millisecond
@@ -70,6 +73,7 @@
 	bodyBytes atomic.Int64  // bytes of request bodies in memory
 
 	stopping atomic.Bool
+	draining shutdown
 	usage    usageCounter
 	metrics  *metrics
 
@@ -197,13 +201,21 @@
 // Drain makes Ready return false and waits until the load balancer has had time to
 // notice, or until ctx ends. From the start of Drain, a connection is closed after the
 // response to its next request. Drain does not close the listener.
+//
+// If ctx has a deadline, it is when the caller of Drain closes all connections. Requests
+// without a response are answered shortly before, also after Drain has returned, and
+// requests that arrive after Drain are rejected if they may take longer.
 func (g *Gateway) Drain(ctx context.Context) {
 	g.stopping.Store(true)
 	g.log.Info("stopping", "running", g.running.Load())
+	if end, ok := ctx.Deadline(); ok {
+		g.draining.begin(end.Add(-answerMargin))
+	}
 	select {
 	case <-time.After(drainDelay):
 	case <-ctx.Done():
 	}
+	g.draining.closed.Store(true)
 	g.log.Info("not listening any more", "running", g.running.Load())
 }
 
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -50,6 +50,7 @@
 	reasonAnswerCut       = "answer-cut"
 	reasonAnswered        = "answered"
 	reasonQuarantined     = "segment-quarantined"
+	reasonStopping        = "stopping"
 )
 
 // job is the state of one request from a caller.
@@ -107,6 +108,7 @@
 	defer func() { g.bodyBytes.Add(-int64(len(j.body))) }()
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline.Add(responseGrace))
 	defer cancel()
+	defer g.draining.add(cancel)()
 	j.serve(ctx)
 }
 
@@ -158,6 +160,10 @@
 		g.bodyBytes.Add(-int64(len(j.body)))
 		return j.reject(http.StatusServiceUnavailable, reasonMemory, j.started.Add(time.Second))
 	}
+	if g.draining.tooLate(j.deadline.Add(responseGrace)) {
+		g.bodyBytes.Add(-int64(len(j.body)))
+		return j.reject(http.StatusServiceUnavailable, reasonStopping, j.started)
+	}
 	key := j.params.AffinityKey()
 	if key == "" {
 		key = j.params.ID
