--- a/core/place/limit_test.go
+++ b/core/place/limit_test.go
@@ -161,11 +161,13 @@
 			sent := 0
 			for now := from; now.Before(from.Add(2050 * time.Millisecond)); now = now.Add(10 * time.Millisecond) {
 				d := p.Offer(now, uint64(now.UnixMilli()), newRequest(func(a *place.Request) { a.Start, a.Deadline = now, now.Add(time.Second) }))
-				if d.Action == place.Wait {
+				switch d.Action {
+				case place.Wait:
 					p.Withdraw(now, uint64(now.UnixMilli()), "language")
-				} else if d.Action == place.Send {
+				case place.Send:
 					sent++
 					p.Finish(now, r, place.End{})
+				case place.Refuse:
 				}
 			}
 			is.True(sent >= test.min && sent <= test.max)
