--- a/io/link/heartbeat.go
+++ b/io/link/heartbeat.go
@@ -48,13 +48,13 @@
 			}
 			lastPing = now
 			received := s.conn.received.Load()
-			_, err := s.Ping()
-			// On a slow link, the answer may be queued behind a large message for longer than
-			// heartbeatTimeout. Closing the session then would start the message again.
-			if late++; errors.Is(err, yamux.ErrTimeout) && s.conn.received.Load() != received && late <= maxLateHeartbeats {
-				continue
-			}
-			if err != nil {
+			if _, err := s.Ping(); err != nil {
+				// On a slow link, the answer may be queued behind a large message for longer than
+				// heartbeatTimeout. Closing the session then would start the message again.
+				late++
+				if errors.Is(err, yamux.ErrTimeout) && s.conn.received.Load() != received && late <= maxLateHeartbeats {
+					continue
+				}
 				_ = s.Close()
 				return
 			}
