core/place: shorten the wait for a share when the target raises its limit

A gateway that had its next turn far in the future under a low limit kept it after the target had named a higher one. TestNamedLimitRises failed before.

--- a/core/place/limit.go
+++ b/core/place/limit.go
@@ -67,8 +67,12 @@
 	switch {
 	case named:
 		l.perSecond, l.namedAt = max(perSecond, minNamedLimit), now
+		interval := l.interval(p.limitGateways)
 		if !before {
-			l.next = now.Add(time.Duration(phase(sent, r.Target) * float64(l.interval(p.limitGateways))))
+			l.next = now.Add(time.Duration(phase(sent, r.Target) * float64(interval)))
+		}
+		if latest := now.Add(interval); l.next.After(latest) {
+			l.next = latest // the limit has risen
 		}
 	case before && sent.After(l.namedAt):
 		*l = namedLimit{}
--- a/core/place/limit_test.go
+++ b/core/place/limit_test.go
@@ -138,6 +138,20 @@
 	is.True(sends(5600, 6))
 }
 
+// Guards against a gateway that waits for its turn under a limit that the target has raised
+// since.
+func TestNamedLimitRises(t *testing.T) {
+	is := is.New(t)
+	r := newRecord("a", fleet.Mixed, "kt")
+	p := newPlacer(r)
+	p.SetGateways(start, 8)
+	p.RecordLimit(start, start, r, 0.2, true) // one request in 40 s for each gateway
+	p.RecordLimit(start.Add(time.Millisecond), start, r, 16, true)
+	later := start.Add(600 * time.Millisecond)
+	d := p.Offer(later, 1, newRequest(func(a *place.Request) { a.Start = later }))
+	is.Equal(d.Action, place.Send)
+}
+
 // Guards against shares that grow when a registry replica has just started and reports only
 // the few gateways that have connected to it.
 func TestNamedLimitKeepsNumberOfGateways(t *testing.T) {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -312,7 +312,7 @@
 }
 
 // Paused reports whether the given run of a target wants no requests now, or has named a
-// limit that requests should not use up for other ends.
+// limit, of which calls that serve no caller would use up a part.
 func (p *Placer) Paused(now time.Time, r roster.Record) bool {
 	t := p.find(r)
 	return t != nil && (now.Before(t.retryAt) || t.namedLimit.perSecond > 0)
