--- a/io/registry/feed.go
+++ b/io/registry/feed.go
@@ -29,9 +29,8 @@
 	// sends a new document to a gateway in another data centre of its region, and in
 	// another region. A replica nearer to the gateway has usually sent it by then. Large
 	// documents would otherwise cross regions once per replica and gateway, and all at once
-	// after a restart, when no gateway has a document. A gateway with
-	// a link of 10 Mbit/s needs half a second to receive, apply and report one of 1,000
-	// routes.
+	// after a restart, when no gateway has a document. A gateway with a link of 10 Mbit/s
+	// needs half a second to receive, apply and report one of 1,000 routes.
 	regionDocumentDelay = 400 * time.Millisecond
 	remoteDocumentDelay = time.Second
 	// slowDocument is the time from which sending a document is logged.
