--- /dev/null
+++ b/review/standin/memory.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// uploads is the number of callers whose large bodies are on their way to one gateway at a
+// time in the burst. The site sheet has 70 callers.
+const uploads = 30
+
+// uploadBytes is the size of a large body, the limit of the document.
+const uploadBytes = 4194304
+
+// watchMemory does what the platform does: it kills a process that uses more than its
+// memory. It returns the peak, in MB.
+func watchMemory(ctx context.Context, r *record, p *process, killed *atomic.Bool) (peak int) {
+	for ctx.Err() == nil && p.running() {
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid()))
+		if err != nil {
+			return peak
+		}
+		_, rest, _ := strings.Cut(string(text), "VmRSS:")
+		var kib int
+		_, _ = fmt.Sscan(rest, &kib)
+		peak = max(peak, kib>>10)
+		if kib > memoryMB<<10 {
+			r.say("gateway %s uses %d MB, its limit is %d MB: killed by the platform", p.name, kib>>10, memoryMB)
+			killed.Store(true)
+			p.signal(syscall.SIGKILL)
+			return peak
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return peak
+}
+
+// slowBody is a body that is sent over some time, as by a caller with a slow link.
+type slowBody struct {
+	left int
+	rate int // bytes per second
+	buf  []byte
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(p), b.left, 64<<10)
+	time.Sleep(time.Duration(n) * time.Second / time.Duration(b.rate))
+	copy(p[:n], b.buf)
+	b.left -= n
+	return n, nil
+}
+
+// memoryCase plays a burst of requests with large bodies, each within the limits of the
+// document, beside small requests.
+func memoryCase(r *record, binary, dir string, trouble bool) int {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	usage, err := servePlatform(ctx)
+	if err != nil {
+		r.say("cannot run: %v", err)
+		return notRun
+	}
+	d, err := newDeployment(r, dir, binary, options{gateways: 1, usage: usage})
+	if err != nil {
+		r.say("cannot run: %v", err)
+		return notRun
+	}
+	defer d.stop()
+	routes := []route{{"order", "/order/", "non_idempotent", 1200, 1}, {"upload", "/upload/", "idempotent", 10000, 2}}
+	if err := d.put(document(3, routes), 20*time.Second); err != nil {
+		r.say("cannot run: %v", err)
+		return notRun
+	}
+	for i, name := range []string{"i-1", "i-2", "i-3"} {
+		t, err := newTarget(r, name, 60*time.Millisecond, d.controls, i)
+		if err != nil {
+			r.say("cannot run: %v", err)
+			return notRun
+		}
+		defer t.end()
+		go t.announce(ctx)
+	}
+	if !d.ready(20 * time.Second) {
+		r.say("cannot run: the gateway is not ready")
+		return notRun
+	}
+	time.Sleep(contactTime + time.Second)
+	var killed atomic.Bool
+	peak := make(chan int, 1)
+	go func() { peak <- watchMemory(ctx, r, d.gateways[0], &killed) }()
+	c := &callers{record: r, fronts: d.fronts}
+	callCtx, stopCalls := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	for range 16 {
+		wg.Go(func() { c.steady(callCtx, 0, "/order/", 40*time.Millisecond) })
+	}
+	time.Sleep(3 * time.Second)
+	n := 3
+	if trouble {
+		n = uploads
+	}
+	r.say("%d callers send a body of %d bytes each, in about 3 s", n, uploadBytes)
+	var burst sync.WaitGroup
+	for range n {
+		burst.Go(func() {
+			client := newClient()
+			defer client.CloseIdleConnections()
+			body := &slowBody{left: uploadBytes, rate: uploadBytes / 3, buf: bytes.Repeat([]byte("b"), 64<<10)}
+			c.send(client, 0, "/upload/", body, uploadBytes, 10*time.Second)
+		})
+	}
+	burst.Wait()
+	time.Sleep(time.Second)
+	stopCalls()
+	wg.Wait()
+	cancel()
+	lost, served := 0, 0
+	for _, o := range c.list {
+		if o.status == 200 && o.whole {
+			served++
+		}
+		if o.path == "/order/" && o.status == 0 && !o.sent.IsZero() && o.err != nil && !strings.Contains(o.err.Error(), "refused") {
+			lost++
+		}
+	}
+	r.say("%d requests, %d served, peak %d MB; %d orders on kept connections ended without an answer", len(c.list), served, <-peak, lost)
+	if killed.Load() && lost > 3 {
+		r.say("LOST broken")
+		return broken
+	}
+	r.say("LOST held")
+	return held
+}
