--- a/review/2/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # disruption.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/review ] && [ -x ../../target/papayarock ] || { echo "build first"; exit 2; }
-exec ../../target/review leave ../../target/papayarock .
+exec ../../target/review wipe ../../target/papayarock .
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,7 +21,7 @@
 		fmt.Fprintln(os.Stderr, "usage: review CASE BINARY FOLDER")
 		os.Exit(notRun)
 	}
-	cases := map[string]func(*record, string, string, bool) int{"leave": leaveCase, "memory": memoryCase}
+	cases := map[string]func(*record, string, string, bool) int{"leave": leaveCase, "memory": memoryCase, "wipe": wipeCase}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case")
