--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -59,7 +59,7 @@
 	const base = "127.0.50."
 	hosts := 3 + o.gateways
 	var ports []int
-	for port := 20000 + os.Getpid()%9000; len(ports) < 5; port++ {
+	for port := 20000 + os.Getpid()%1800*5; len(ports) < 5; port++ {
 		if portFree(base, hosts, port) {
 			ports = append(ports, port)
 		}
