core/log: accept a leader whose directory is newer than the membership

Callers: after three or four disks lost one after the other, each replica back and caught up before the next loss, no replica led. The acknowledged document could not be read and no change was accepted.

Cause: a member ignored all messages from a host whose data directory is not the one in its own membership. The new directory then ignored its leader, and the leader its replies, which were addressed to the lost directory.

Change: identities are compared only where a directory counts for a quorum (votes and replies). Messages of a leader are accepted by their term, and candidates if their log, and with it their membership, is at least as new. Replies and reads are addressed to the directory that sent the request. The same holds for a voter that missed the replacement of another one, and for reads sent through the leader.

--- a/core/log/follow.go
+++ b/core/log/follow.go
@@ -5,13 +5,14 @@
 // a rejection of the given reply kind.
 func (n *Node) acceptLeader(m Message, reply MessageKind) bool {
 	if m.Term < n.hard.Term {
-		n.send(Message{Kind: reply, To: m.From, Reject: true, Index: m.Index, Sequence: m.Sequence})
+		n.send(replyTo(m, Message{Kind: reply, Reject: true, Index: m.Index, Sequence: m.Sequence}))
 		return false
 	}
 	if n.role == Leader {
 		return false
 	}
 	n.becomeFollower(m.Term, m.From)
+	n.leaderIdentity = m.FromIdentity
 	n.leaseGrantEnd = n.now.Add(n.opts.Lease)
 	return true
 }
@@ -23,7 +24,7 @@
 	n.advanceFollowerCommit(m.Commit)
 	// The reply does not depend on a write: after a restart the node waits one
 	// lease before it votes, so it honours the grant even if the term was lost.
-	n.send(Message{Kind: HeartbeatReply, To: m.From, Sequence: m.Sequence})
+	n.send(replyTo(m, Message{Kind: HeartbeatReply, Sequence: m.Sequence}))
 }
 
 // advanceFollowerCommit adopts the leader's commit index. The caller ensures that
@@ -36,7 +37,7 @@
 	if !n.acceptLeader(m, AppendReply) {
 		return
 	}
-	reply := Message{Kind: AppendReply, To: m.From}
+	reply := replyTo(m, Message{Kind: AppendReply})
 	if m.Index < n.commit || m.Index < n.log.base {
 		// Everything up to the commit index matches already.
 		reply.Index = n.commit
@@ -107,7 +108,7 @@
 	}
 	if m.Index <= n.commit {
 		n.incoming = incomingSnapshot{}
-		n.sendAfterSync(Message{Kind: AppendReply, To: m.From, Index: n.commit})
+		n.sendAfterSync(replyTo(m, Message{Kind: AppendReply, Index: n.commit}))
 		return
 	}
 	in := &n.incoming
@@ -118,11 +119,11 @@
 		in.data = append(in.data, m.Data...)
 	}
 	if uint64(len(in.data)) < m.Total {
-		n.send(Message{Kind: SnapshotChunkReply, To: m.From, Index: m.Index, Offset: uint64(len(in.data))})
+		n.send(replyTo(m, Message{Kind: SnapshotChunkReply, Index: m.Index, Offset: uint64(len(in.data))}))
 		return
 	}
 	n.installSnapshot(Snapshot{Index: m.Index, Term: m.LogTerm, Members: m.Members, Data: in.data})
-	n.sendAfterSync(Message{Kind: AppendReply, To: m.From, Index: m.Index})
+	n.sendAfterSync(replyTo(m, Message{Kind: AppendReply, Index: m.Index}))
 }
 
 func (n *Node) installSnapshot(s Snapshot) {
--- a/core/log/node.go
+++ b/core/log/node.go
@@ -15,12 +15,15 @@
 	mutations mutation
 	failed    bool
 
-	hard    HardState
-	role    Role
-	leader  fleet.Host // empty if unknown
-	log     memoryLog
-	commit  uint64
-	applied uint64 // last index passed to the state machine by Apply or Restore
+	hard   HardState
+	role   Role
+	leader fleet.Host // empty if unknown
+	// leaderIdentity is that of the data directory of leader, from its last message. It
+	// may be newer than the one in the membership.
+	leaderIdentity DirectoryID
+	log            memoryLog
+	commit         uint64
+	applied        uint64 // last index passed to the state machine by Apply or Restore
 
 	leaseGrantEnd   time.Time // until then this node votes for no other leader
 	electionTimeout time.Time // time of the next election, unless a leader is heard from
@@ -211,11 +214,21 @@
 	n.deferred = append(n.deferred, m)
 }
 
+// replyTo returns m addressed to the directory that sent request, which may be newer
+// than the one in the membership.
+func replyTo(request, m Message) Message {
+	m.To, m.ToIdentity = request.From, request.FromIdentity
+	return m
+}
+
 func (n *Node) setAddresses(m *Message) {
 	m.From, m.FromIdentity = n.opts.Self, n.opts.Identity
 	if m.Term == 0 {
 		m.Term = n.hard.Term
 	}
+	if m.ToIdentity != 0 {
+		return
+	}
 	if x, ok := n.log.members().Find(m.To); ok {
 		m.ToIdentity = x.Identity
 	}
--- a/core/log/propose.go
+++ b/core/log/propose.go
@@ -193,7 +193,7 @@
 			n.forwardedReads = make(map[uint64]time.Time)
 		}
 		n.forwardedReads[id] = n.now.Add(n.opts.Lease)
-		n.send(Message{Kind: ReadIndex, To: n.leader, Sequence: id})
+		n.send(Message{Kind: ReadIndex, To: n.leader, ToIdentity: n.leaderIdentity, Sequence: id})
 	}
 }
 
@@ -212,7 +212,7 @@
 
 func (n *Node) receiveReadIndex(m Message) {
 	if n.role != Leader || len(n.reads) >= maxPendingReads {
-		n.send(Message{Kind: ReadIndexReply, To: m.From, Sequence: m.Sequence, Reject: true})
+		n.send(replyTo(m, Message{Kind: ReadIndexReply, Sequence: m.Sequence, Reject: true}))
 		return
 	}
 	n.addRead(pendingRead{id: m.Sequence, requester: m.From, requestedAt: n.now})
--- a/core/log/rules_test.go
+++ b/core/log/rules_test.go
@@ -15,13 +15,19 @@
 // newNode returns node "a" of three voters, with entries of the given terms after
 // the bootstrap snapshot.
 func newNode(hard log.HardState, mutations log.Mutation, terms ...uint64) *log.Node {
-	stored := log.Stored{Hard: hard, Snapshot: log.BootstrapSnapshot(log.NewMembership("a", "b", "c"))}
+	n := newNodeWith(log.NewMembership("a", "b", "c"), hard, terms...)
+	n.SetMutations(mutations)
+	return n
+}
+
+// newNodeWith returns node "a", whose data directory has identity 1, with the given
+// members and entries of the given terms after the bootstrap snapshot.
+func newNodeWith(members log.Membership, hard log.HardState, terms ...uint64) *log.Node {
+	stored := log.Stored{Hard: hard, Snapshot: log.BootstrapSnapshot(members)}
 	for i, term := range terms {
 		stored.Entries = append(stored.Entries, log.Entry{Index: uint64(i) + 2, Term: term, Kind: log.Noop})
 	}
-	n := log.New(epoch, log.Options{Self: "a", Identity: 1, Stored: stored, Random: rand.New(rand.NewPCG(1, 1)), Lease: lease})
-	n.SetMutations(mutations)
-	return n
+	return log.New(epoch, log.Options{Self: "a", Identity: 1, Stored: stored, Random: rand.New(rand.NewPCG(1, 1)), Lease: lease})
 }
 
 // sentMessages returns the sent messages of the given kind, and the last Persist.
--- a/core/log/sim_test.go
+++ b/core/log/sim_test.go
@@ -98,6 +98,8 @@
 	// elections while entries have reached only some of the voters, pre-votes near
 	// the end of a lease, or leadership transfers.
 	ruleFaults
+	// directoryFaults has no random faults; the test replaces data directories.
+	directoryFaults
 )
 
 // newSim returns a simulation with started hosts and its first events scheduled.
@@ -146,6 +148,9 @@
 		s.startRuleFaults()
 		return s
 	}
+	if kind == directoryFaults {
+		return s
+	}
 	s.after(s.randomUpTo(lease), s.sendRequest)
 	s.after(s.randomUpTo(3*lease), s.injectFault)
 	return s
--- a/core/log/vote.go
+++ b/core/log/vote.go
@@ -38,8 +38,13 @@
 	}
 }
 
-// identityMatches reports whether m is addressed to this data directory and, as
-// far as the membership records it, comes from the sender's directory.
+// identityMatches reports whether m is addressed to this data directory and comes
+// from a directory that may send it. What counts for a quorum must come from the
+// directory that the membership records. The membership may be older than the
+// sender's, after a snapshot or while entries are missing, so it does not decide who
+// leads: a leader was elected under its own directory, and the term and the log
+// position in its messages are checked. A candidate is accepted if its log, and
+// with it its membership, is at least as new as that of this node.
 func (n *Node) identityMatches(m Message) bool {
 	if n.mutations&ignoreIdentity != 0 {
 		return true
@@ -48,7 +53,16 @@
 		return false
 	}
 	x, ok := n.log.members().Find(m.From)
-	return !ok || x.Identity == 0 || x.Identity == m.FromIdentity
+	if !ok || x.Identity == 0 || x.Identity == m.FromIdentity {
+		return true
+	}
+	switch m.Kind {
+	case Append, Heartbeat, SnapshotChunk, TimeoutNow, ReadIndexReply:
+		return true
+	case PreVoteRequest, VoteRequest:
+		return n.upToDate(m)
+	}
+	return false
 }
 
 func (n *Node) becomeFollower(term uint64, leader fleet.Host) {
@@ -127,7 +141,7 @@
 	if n.leaseBlocksVote(m) || !n.mayVote(m) {
 		return
 	}
-	reply := Message{Kind: VoteReply, To: m.From, Term: m.Term}
+	reply := replyTo(m, Message{Kind: VoteReply, Term: m.Term})
 	if m.Kind == PreVoteRequest {
 		reply.Kind = PreVoteReply
 	}
