core/log, io/replica, io/disk, io/registry: bound the log in bytes

Callers: after about 130 documents of up to 260 KB all registry replicas failed at once with "no space left on device", for good. The acknowledged document could not be read and no change was accepted.

--- a/core/log/entries.go
+++ b/core/log/entries.go
@@ -87,16 +87,23 @@
 }
 
 // compact replaces the snapshot. Of the entries up to its index it keeps the last
-// retain.
-func (l *memoryLog) compact(s Snapshot, retain uint64) {
+// ones, at most retain entries and retainBytes bytes.
+func (l *memoryLog) compact(s Snapshot, retain uint64, retainBytes int) {
 	l.snapshot = s
 	for len(l.configs) > 1 && l.configs[1].index <= s.Index {
 		l.configs = l.configs[1:]
 	}
-	if s.Index-l.base <= retain {
+	base, size := s.Index, 0
+	for base > l.base && s.Index-base < retain {
+		size += l.entries[base-l.base-1].Size()
+		if size > retainBytes {
+			break
+		}
+		base--
+	}
+	if base == l.base {
 		return
 	}
-	base := s.Index - retain
 	l.baseTerm = l.term(base)
 	l.entries = slices.Clone(l.entries[base-l.base:])
 	l.base = base
@@ -121,7 +128,7 @@
 func (l *memoryLog) batch(index uint64) []Entry {
 	end, size := index, 0
 	for end <= l.last() && end-index < maxAppendEntries {
-		size += l.entries[end-l.base-1].size()
+		size += l.entries[end-l.base-1].Size()
 		if size > maxAppendBytes && end > index {
 			break
 		}
--- a/core/log/node.go
+++ b/core/log/node.go
@@ -92,6 +92,7 @@
 	o.Heartbeat = cmp.Or(o.Heartbeat, DefaultHeartbeat)
 	o.LongestAction = cmp.Or(o.LongestAction, DefaultLongestAction)
 	o.Retain = cmp.Or(o.Retain, DefaultRetain)
+	o.RetainBytes = cmp.Or(o.RetainBytes, DefaultRetainBytes)
 	n := &Node{opts: o, now: now, hard: o.Stored.Hard}
 	n.log = newMemoryLog(o.Stored)
 	n.commit = n.log.snapshot.Index
@@ -322,7 +323,7 @@
 	}
 	n.log.compact(Snapshot{
 		Index: ev.Index, Term: n.log.term(ev.Index), Members: n.log.membersAt(ev.Index), Data: ev.Data,
-	}, n.opts.Retain)
+	}, n.opts.Retain, n.opts.RetainBytes)
 	n.rewriteLog = true
 }
 
--- a/core/log/rules_test.go
+++ b/core/log/rules_test.go
@@ -201,3 +201,39 @@
 	is.Equal(len(out), 1)
 	is.True(!out[0].Reject)
 }
+
+// Guards against large entries that are kept below a snapshot because their number is
+// small: they take space on the disk twice while the log is rewritten.
+func TestRetainedEntriesAreBoundedInBytes(t *testing.T) {
+	const entrySize = 100_000
+	for name, c := range map[string]struct {
+		retain      uint64
+		retainBytes int
+		want        int // entries up to the index of the snapshot
+	}{
+		"bytes reached first":   {retain: 8, retainBytes: 350_000, want: 3},
+		"entries reached first": {retain: 2, retainBytes: 350_000, want: 2},
+		"one entry too large":   {retain: 8, retainBytes: entrySize, want: 0},
+		"all fit":               {retain: 100, retainBytes: 100 * entrySize, want: 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			stored := log.Stored{Hard: log.HardState{Term: 2}, Snapshot: log.BootstrapSnapshot(log.Membership{{Host: "a", Identity: 1}})}
+			for i := range uint64(10) {
+				stored.Entries = append(stored.Entries, log.Entry{Index: i + 2, Term: 2, Command: make([]byte, entrySize)})
+			}
+			n := log.New(epoch, log.Options{
+				Self: "a", Identity: 1, Stored: stored, Random: rand.New(rand.NewPCG(1, 1)), Lease: lease,
+				Retain: c.retain, RetainBytes: c.retainBytes,
+			})
+			now := epoch.Add(4 * lease)
+			for sequence := range uint64(4) { // elects the only voter and commits its first entry
+				n.Step(now, log.Synced{Sequence: sequence})
+			}
+			is.Equal(n.Status().Commit, uint64(12))
+			_, p := sentMessages(n.Step(now, log.SnapshotTaken{Index: 11}), 0)
+			is.True(p.Snapshot != nil)
+			is.Equal(len(p.Entries), c.want+1) // and the one after the snapshot
+		})
+	}
+}
--- a/core/log/types.go
+++ b/core/log/types.go
@@ -87,7 +87,8 @@
 	Members     Membership // for kind Members
 }
 
-func (e Entry) size() int { return len(e.Command) + 64*len(e.Members) + 32 }
+// Size returns the approximate size of e in bytes, in memory and on disk.
+func (e Entry) Size() int { return len(e.Command) + 64*len(e.Members) + 32 }
 
 // Snapshot is the state of the state machine after the entry at Index.
 type Snapshot struct {
@@ -125,7 +126,7 @@
 }
 
 // Options configure a node. The durations must be the same on all members. Zero
-// durations and a zero Retain select the defaults.
+// durations, a zero Retain and a zero RetainBytes select the defaults.
 type Options struct {
 	Self     fleet.Host
 	Identity DirectoryID
@@ -135,7 +136,8 @@
 	Lease         time.Duration // time for which a voter that grants a lease votes for no other leader
 	Heartbeat     time.Duration // interval of lease renewals, well below Lease
 	LongestAction time.Duration // maximum duration of an external action begun under a lease
-	Retain        uint64        // entries kept below a snapshot for lagging followers
+	Retain        uint64        // maximum number of entries kept below a snapshot for lagging followers
+	RetainBytes   int           // maximum size of these entries in bytes
 }
 
 // Defaults for zero fields of Options.
@@ -144,6 +146,7 @@
 	DefaultHeartbeat     = 100 * time.Millisecond
 	DefaultLongestAction = time.Second
 	DefaultRetain        = 1000
+	DefaultRetainBytes   = 16 << 20
 )
 
 // Limits on messages and queues. Messages stay well below the 1 MiB limit of a
@@ -154,8 +157,8 @@
 	maxAppendEntries  = 1024
 	maxInflight       = 64 // unacknowledged appends per peer
 	maxChunkBytes     = 256 << 10
-	maxPendingEntries = 8192     // uncommitted entries at the leader
-	maxPendingBytes   = 16 << 20 // size of open proposals at the leader; the last one may exceed it
+	maxPendingEntries = 8192    // uncommitted entries at the leader
+	maxPendingBytes   = 8 << 20 // size of open proposals at the leader; the last one may exceed it
 	maxPendingReads   = 8192
 )
 
--- a/io/disk/disk_test.go
+++ b/io/disk/disk_test.go
@@ -271,3 +271,34 @@
 	}
 	t.Fatal("the test writes more than 4000 bytes")
 }
+
+// Guards against a directory that cannot be opened on a full disk, because opening it
+// first writes a copy of everything that it contains: entries that the snapshot covers,
+// and files that an interrupted rewrite has left.
+func TestOpenOnFullDisk(t *testing.T) {
+	is := is.New(t)
+	fs := newMemFS()
+	s, _ := mustOpen(t, fs)
+	large := func(index uint64) log.Entry {
+		return log.Entry{Index: index, Term: 2, Command: bytes.Repeat([]byte{byte(index)}, 100_000)}
+	}
+	var entries []log.Entry
+	for i := uint64(2); i <= 20; i++ {
+		entries = append(entries, large(i))
+	}
+	is.NoErr(s.Write([]log.Persist{{Entries: entries}}))
+	snapshot := log.Snapshot{Index: 19, Term: 2, Members: log.NewMembership("a"), Data: []byte("state after 19")}
+	is.NoErr(s.Write([]log.Persist{{Snapshot: &snapshot, Entries: entries}}))
+	// The disk fills up while the next snapshot and log are written.
+	fs.capacity = fs.used() + 500_000
+	next := log.Snapshot{Index: 20, Term: 2, Members: snapshot.Members, Data: bytes.Repeat([]byte("state after 20"), 20_000)}
+	is.True(errors.Is(s.Write([]log.Persist{{Snapshot: &next, Entries: entries}}), disk.ErrWrite))
+	is.NoErr(s.Close())
+	is.Equal(fs.used(), fs.capacity)
+
+	s, _, stored, err := open(fs)
+	is.NoErr(err)
+	is.Equal(stored.Snapshot, snapshot)
+	is.Equal(stored.Entries, []log.Entry{large(20)})
+	is.NoErr(s.Write([]log.Persist{{Entries: []log.Entry{large(21)}}})) // there is room again
+}
--- a/io/disk/memory_test.go
+++ b/io/disk/memory_test.go
@@ -23,6 +23,7 @@
 	durable       map[string]*content // present after a crash
 	locked        map[string]bool
 	writableBytes int // bytes that can still be written before writes fail; -1 means no limit
+	capacity      int // bytes of all files together; 0 means no limit
 	failSync      bool
 	failSyncDir   bool
 	syncs         int // number of calls of Sync
@@ -134,6 +135,9 @@
 		n = min(n, f.fs.writableBytes)
 		f.fs.writableBytes -= n
 	}
+	if f.fs.capacity > 0 {
+		n = min(n, max(0, f.fs.capacity-f.fs.used()))
+	}
 	f.content.data = append(f.content.data, b[:n]...)
 	if n < len(b) {
 		return n, errInjected
@@ -141,6 +145,15 @@
 	return n, nil
 }
 
+// used returns the size of all files. The caller holds mu.
+func (m *memFS) used() int {
+	sum := 0
+	for _, c := range m.names {
+		sum += len(c.data)
+	}
+	return sum
+}
+
 func (f *file) Sync() error {
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
--- a/io/disk/open.go
+++ b/io/disk/open.go
@@ -1,6 +1,7 @@
 package disk
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"strings"
@@ -128,10 +129,11 @@
 	return f.Close()
 }
 
-// recover reads the newest write-ahead log and its snapshot, writes the
-// recovered entries to a new log, and removes the files that it replaces. The
+// recover reads the newest write-ahead log and its snapshot, and writes the entries
+// after the snapshot to a new log. Entries that the snapshot covers are dropped. The
 // newest log is complete without the older ones, because newLog writes the whole
-// state to it and syncs it before the file gets its final name.
+// state to it and syncs it before the file gets its final name. All files that it does
+// not need are therefore removed first, which makes room on a full disk.
 func (s *Store) recover(names []string) (log.Stored, error) {
 	var stored log.Stored
 	for _, name := range names {
@@ -157,18 +159,26 @@
 	if len(stored.Entries) > 0 && stored.Entries[0].Index > s.snapshotIndex+1 {
 		return stored, errors.Wrapf(ErrCorrupt, "%s starts at entry %d after snapshot %d", name, stored.Entries[0].Index, s.snapshotIndex)
 	}
+	i, _ := slices.BinarySearchFunc(stored.Entries, s.snapshotIndex+1, func(e log.Entry, index uint64) int { return cmp.Compare(e.Index, index) })
+	stored.Entries = stored.Entries[i:]
 	s.hardState = stored.Hard
-	// This must precede newLog: a killed process may have left a temporary file
-	// whose name is the one that the new log is created under.
-	isTemp := func(name string) bool { return strings.HasSuffix(name, tempSuffix) }
-	if err := s.removeMatching(names, isTemp); err != nil {
+	// The name of the newest log may not be durable yet if the process that wrote it was
+	// killed. Without this sync, a loss of power could take it back after the files that
+	// it replaces were removed.
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return stored, errors.Wrapf(ErrWrite, "sync directory: %v", err)
+	}
+	snapshot := fileName(snapshotPrefix, s.snapshotIndex)
+	unneeded := func(file string) bool {
+		return strings.HasSuffix(file, tempSuffix) || (isDataFile(file) && file != name && file != snapshot)
+	}
+	if err := s.removeMatching(names, unneeded); err != nil {
 		return stored, err
 	}
 	if err := s.newLog(stored.Entries); err != nil {
 		return stored, errors.Wrapf(ErrWrite, "%v", err)
 	}
-	snapshot := fileName(snapshotPrefix, s.snapshotIndex)
-	return stored, s.removeMatching(names, func(name string) bool { return isDataFile(name) && name != snapshot })
+	return stored, s.removeMatching([]string{name}, isDataFile)
 }
 
 // replay decodes log records into stored. It sets the snapshot index from the first
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -41,10 +41,14 @@
 	identityWait = 300 * time.Millisecond
 	// identityPollInterval is the interval of the checks during that wait.
 	identityPollInterval = 10 * time.Millisecond
-	// snapshotEntries is the number of log entries between snapshots. It bounds the
-	// log when documents of 100 KB arrive in quick succession: 200 entries with such
-	// documents take 20 MB.
+	// snapshotEntries is the number of log entries between snapshots.
 	snapshotEntries = 200
+	// snapshotBytes is the size of the log entries between snapshots, and retainBytes
+	// that of the entries kept below a snapshot. A rewrite of the log needs space for the
+	// old and the new one at once: with open proposals of 8 MiB and two snapshots of 1 MiB
+	// that is at most 30 MiB, which must fit on the disk.
+	snapshotBytes = 4 << 20
+	retainBytes   = 4 << 20
 	// targetRetention is how long the record of a target is kept after its last
 	// announcement. The record is needed to ignore late announcements of runs that
 	// have ended, which arrive within seconds.
@@ -183,7 +187,7 @@
 	var err error
 	r.member, err = replica.New(replica.Options{
 		Self: r.self, InitialVoters: members, FS: o.FS, DataDir: o.DataDir, StateMachine: r.machine, Transport: r.transport,
-		Log: o.Log.Named("log"), SnapshotEntries: snapshotEntries, LongestAction: usageTimeout,
+		Log: o.Log.Named("log"), SnapshotEntries: snapshotEntries, SnapshotBytes: snapshotBytes, RetainBytes: retainBytes, LongestAction: usageTimeout,
 	})
 	return r, err
 }
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -61,8 +62,8 @@
 	dirs  []string
 	sink  *fakeSink
 	nodes []*node
-	disk  *fullDisk   // used by replicas that are started later; nil means the host's file system
-	disks []*fullDisk // of the replicas by number; used instead of disk if not nil
+	disk  *fullDisk // used by replicas that are started later; nil means the host's file system
+	disks []disk.FS // of the replicas by number; used instead of disk if not nil
 	// centres are the data centres of the replicas, each in a region of its own; may be nil.
 	centres []fleet.DataCentre
 }
@@ -412,6 +413,103 @@
 	return f.File.Write(p)
 }
 
+// smallDisk has room for capacity bytes in all files together.
+type smallDisk struct {
+	disk.OS
+	capacity int
+
+	mu    sync.Mutex
+	sizes map[string]int // by file name
+	peak  int
+}
+
+func (d *smallDisk) Create(name string) (disk.File, error) {
+	file, err := d.OS.Create(name)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sizes[name] = 0
+	return &smallDiskFile{File: file, disk: d, name: name}, err
+}
+
+func (d *smallDisk) Rename(from, to string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sizes[to] = d.sizes[from]
+	delete(d.sizes, from)
+	return d.OS.Rename(from, to)
+}
+
+func (d *smallDisk) Remove(name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.sizes, name)
+	return d.OS.Remove(name)
+}
+
+type smallDiskFile struct {
+	disk.File
+	disk *smallDisk
+	name string // the file may have been renamed since from this name with a suffix
+}
+
+func (f *smallDiskFile) Write(p []byte) (int, error) {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	name := f.name
+	if _, ok := f.disk.sizes[name]; !ok {
+		name = strings.TrimSuffix(name, ".tmp")
+	}
+	used := 0
+	for _, n := range f.disk.sizes {
+		used += n
+	}
+	if room := f.disk.capacity - used; len(p) > room {
+		n, _ := f.File.Write(p[:max(room, 0)])
+		f.disk.sizes[name] += n
+		return n, syscall.ENOSPC
+	}
+	f.disk.sizes[name] += len(p)
+	f.disk.peak = max(f.disk.peak, used+len(p))
+	return f.File.Write(p)
+}
+
+// Guards against replicas that fill their own disks when many large documents arrive in
+// quick succession, and then neither accept a change nor return the document.
+func TestLargeDocumentsDoNotFillDisks(t *testing.T) {
+	is := is.New(t)
+	const (
+		capacity  = 64 << 20
+		documents = 150
+		size      = 260_000
+	)
+	g := &group{t: t, sink: newFakeSink()}
+	disks := make([]*smallDisk, 3)
+	for i := range disks {
+		g.addrs = append(g.addrs, g.reserve())
+		g.dirs = append(g.dirs, t.TempDir())
+		disks[i] = &smallDisk{capacity: capacity, sizes: make(map[string]int)}
+		g.disks = append(g.disks, disks[i])
+	}
+	g.nodes = make([]*node, 3)
+	for i := range g.nodes {
+		g.start(i, true)
+	}
+	var document string
+	for version := uint64(1); version <= documents; version++ {
+		document = strings.Repeat(strconv.FormatUint(version, 10)+" ", size)[:size]
+		g.put(version, document)
+	}
+	for i := range g.nodes {
+		g.eventually("read", func() bool { return g.hasCatalog(i, documents, document) })
+	}
+	for i, d := range disks {
+		d.mu.Lock()
+		t.Logf("replica %d: at most %d of %d bytes used", i, d.peak, capacity)
+		is.True(d.peak < capacity/2) // leaves room for documents of twice the size
+		d.mu.Unlock()
+	}
+}
+
 // Guards against a replica whose disk was full for a while and that does not catch up
 // and vote again within 30 s.
 func TestDiskFull(t *testing.T) {
@@ -436,10 +534,12 @@
 // changes were refused or stayed without an answer long after the last disk had room.
 func TestDisksFullInTurn(t *testing.T) {
 	g := &group{t: t, sink: newFakeSink()}
+	var disks []*fullDisk
 	for range 3 {
 		g.addrs = append(g.addrs, g.reserve())
 		g.dirs = append(g.dirs, t.TempDir())
-		g.disks = append(g.disks, &fullDisk{partial: len(g.disks) > 0})
+		disks = append(disks, &fullDisk{partial: len(disks) > 0})
+		g.disks = append(g.disks, disks[len(disks)-1])
 	}
 	g.nodes = make([]*node, 3)
 	for i := range g.nodes {
@@ -447,13 +547,13 @@
 	}
 	version := uint64(1)
 	g.put(version, "first")
-	for i := range g.disks {
-		g.disks[i].full.Store(true)
+	for i := range disks {
+		disks[i].full.Store(true)
 		for end := time.Now().Add(time.Second); time.Now().Before(end); {
 			version++
 			g.put(version, strconv.FormatUint(version, 10))
 		}
-		g.disks[i].full.Store(false)
+		disks[i].full.Store(false)
 	}
 	for i := range g.nodes {
 		g.eventually("read", func() bool { return g.hasCatalog(i, version, strconv.FormatUint(version, 10)) })
--- a/io/replica/loop.go
+++ b/io/replica/loop.go
@@ -19,7 +19,7 @@
 	results       map[uint64]any      // of StateMachine.Apply in the current step, by index
 	appliedIndex  uint64
 	snapshotIndex uint64        // index of the last snapshot
-	commandBytes  uint64        // of commands applied since the last snapshot
+	logBytes      uint64        // written to the log since the last snapshot
 	suspended     time.Duration // of the host, as last logged
 }
 
@@ -143,6 +143,7 @@
 func (l *loop) execute(a log.Action) error {
 	switch a := a.(type) {
 	case log.Persist:
+		l.countWritten(a)
 		l.writer.enqueue(a)
 	case log.Send:
 		l.o.Transport.Send(a.Message.To, wire.EncodeLogMessage(a.Message))
@@ -152,7 +153,7 @@
 		if err := l.o.StateMachine.Restore(a.Snapshot.Data); err != nil {
 			return errors.Wrapf(ErrStateMachine, "restore snapshot %d: %v", a.Snapshot.Index, err)
 		}
-		l.appliedIndex, l.snapshotIndex, l.commandBytes = a.Snapshot.Index, a.Snapshot.Index, 0
+		l.appliedIndex, l.snapshotIndex = a.Snapshot.Index, a.Snapshot.Index
 	case log.Decided:
 		l.complete(a.ID, result{l.results[a.Index], outcomeError(a)})
 	case log.TransferEnded:
@@ -175,7 +176,6 @@
 			continue
 		}
 		value := l.o.StateMachine.Apply(e.Index, e.Term, e.Command)
-		l.commandBytes += uint64(len(e.Command))
 		if len(l.pending) > 0 { // otherwise nobody waits for the result
 			l.results[e.Index] = value
 		}
@@ -189,17 +189,37 @@
 	}
 }
 
-// takeSnapshot takes a snapshot if enough entries or bytes of commands have been applied
-// since the last one. This bounds the part of the log that a restart has to read.
+// countWritten adds the size of a write to logBytes. Entries that are never committed
+// count as well, since they take space on the disk until the log is rewritten.
+func (l *loop) countWritten(p log.Persist) {
+	if p.Snapshot != nil {
+		l.logBytes = 0
+		return
+	}
+	l.logBytes += entryBytes(p.Entries)
+}
+
+func entryBytes(list []log.Entry) uint64 {
+	sum := 0
+	for _, e := range list {
+		sum += e.Size()
+	}
+	return uint64(sum)
+}
+
+// takeSnapshot takes a snapshot if enough entries have been applied or enough bytes have
+// been written since the last one. This bounds the log on disk and the part of it that a
+// restart has to read.
 func (l *loop) takeSnapshot() error {
-	if l.appliedIndex-l.snapshotIndex < l.o.SnapshotEntries && l.commandBytes < l.o.SnapshotBytes {
+	applied := l.appliedIndex - l.snapshotIndex
+	if applied == 0 || (applied < l.o.SnapshotEntries && l.logBytes < l.o.SnapshotBytes) {
 		return nil
 	}
 	data, err := l.o.StateMachine.Snapshot()
 	if err != nil {
 		return errors.Wrapf(ErrStateMachine, "take snapshot at %d: %v", l.appliedIndex, err)
 	}
-	l.snapshotIndex, l.commandBytes = l.appliedIndex, 0
+	l.snapshotIndex = l.appliedIndex
 	return l.step(log.SnapshotTaken{Index: l.appliedIndex, Data: data})
 }
 
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -80,7 +80,8 @@
 	LongestAction time.Duration // zero means log.DefaultLongestAction
 
 	SnapshotEntries uint64 // applied entries between snapshots; zero means DefaultSnapshotEntries
-	SnapshotBytes   uint64 // bytes of commands between snapshots; zero means DefaultSnapshotBytes
+	SnapshotBytes   uint64 // bytes written to the log between snapshots; zero means DefaultSnapshotBytes
+	RetainBytes     int    // bytes of entries kept below a snapshot; zero means log.DefaultRetainBytes
 }
 
 // Clock is the time of a host. The zero value is that of the host of this process.
@@ -216,7 +217,7 @@
 	node := log.New(m.o.Clock.now(), log.Options{
 		Self: m.o.Self, Identity: d.identity, Stored: d.stored,
 		Random: rand.New(rand.NewPCG(randomUint64(), randomUint64())),
-		Lease:  m.o.Lease, Heartbeat: m.o.Heartbeat, LongestAction: m.o.LongestAction,
+		Lease:  m.o.Lease, Heartbeat: m.o.Heartbeat, LongestAction: m.o.LongestAction, RetainBytes: m.o.RetainBytes,
 	})
 	m.mu.Lock()
 	m.node = node
@@ -224,7 +225,7 @@
 	l := &loop{
 		Member: m, node: node, writer: newWriter(d.store),
 		appliedIndex: d.stored.Snapshot.Index, snapshotIndex: d.stored.Snapshot.Index,
-		pending: make(map[uint64]*request),
+		logBytes: entryBytes(d.stored.Entries), pending: make(map[uint64]*request),
 	}
 	return l.run(ctx)
 }
