io/replica, io/disk: start on a full disk

Callers: a registry process that was restarted while its disk was full ended at once, so that its host took no announcements until something started it again.

Cause: New failed if the directory could not be written to. Only Serve retried. A lock file that could not be created was reported as a directory in use.

A directory that cannot be created because of its path or its permissions is an ErrWrongDirectory and still ends the process.

--- a/io/disk/disk_test.go
+++ b/io/disk/disk_test.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/matryer/is"
@@ -302,3 +304,13 @@
 	is.Equal(stored.Entries, []log.Entry{large(20)})
 	is.NoErr(s.Write([]log.Persist{{Entries: []log.Entry{large(21)}}})) // there is room again
 }
+
+// Guards against a wrong setting of the data directory that is taken for a full disk and
+// retried for ever.
+func TestDirectoryThatCannotBeCreated(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "file")
+	is.NoErr(os.WriteFile(file, nil, 0o600))
+	_, _, _, err := disk.Open(disk.Options{Dir: filepath.Join(file, "data"), Host: "a", Identity: 7})
+	is.True(errors.Is(err, disk.ErrWrongDirectory))
+}
--- a/io/disk/fs.go
+++ b/io/disk/fs.go
@@ -11,14 +11,16 @@
 // FS is the set of file system operations that a Store uses. Tests substitute
 // it to inject faults.
 type FS interface {
-	MkdirAll(dir string) error
+	MkdirAll(dir string) error          // fails with an ErrWrite or an ErrWrongDirectory
 	Names(dir string) ([]string, error) // lists the files in dir
 	Open(name string) (io.ReadCloser, error)
 	Create(name string) (File, error) // truncates an existing file
 	Rename(from, to string) error
 	Remove(name string) error
 	SyncDir(dir string) error
-	Lock(name string) (io.Closer, error) // fails if another process holds the lock
+	// Lock fails if another process holds the lock, or with an ErrWrite or an
+	// ErrWrongDirectory if the lock file cannot be created.
+	Lock(name string) (io.Closer, error)
 }
 
 // File is a file opened for writing.
@@ -31,7 +33,23 @@
 type OS struct{}
 
 // MkdirAll creates dir and its parents with access for the owner only.
-func (OS) MkdirAll(dir string) error { return os.MkdirAll(dir, 0o700) }
+func (OS) MkdirAll(dir string) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return createError(err)
+	}
+	return nil
+}
+
+// createError returns an ErrWrongDirectory if err shows that the setting of the data
+// directory is wrong, and otherwise an ErrWrite, which may be temporary.
+func createError(err error) error {
+	for _, wrong := range []error{os.ErrPermission, unix.ENOTDIR, unix.EROFS} {
+		if errors.Is(err, wrong) {
+			return errors.Wrap(ErrWrongDirectory, err.Error())
+		}
+	}
+	return errors.Wrap(ErrWrite, err.Error())
+}
 
 // Names returns the names of the files in dir.
 func (OS) Names(dir string) ([]string, error) {
@@ -72,7 +90,7 @@
 func (OS) Lock(name string) (io.Closer, error) {
 	f, err := os.OpenFile(name, os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
-		return nil, err
+		return nil, createError(err)
 	}
 	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
 		_ = f.Close()
--- a/io/disk/open.go
+++ b/io/disk/open.go
@@ -26,9 +26,12 @@
 		s.fs = OS{}
 	}
 	if err := s.fs.MkdirAll(s.dir); err != nil {
-		return nil, 0, log.Stored{}, errors.Wrapf(ErrWrite, "create %s: %v", s.dir, err)
+		return nil, 0, log.Stored{}, errors.Wrapf(err, "create %s", s.dir)
 	}
 	lock, err := s.fs.Lock(s.path(lockName))
+	if errors.Is(err, ErrWrite) || errors.Is(err, ErrWrongDirectory) {
+		return nil, 0, log.Stored{}, errors.Wrapf(err, "create lock in %s", s.dir)
+	}
 	if err != nil {
 		return nil, 0, log.Stored{}, errors.Wrapf(ErrLocked, "%s: %v", s.dir, err)
 	}
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/netip"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -389,6 +392,13 @@
 	partial bool // files can be created, and the first half of each write succeeds
 }
 
+func (f *fullDisk) Lock(name string) (io.Closer, error) {
+	if _, err := os.Stat(name); err != nil && f.full.Load() {
+		return nil, fmt.Errorf("%w: %w", disk.ErrWrite, syscall.ENOSPC)
+	}
+	return f.OS.Lock(name)
+}
+
 func (f *fullDisk) Create(name string) (disk.File, error) {
 	if f.full.Load() && !f.partial {
 		return nil, syscall.ENOSPC
@@ -530,6 +540,28 @@
 	g.eventually("read", func() bool { return g.hasCatalog(2, 9, "nine") })
 }
 
+// Guards against a replica process that ends at its start because its disk is full, with
+// a directory of an earlier run or with a new one.
+func TestStartOnFullDisk(t *testing.T) {
+	for name, empty := range map[string]bool{"existing directory": false, "empty directory": true} {
+		t.Run(name, func(t *testing.T) {
+			g := newGroup(t, 3)
+			g.put(1, "one")
+			g.nodes[2].stop()
+			if empty {
+				g.dirs[2] = t.TempDir()
+			}
+			full := &fullDisk{}
+			full.full.Store(true)
+			g.disk = full
+			g.start(2, false)
+			g.put(2, "two")
+			full.full.Store(false)
+			g.eventually("read", func() bool { return g.hasCatalog(2, 2, "two") })
+		})
+	}
+}
+
 // Guards against replicas that do not take part again after their disks were full in turn:
 // changes were refused or stayed without an answer long after the last disk had room.
 func TestDisksFullInTurn(t *testing.T) {
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -129,7 +129,9 @@
 	stored   log.Stored
 }
 
-// New opens the data directory and returns a member that is not yet running.
+// New opens the data directory and returns a member that is not yet running. If the
+// directory cannot be written to, for example because the disk is full, Serve opens it
+// again.
 func New(o Options) (*Member, error) {
 	if o.Self == "" || o.DataDir == "" || o.StateMachine == nil || o.Transport == nil {
 		return nil, errors.Wrap(ErrOptions, "host, data directory, state machine and transport are required")
@@ -163,6 +165,10 @@
 	m.lease.Store(&log.Lease{})
 	var err error
 	m.opened, err = m.open()
+	if errors.Is(err, disk.ErrWrite) {
+		m.o.Log.Error("data directory cannot be written to, it is opened again later", "data", o.DataDir, "error", err)
+		return m, nil
+	}
 	return m, err
 }
 
