io/registry: reserve ports of test replicas below the ephemeral range

Cause: TestDisksFullInTurn failed once with "bind: address already in use": a port was chosen by a listener that is closed again, and an outgoing connection of another replica took it before the replica listened. Change: the ports come from internal/ports, as in the other tests. Result: TestDisksFullInTurn, TestJoin and TestPut pass.

--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -22,6 +22,7 @@
 
 	"papayarock/core/fleet"
 	"papayarock/core/roster"
+	"papayarock/internal/ports"
 	"papayarock/io/disk"
 	"papayarock/io/link"
 	"papayarock/io/registry"
@@ -89,14 +90,13 @@
 	return g
 }
 
-// reserve returns a loopback address with a free port.
+// reserve returns a loopback address with a port that no other test process uses.
 func (g *group) reserve() netip.AddrPort {
-	l, err := (&net.ListenConfig{}).Listen(g.t.Context(), "tcp", "127.0.0.1:0")
+	a, err := ports.Reserve()
 	if err != nil {
 		g.t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	return a
 }
 
 func (g *group) start(i int, createLog bool) {
