core/roster, io/registry: keep a sign-off whose run is not known

Callers: requests reached a target until it ended, later than the drain time after its deregistration had been acknowledged, and orders broke off.

Cause: a deregistration names no run. A replica took it for the run that it knew and dropped it if it knew none, or an earlier one, but answered 200. Each replica knows only the targets that announce themselves to it.

Change: a sign-off without a run is kept and ends every run that has started when it is received, at all gateways and in any order of arrival. A new log line says what the replica knew.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -65,20 +65,39 @@
 // "renewed".
 func (o Outcome) String() string { return [...]string{"stale", "renewed", "changed"}[o] }
 
-// Announce applies an announcement that was received at now.
-func (r *Roster) Announce(now time.Time, a Announcement) Outcome {
+func (r *Roster) init() {
 	if r.records == nil {
 		r.records = make(map[fleet.TargetName]Record)
 		r.byAddress = make(map[netip.AddrPort]fleet.TargetName)
 		r.changedAt = make(map[fleet.TargetName]uint64)
 	}
-	old, known := r.records[a.Target]
+}
+
+// SignOff applies a sign-off that does not name the run that it ends. It was received at
+// now, which is the time of day in wall. It ends every run that has started by then: this
+// roster may know nothing of the target, or only an earlier run than another roster, to
+// which the record is passed on. The record has the time of the sign-off as its start.
+func (r *Roster) SignOff(now, wall time.Time, t fleet.TargetName) Outcome {
+	r.init()
+	old, known := r.records[t]
+	if known && old.Started.After(wall) {
+		wall = old.Started // the clocks differ
+	}
+	if known && r.byAddress[old.Address] == t {
+		delete(r.byAddress, old.Address)
+	}
+	r.records[t] = Record{Announcement: Announcement{Target: t, Started: wall, Condition: Left}, Heard: now}
+	r.recordChange(t)
+	return Changed
+}
+
+// Announce applies an announcement that was received at now.
+func (r *Roster) Announce(now time.Time, a Announcement) Outcome {
 	if a.Condition == Left && a.Started.IsZero() {
-		if !known {
-			return Stale
-		}
-		a.Started = old.Started // a sign-off without a run ends the known one
+		return r.SignOff(now, now, a.Target)
 	}
+	r.init()
+	old, known := r.records[a.Target]
 	if known && a.Started.Before(old.Started) {
 		return Stale
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -35,24 +35,28 @@
 		list []roster.Announcement
 		want map[string]roster.Condition
 	}{
-		"first":                        {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Ready}},
-		"draining":                     {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), newAnnouncement("t", 1, 2, roster.Draining)}, map[string]roster.Condition{"t": roster.Draining}},
-		"late ready":                   {[]roster.Announcement{newAnnouncement("t", 1, 3, roster.Draining), newAnnouncement("t", 1, 2, roster.Ready)}, map[string]roster.Condition{"t": roster.Draining}},
-		"draining stays":               {[]roster.Announcement{newAnnouncement("t", 1, 3, roster.Draining), newAnnouncement("t", 1, 4, roster.Ready)}, map[string]roster.Condition{"t": roster.Draining}},
-		"left stays":                   {[]roster.Announcement{newAnnouncement("t", 1, 3, roster.Left), newAnnouncement("t", 1, 9, roster.Ready)}, map[string]roster.Condition{"t": roster.Left}},
-		"sign-off without run":         {[]roster.Announcement{newAnnouncement("t", 1, 3, roster.Ready), signOff, newAnnouncement("t", 1, 4, roster.Ready)}, map[string]roster.Condition{"t": roster.Left}},
-		"unknown sign-off":             {[]roster.Announcement{signOff, newAnnouncement("t", 1, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Ready}},
-		"early sign-off":               {[]roster.Announcement{newAnnouncement("t", 1, 5, roster.Left), newAnnouncement("t", 1, 4, roster.Ready)}, map[string]roster.Condition{"t": roster.Left}},
-		"new run, same name":           {[]roster.Announcement{newAnnouncement("t", 1, 9, roster.Left), newAnnouncement("t", 2, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Ready}},
-		"late, from an old run":        {[]roster.Announcement{newAnnouncement("t", 2, 1, roster.Ready), newAnnouncement("t", 1, 9, roster.Draining)}, map[string]roster.Condition{"t": roster.Ready}},
-		"old sign-off":                 {[]roster.Announcement{newAnnouncement("t", 2, 1, roster.Ready), newAnnouncement("t", 1, 9, roster.Left)}, map[string]roster.Condition{"t": roster.Ready}},
-		"address taken over":           {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), newAnnouncement("u", 2, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Left, "u": roster.Ready}},
-		"late, from the former holder": {[]roster.Announcement{newAnnouncement("u", 2, 1, roster.Ready), newAnnouncement("t", 1, 9, roster.Ready)}, map[string]roster.Condition{"u": roster.Ready}},
-		"moved":                        {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), withAddress(newAnnouncement("t", 1, 2, roster.Ready), otherAddress), newAnnouncement("u", 1, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Ready, "u": roster.Ready}},
-		"sign-off after reuse":         {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), newAnnouncement("u", 2, 1, roster.Ready), newAnnouncement("t", 1, 2, roster.Left)}, map[string]roster.Condition{"t": roster.Left, "u": roster.Ready}},
-		"reuse after a late sign-off":  {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), newAnnouncement("u", 2, 1, roster.Ready), newAnnouncement("t", 1, 2, roster.Left), newAnnouncement("v", 3, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Left, "u": roster.Left, "v": roster.Ready}},
-		"two at two addresses":         {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), withAddress(newAnnouncement("u", 1, 1, roster.Ready), otherAddress)}, map[string]roster.Condition{"t": roster.Ready, "u": roster.Ready}},
-		"repeated announcement":        {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), newAnnouncement("t", 1, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Ready}},
+		"first":                            {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Ready}},
+		"draining":                         {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), newAnnouncement("t", 1, 2, roster.Draining)}, map[string]roster.Condition{"t": roster.Draining}},
+		"late ready":                       {[]roster.Announcement{newAnnouncement("t", 1, 3, roster.Draining), newAnnouncement("t", 1, 2, roster.Ready)}, map[string]roster.Condition{"t": roster.Draining}},
+		"draining stays":                   {[]roster.Announcement{newAnnouncement("t", 1, 3, roster.Draining), newAnnouncement("t", 1, 4, roster.Ready)}, map[string]roster.Condition{"t": roster.Draining}},
+		"left stays":                       {[]roster.Announcement{newAnnouncement("t", 1, 3, roster.Left), newAnnouncement("t", 1, 9, roster.Ready)}, map[string]roster.Condition{"t": roster.Left}},
+		"sign-off without run":             {[]roster.Announcement{newAnnouncement("t", 1, 3, roster.Ready), signOff, newAnnouncement("t", 1, 4, roster.Ready)}, map[string]roster.Condition{"t": roster.Left}},
+		"unknown sign-off":                 {[]roster.Announcement{signOff, newAnnouncement("t", 1, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Ready}},
+		"sign-off before the run is known": {[]roster.Announcement{signOff, newAnnouncement("t", 0, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Left}},
+		"sign-off of a later run":          {[]roster.Announcement{newAnnouncement("t", 0, 7, roster.Ready), newAnnouncement("t", 1, 1, roster.Ready), signOff, newAnnouncement("t", 1, 2, roster.Ready)}, map[string]roster.Condition{"t": roster.Left}},
+		"sign-off, then a new run":         {[]roster.Announcement{newAnnouncement("t", 0, 7, roster.Ready), signOff, newAnnouncement("t", 3, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Ready}},
+		"sign-off, then address reused":    {[]roster.Announcement{newAnnouncement("t", 0, 7, roster.Ready), signOff, newAnnouncement("u", 0, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Left, "u": roster.Ready}},
+		"early sign-off":                   {[]roster.Announcement{newAnnouncement("t", 1, 5, roster.Left), newAnnouncement("t", 1, 4, roster.Ready)}, map[string]roster.Condition{"t": roster.Left}},
+		"new run, same name":               {[]roster.Announcement{newAnnouncement("t", 1, 9, roster.Left), newAnnouncement("t", 2, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Ready}},
+		"late, from an old run":            {[]roster.Announcement{newAnnouncement("t", 2, 1, roster.Ready), newAnnouncement("t", 1, 9, roster.Draining)}, map[string]roster.Condition{"t": roster.Ready}},
+		"old sign-off":                     {[]roster.Announcement{newAnnouncement("t", 2, 1, roster.Ready), newAnnouncement("t", 1, 9, roster.Left)}, map[string]roster.Condition{"t": roster.Ready}},
+		"address taken over":               {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), newAnnouncement("u", 2, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Left, "u": roster.Ready}},
+		"late, from the former holder":     {[]roster.Announcement{newAnnouncement("u", 2, 1, roster.Ready), newAnnouncement("t", 1, 9, roster.Ready)}, map[string]roster.Condition{"u": roster.Ready}},
+		"moved":                            {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), withAddress(newAnnouncement("t", 1, 2, roster.Ready), otherAddress), newAnnouncement("u", 1, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Ready, "u": roster.Ready}},
+		"sign-off after reuse":             {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), newAnnouncement("u", 2, 1, roster.Ready), newAnnouncement("t", 1, 2, roster.Left)}, map[string]roster.Condition{"t": roster.Left, "u": roster.Ready}},
+		"reuse after a late sign-off":      {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), newAnnouncement("u", 2, 1, roster.Ready), newAnnouncement("t", 1, 2, roster.Left), newAnnouncement("v", 3, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Left, "u": roster.Left, "v": roster.Ready}},
+		"two at two addresses":             {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), withAddress(newAnnouncement("u", 1, 1, roster.Ready), otherAddress)}, map[string]roster.Condition{"t": roster.Ready, "u": roster.Ready}},
+		"repeated announcement":            {[]roster.Announcement{newAnnouncement("t", 1, 1, roster.Ready), newAnnouncement("t", 1, 1, roster.Ready)}, map[string]roster.Condition{"t": roster.Ready}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -89,6 +93,46 @@
 	}
 }
 
+// Guards against a sign-off without a run that is dropped, because the replica that
+// received it has heard nothing of the target, or only of an earlier run.
+func TestSignOffAtAnotherReplica(t *testing.T) {
+	for name, heard := range map[string][]roster.Announcement{
+		"unknown":        nil,
+		"an earlier run": {newAnnouncement("t", 1, 9, roster.Ready)},
+		"this run":       {newAnnouncement("t", 2, 1, roster.Ready)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var announced, signedOff roster.Roster
+			announced.Announce(start.Add(3*time.Second), newAnnouncement("t", 2, 1, roster.Ready))
+			for _, a := range heard {
+				signedOff.Announce(start.Add(4*time.Second), a)
+			}
+			signedOff.Announce(start.Add(5*time.Second), roster.Announcement{Target: "t", Condition: roster.Left})
+			// The gateway hears of both in any order, and again after a new connection.
+			for name, replicas := range map[string][]*roster.Roster{
+				"announcement first": {&announced, &signedOff, &announced},
+				"sign-off first":     {&signedOff, &announced, &signedOff},
+			} {
+				t.Run(name, func(t *testing.T) {
+					is := is.New(t)
+					var gateway roster.Roster
+					for _, r := range replicas {
+						for _, record := range r.ChangedSince(0) {
+							gateway.Announce(record.Heard, record.Announcement)
+						}
+					}
+					record, ok := gateway.Get("t")
+					is.True(ok)
+					is.Equal(record.Condition, roster.Left)
+					gateway.Announce(start.Add(10*time.Second), newAnnouncement("t", 8, 1, roster.Ready))
+					record, _ = gateway.Get("t")
+					is.Equal(record.Condition, roster.Ready) // a new run is not affected
+				})
+			}
+		})
+	}
+}
+
 // ChangedSince must return all changes and no unchanged records; otherwise each change
 // sends the whole roster or a change is missed.
 func TestChangedSince(t *testing.T) {
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -282,6 +282,13 @@
 func (r *Registry) Announce(a roster.Announcement) roster.Outcome {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if a.Condition == roster.Left && a.Started.IsZero() {
+		known, ok := r.roster.Get(a.Target)
+		r.log.Info("target signed off without a run", "target", a.Target, "known", ok, "known-started", known.Started.UnixMilli(), "known-condition", known.Condition)
+		r.roster.SignOff(time.Now(), r.options.Now(), a.Target)
+		r.signalRosterChange()
+		return roster.Changed
+	}
 	outcome := r.roster.Announce(time.Now(), a)
 	switch outcome {
 	case roster.Refreshed:
@@ -292,12 +299,17 @@
 	case roster.Changed:
 		r.log.Info("target changed", "target", a.Target, "started", a.Started.UnixMilli(), "sequence", a.Sequence,
 			"pool", a.Pool, "address", a.Address, "condition", a.Condition, "role", a.Role)
-		close(r.rosterChanged)
-		r.rosterChanged = make(chan struct{})
+		r.signalRosterChange()
 	}
 	return outcome
 }
 
+// signalRosterChange wakes the feeds after a change of the roster. The caller holds mu.
+func (r *Registry) signalRosterChange() {
+	close(r.rosterChanged)
+	r.rosterChanged = make(chan struct{})
+}
+
 // PutCatalog commits a validated document, unmodified, as the catalog of the given
 // version. It returns nil once a catalog of this version or a higher one is committed.
 // On a replica that does not lead it returns a *NotLeaderError or ErrNoLeader. After any
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -299,6 +299,64 @@
 	is.NoErr(s.Close())
 }
 
+// Guards against requests to a target whose sign-off was acknowledged by a replica to
+// which it has never announced itself: gateways must hear of it, also those that
+// connect later.
+func TestSignOffReachesGateways(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3)
+	g.put(1, "one")
+	var pool link.Pool
+	t.Cleanup(pool.Close)
+	known := make(chan roster.Condition, 100) // conditions of the target at a gateway
+	connect := func() {
+		var mu sync.Mutex
+		var targets roster.Roster
+		for i := range g.nodes {
+			s, err := pool.Open(t.Context(), link.Address{AddrPort: g.addrs[i]}, &wire.FeedOpen{Host: "gateway", Run: 1})
+			is.NoErr(err)
+			go func() {
+				for {
+					var m wire.FeedUpdate
+					if s.Receive(&m) != nil {
+						return
+					}
+					mu.Lock()
+					for _, target := range m.GetTargets() {
+						record, err := wire.DecodeFeedTarget(time.Now(), target)
+						if err == nil && targets.Announce(record.Heard, record.Announcement) == roster.Changed {
+							r, _ := targets.Get("t")
+							known <- r.Condition
+						}
+					}
+					mu.Unlock()
+				}
+			}()
+		}
+	}
+	await := func(c roster.Condition) {
+		t.Helper()
+		for timeout := time.After(30 * time.Second); ; {
+			select {
+			case got := <-known:
+				if got == c {
+					return
+				}
+			case <-timeout:
+				t.Fatalf("the target is not known as %v within 30 s", c)
+			}
+		}
+	}
+	connect()
+	g.nodes[0].Announce(announcement(1, roster.Ready))
+	await(roster.Ready)
+	g.nodes[1].Announce(roster.Announcement{Target: "t", Condition: roster.Left})
+	await(roster.Left)
+	g.nodes[0].Announce(announcement(2, roster.Ready)) // late, or sent before the target ends
+	connect()
+	await(roster.Left)
+}
+
 // Guards against reporting a usage window twice with different counts or without the
 // counts from before a gateway's restart, and against reports of two hosts with the
 // same term.
