core/retry, io/gateway: a restart does not renew the burst of retries

Callers: a service got more repeated requests in a window of 10 s than the limit allows for all gateways together, which prolongs an overload of its targets.

Cause: the limit is shared, but each gateway kept its part as if it had never run before (the bucket was full at each start), as if the last reported number of gateways were right (a replica that has just started reports few), and rounded up to a whole retry.

Change: a bucket starts empty and is filled once, after the gateway has run for a window (setting retry-window). The burst is divided by the highest number of gateways reported in the last 10 s. A part below one retry is not rounded up; what is saved beyond it decays within a window.

That this is the cause in the users' runs is not shown.

--- a/core/place/limit.go
+++ b/core/place/limit.go
@@ -91,6 +91,10 @@
 	return float64(d.Sum64()>>11) / (1 << 53)
 }
 
+// LimitGateways returns the number of gateways that share limits: the highest one that was
+// reported lately. It is at least one.
+func (p *Placer) LimitGateways() int { return max(1, p.limitGateways) }
+
 // setLimitGateways sets the number of gateways that share the named limits.
 func (p *Placer) setLimitGateways(now time.Time, n int) {
 	if n >= p.limitGateways || now.Sub(p.limitGatewaysAt) > gatewaysHold {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -14,34 +15,55 @@
 
 // Budget is a token bucket that limits retries to a fraction of first attempts.
 // The zero value is an empty bucket and ready to use.
+//
+// Several processes may share a limit that applies to any window of time. Each then has
+// its part of the burst, which may be less than one retry. A process that restarts has
+// forgotten what it used, so that it starts with an empty bucket, which Advance fills
+// after a window: the burst would otherwise be available once more with each restart.
 type Budget struct {
-	Ratio float64 // retries earned per first attempt; zero means 0.09
-	Burst float64 // maximum number of retries saved up; zero means 3
+	Ratio  float64       // retries earned per first attempt; zero means 0.09
+	Burst  float64       // number of retries saved up; zero means 3
+	FullAt time.Time     // when Advance fills the bucket, once; zero means never
+	Window time.Duration // of the limit; used if Burst is below one
 
 	FirstAttempts uint64 // first attempts so far
 	Retries       uint64 // retries so far
 	tokens        float64
+	filled        bool
+	advanced      time.Time // time of the last Advance
+}
+
+// burst returns Burst or its default.
+func (b *Budget) burst() float64 {
+	if b.Burst == 0 {
+		return defaultBurst
+	}
+	return b.Burst
+}
+
+// Advance fills the bucket once FullAt has passed. If Burst is below one, a retry must be
+// saved up beyond it; what is saved beyond Burst then decays with Window as the time
+// constant. Without that, many processes with few requests would each have a retry to
+// spend in the same window.
+func (b *Budget) Advance(now time.Time) {
+	if !b.filled && !b.FullAt.IsZero() && !now.Before(b.FullAt) {
+		b.filled = true
+		b.tokens = max(b.tokens, b.burst())
+	}
+	if excess := b.tokens - b.burst(); excess > 0 && b.Window > 0 {
+		b.tokens = b.burst() + excess*math.Exp(-now.Sub(b.advanced).Seconds()/b.Window.Seconds())
+	}
+	b.advanced = now
 }
 
 // CountFirstAttempt counts a first attempt and adds its share of a retry to the budget.
 func (b *Budget) CountFirstAttempt() {
-	ratio, burst := b.Ratio, b.Burst
+	ratio := b.Ratio
 	if ratio == 0 {
 		ratio = defaultRatio
 	}
-	if burst == 0 {
-		burst = defaultBurst
-	}
 	b.FirstAttempts++
-	b.tokens = min(b.tokens+ratio, burst)
-}
-
-// Fill fills the bucket, so that the first Burst retries need not be earned.
-func (b *Budget) Fill() {
-	b.tokens = b.Burst
-	if b.tokens == 0 {
-		b.tokens = defaultBurst
-	}
+	b.tokens = min(b.tokens+ratio, max(1, b.burst()))
 }
 
 // Available reports whether the budget allows another retry.
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -105,17 +105,19 @@
 	})
 }
 
-// A new process must have retries for its first requests if its bucket is filled
-// at the start.
-func TestBudgetFill(t *testing.T) {
+// A process must have the burst of retries at the time that is set, and only once.
+func TestBudgetFullAt(t *testing.T) {
 	is := is.New(t)
-	b := retry.Budget{Ratio: 0.1, Burst: 2}
+	b := retry.Budget{Ratio: 0.1, Burst: 2, FullAt: time.Unix(1, 0)}
 	f := retry.Failure{Idempotent: true, Last: retry.Lost, Deadline: time.Unix(100, 0), Attempts: 1, MaxAttempts: 2}
-	is.Equal(b.Decide(time.Unix(1, 0), f).Action, retry.Refuse)
-	b.Fill()
+	b.Advance(time.Unix(0, 0))
+	is.Equal(b.Decide(time.Unix(0, 0), f).Action, retry.Refuse)
+	b.Advance(time.Unix(1, 0))
 	is.Equal(b.Decide(time.Unix(1, 0), f).Action, retry.Retry)
 	is.Equal(b.Decide(time.Unix(1, 0), f).Action, retry.Retry)
 	is.True(b.Decide(time.Unix(1, 0), f).BudgetExhausted)
+	b.Advance(time.Unix(2, 0))
+	is.True(b.Decide(time.Unix(2, 0), f).BudgetExhausted) // not filled again
 	for range 10 {
 		b.CountFirstAttempt()
 	}
@@ -123,3 +125,28 @@
 	f.Attempts = 2
 	is.True(!b.Decide(time.Unix(1, 0), f).BudgetExhausted) // refused because of the attempts, not the budget
 }
+
+// A part of a burst that is below one retry must not be rounded up for each process, and a
+// process with enough requests must have retries all the same.
+func TestBudgetBurstBelowOne(t *testing.T) {
+	f := retry.Failure{Idempotent: true, Last: retry.Lost, Deadline: now.Add(time.Hour), Attempts: 1, MaxAttempts: 2}
+	for name, c := range map[string]struct {
+		interval time.Duration // between requests
+		want     retry.Action
+	}{
+		"few requests":  {10 * time.Second, retry.Refuse},
+		"many requests": {100 * time.Millisecond, retry.Retry},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := retry.Budget{Ratio: 0.1, Burst: 0.2, FullAt: now, Window: 10 * time.Second}
+			at := now
+			for range 100 {
+				at = at.Add(c.interval)
+				b.Advance(at)
+				b.CountFirstAttempt()
+			}
+			is.Equal(b.Decide(at, f).Action, c.want)
+		})
+	}
+}
--- a/io/daemon/adapter_roles.go
+++ b/io/daemon/adapter_roles.go
@@ -109,7 +109,7 @@
 	clock := truetime.New() // corrected by the times that the registry replicas report
 	g := gateway.New(gateway.Options{
 		DataCentre: p.settings.DataCentre, Regions: s.Regions, HeaderCodec: p.adapter, DecodeCatalog: p.adapter.Decode, Upstream: conns,
-		Log: p.log.Named("gateway"), Now: clock.Now, RetryRatio: s.RetryRatio, RetryBurst: s.RetryBurst,
+		Log: p.log.Named("gateway"), Now: clock.Now, RetryRatio: s.RetryRatio, RetryBurst: s.RetryBurst, RetryWindow: s.RetryWindow,
 		UsageWindow: s.UsageWindow, MemoryBytes: s.MemoryBytes, ConnectedReplicas: func() int { return f.Connected() },
 	})
 	f = feed.New(feed.Options{
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -54,6 +54,7 @@
 
 	RetryRatio  float64       // retries allowed per request, across all gateways
 	RetryBurst  float64       // retries allowed in a burst, across all gateways
+	RetryWindow time.Duration // to which RetryRatio and RetryBurst apply
 	UsageWindow time.Duration // length of a usage window; no usage is counted if zero
 	MemoryBytes int64         // memory limit of the process; none if zero
 }
@@ -86,13 +87,14 @@
 	waiting       map[uint64]chan place.Choice // queued requests, by placer id
 	wakeScheduled bool                         // a timer is set to check the queue
 	budgets       map[string]*retry.Budget     // by pool
+	budgetsFullAt time.Time                    // when this gateway has its part of the burst of retries
 }
 
 // New returns a gateway without a catalog; it is not ready until UpdateCatalog has been
 // called.
 func New(o Options) *Gateway {
 	return &Gateway{
-		options: o, log: o.Log, placer: place.New(o.DataCentre, o.Regions), gateways: 1,
+		options: o, log: o.Log, placer: place.New(o.DataCentre, o.Regions), gateways: 1, budgetsFullAt: time.Now().Add(o.RetryWindow),
 		waiting: make(map[uint64]chan place.Choice), budgets: make(map[string]*retry.Budget),
 		usage: usageCounter{window: o.UsageWindow}, metrics: newMetrics(),
 	}
@@ -349,19 +351,17 @@
 	return g.placer.Backlogs()
 }
 
-// budget returns the retry budget of a pool, adjusted to the number of gateways. A
-// new budget starts full. The caller holds mu.
-func (g *Gateway) budget(pool string) *retry.Budget {
+// budget returns the retry budget of a pool at now, adjusted to the number of gateways.
+// The caller holds mu.
+func (g *Gateway) budget(now time.Time, pool string) *retry.Budget {
 	b := g.budgets[pool]
-	fresh := b == nil
-	if fresh {
-		b = &retry.Budget{}
+	if b == nil {
+		b = &retry.Budget{FullAt: g.budgetsFullAt, Window: g.options.RetryWindow}
 		g.budgets[pool] = b
 	}
-	b.Ratio, b.Burst = g.options.RetryRatio*retryBudgetFraction, max(1, g.options.RetryBurst*retryBudgetFraction/float64(max(1, g.gateways)))
-	if fresh {
-		b.Fill()
-	}
+	b.Ratio = g.options.RetryRatio * retryBudgetFraction
+	b.Burst = g.options.RetryBurst * retryBudgetFraction / float64(g.placer.LimitGateways())
+	b.Advance(now)
 	return b
 }
 
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -198,7 +198,7 @@
 func (j *job) serve(ctx context.Context) {
 	g := j.g
 	g.mu.Lock()
-	g.budget(j.pool).CountFirstAttempt()
+	g.budget(time.Now(), j.pool).CountFirstAttempt()
 	g.mu.Unlock()
 	split := j.splitsPrefill()
 	for {
@@ -370,7 +370,8 @@
 		f.MaxAttempts = max(f.MaxAttempts, retry.MaxAttempts) // the route's limit covers only attempts that may have executed the request
 	}
 	j.g.mu.Lock()
-	d := j.g.budget(j.pool).Decide(time.Now(), f)
+	now := time.Now()
+	d := j.g.budget(now, j.pool).Decide(now, f)
 	j.g.mu.Unlock()
 	j.execution = retry.Combine(j.execution, execution)
 	// A stream that has begun can be resumed only after an event with an id.
--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -92,9 +92,10 @@
 // only fields that do not change during the attempt, since it runs beside it.
 func (a *attempt) canMove() bool {
 	request := place.Request{Pool: a.pool, Rank: a.targetRank(), Exclude: append(slices.Clone(a.tried), a.record.Target)}
+	now := time.Now()
 	a.g.mu.Lock()
 	defer a.g.mu.Unlock()
-	return a.failedAttempts+1 < max(1, a.route.Attempts) && a.g.budget(a.pool).Available() && a.g.placer.HasSpare(time.Now(), request)
+	return a.failedAttempts+1 < max(1, a.route.Attempts) && a.g.budget(now, a.pool).Available() && a.g.placer.HasSpare(now, request)
 }
 
 // pause stops the watch while the gateway does not read from the target.
--- a/io/settings/discovery.go
+++ b/io/settings/discovery.go
@@ -15,8 +15,10 @@
 	maxMemoryMB               = 1 << 20
 	maxRetryRatio             = 1
 	maxRetryBurst             = 10_000
+	maxRetryWindow            = time.Hour
 	defaultRetryRatio         = 0.1
 	defaultRetryBurst         = 10
+	defaultRetryWindow        = 10 * time.Second
 	maxToleratedLosses        = 3
 	defaultUsageReportTimeout = 10 * time.Second
 	defaultMemoryMB           = 256
@@ -36,6 +38,7 @@
 	Regions     map[fleet.DataCentre]fleet.Region
 	RetryRatio  float64       // retry attempts allowed per request, over all gateways
 	RetryBurst  float64       // retry attempts allowed regardless of the request rate, over all gateways
+	RetryWindow time.Duration // to which RetryRatio and RetryBurst apply
 	UsageWindow time.Duration // length of a usage reporting window
 	MemoryBytes int64         // memory limit of the process
 }
@@ -84,6 +87,7 @@
 		Listen: r.listen(t, "listen"), ReadyListen: r.listen(t, "ready"), Regions: readRegions(t),
 		RetryRatio:  t.Float("retry-share", 0, maxRetryRatio, defaultRetryRatio),
 		RetryBurst:  t.Float("retry-slack", 0, maxRetryBurst, defaultRetryBurst),
+		RetryWindow: t.Duration("retry-window", time.Second, maxRetryWindow, defaultRetryWindow),
 		UsageWindow: t.Duration("usage-window", time.Second, maxUsageWindow, defaultUsageWindow),
 		MemoryBytes: t.Int("memory-mb", minMemoryMB, maxMemoryMB, defaultMemoryMB) << 20,
 	}
