io/gateway, core/retry: leave the end of a silent stream to its caller

Callers: a stream whose target was silent for the time after which callers give up was cut by the gateway although its caller still waited, and a request without a first event got 502.

Cause: the gateway counts the time from when it forwarded the last event, so it always ended the stream before the caller did. An event on its way was lost.

Change: a stream is ended 0.5 s later. A caller that leaves because of the silence counts as a failure of the target, so that silent targets are still ejected. The timer of the check is set under its lock; the race detector reported the access.

Result: TestSilenceIsLeftToCaller failed before in all three cases ("unexpected EOF", 502) and passes. TestSilentTargetIsAvoided passes before and after. That this was the cause of the reported lost request is not shown.

--- a/core/retry/stall.go
+++ b/core/retry/stall.go
@@ -14,6 +14,11 @@
 // is continued elsewhere. The rest is for the continuation.
 const stallShare = 0.5
 
+// endMargin is how long a stream is kept after its caller should have abandoned it. It
+// covers the time for the last event to reach the caller, also if it is sent again after a
+// loss, and for the end of the caller's connection to arrive.
+const endMargin = 500 * time.Millisecond
+
 // Stream describes how long a stream may go without an event.
 type Stream struct {
 	Objective time.Duration // for the first event
@@ -24,7 +29,7 @@
 // StallDeadline returns when a stream counts as stalled. last is the time of its last
 // complete event or, if it has not begun, of the request. Bytes of an event that is not
 // complete do not count, since a target in trouble may send some now and then. A stream
-// that has not begun, or cannot be resumed, is ended only when its caller has given up: a
+// that has not begun, or cannot be resumed, stalls only when its caller gives up: a
 // late first event mostly means that requests queue at the targets, and to send them again
 // would add to the queues.
 func (s Stream) StallDeadline(last time.Time, begun bool) time.Time {
@@ -35,3 +40,9 @@
 	}
 	return last.Add(time.Duration(share * float64(gap)))
 }
+
+// EndDeadline returns when a stream whose last complete event was at last is ended. Until
+// then that is left to the caller, which may still wait for an event that is on its way.
+func (s Stream) EndDeadline(last time.Time) time.Time {
+	return s.StallDeadline(last, false).Add(endMargin)
+}
--- a/io/gateway/prefill.go
+++ b/io/gateway/prefill.go
@@ -54,6 +54,7 @@
 	a := &attempt{job: j, record: to, sent: time.Now(), prefillOnly: true, uncached: choice.Uncached}
 	j.target = to.Target
 	ctx, stall := a.watchStream(ctx)
+	a.stall = stall
 	defer stall.stop()
 	r, err := a.exchange(ctx, ForwardInfo{Prefill: true, FetchFrom: choice.FetchFrom})
 	if err != nil {
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -53,8 +53,9 @@
 	record             roster.Record // of the target
 	sent               time.Time     // start of the attempt, before dialling
 	dialTime           time.Duration
-	survived           bool          // the target has survived the beginning of the response
-	firstEventReported bool          // the first event has been reported to the placer
+	survived           bool // the target has survived the beginning of the response
+	firstEventReported bool // the first event has been reported to the placer
+	stall              *stallWatch
 	prefillOnly        bool          // the target only computes the prefill
 	cacheImported      bool          // the target imports the KV cache of the prompt
 	uncached           int           // prompt tokens that the target is expected to process
@@ -68,6 +69,7 @@
 	a := &attempt{job: j, record: to, sent: time.Now(), cacheImported: cache.Handle != "", uncached: choice.Uncached, transfer: choice.Transfer}
 	j.target = to.Target
 	ctx, stall := a.watchStream(ctx)
+	a.stall = stall
 	defer stall.stop()
 	r, err := a.exchange(ctx, ForwardInfo{KVCache: cache, LastEventID: j.lastEventID})
 	if err != nil {
@@ -169,7 +171,7 @@
 	if errors.As(err, &failure) && !failure.MaybeSent {
 		execution, outcome = retry.NotSent, place.Unreachable
 	}
-	if a.r.Context().Err() != nil {
+	if a.r.Context().Err() != nil && !a.stall.silent() {
 		outcome = place.Abandoned
 	}
 	if execution == retry.Lost && !a.prefillOnly && a.route.Kind != catalog.Stream {
--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -44,13 +44,15 @@
 	if a.route.Kind == catalog.Stream {
 		w.stream = a.stream()
 		w.canMove = a.canMove
+		w.mu.Lock() // check, which runs beside this function, uses timer as well
+		defer w.mu.Unlock()
 		w.timer = time.AfterFunc(time.Until(w.stream.StallDeadline(a.sent, false)), w.check)
 	}
 	return ctx, w
 }
 
 // check cancels the attempt if its stream has stalled and another target can continue it, or
-// if the caller has given up by now. A target that is busy may only have preempted the
+// if the caller must have given up by now. A target that is busy may only have preempted the
 // request, and the stream would be cut if no other target took it.
 func (w *stallWatch) check() {
 	now := time.Now()
@@ -60,18 +62,29 @@
 	if paused {
 		return
 	}
-	abandoned := w.stream.StallDeadline(last, false)
+	end := w.stream.EndDeadline(last)
 	stalled := w.stream.StallDeadline(last, begun)
 	switch {
-	case !now.Before(abandoned), !now.Before(stalled) && w.canMove():
+	case !now.Before(end), !now.Before(stalled) && begun && w.stream.Resumable && w.canMove():
 		w.cancel(errStalled)
 	case now.Before(stalled):
 		w.schedule(stalled)
 	default:
-		w.schedule(earlier(now.Add(stallRecheck), abandoned))
+		w.schedule(earlier(now.Add(stallRecheck), end))
 	}
 }
 
+// silent reports whether the target has sent no complete event for as long as callers wait
+// for one. A caller that leaves then does so because of the target.
+func (w *stallWatch) silent() bool {
+	if w.timer == nil {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.paused && !time.Now().Before(w.stream.StallDeadline(w.last, false))
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/io/gateway/stall_test.go
+++ b/io/gateway/stall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"papayarock/core/catalog"
 	"papayarock/core/fleet"
 )
 
@@ -123,3 +125,52 @@
 	is.Equal(got.body, eventText(5))
 	busy.Wait()
 }
+
+// Guards against ending a stream because of a silence of its target while the caller still
+// waits: the next event may be on its way when the time has passed after which callers
+// give up.
+func TestSilenceIsLeftToCaller(t *testing.T) {
+	const pause = 2200 * time.Millisecond // callers give up after two seconds
+	for name, test := range map[string]struct {
+		route  func(r *catalog.Route)
+		target targetHandler
+	}{
+		"resumable":     {quick, pauses(5, pause)},
+		"not resumable": {func(r *catalog.Route) { quick(r); r.Resumable = false }, pauses(5, pause)},
+		"first event":   {quick, func(w http.ResponseWriter, r *http.Request) { time.Sleep(pause); streams(5, 0)(w, r) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			x := newFixture(t)
+			x.catalog(1, route(test.route))
+			x.target("first", fleet.Mixed, test.target)
+			got := x.send(nil)
+			is.NoErr(got.err) // the stream was cut
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(got.body, eventText(5))
+		})
+	}
+}
+
+// Guards against further requests to a target that is silent but keeps its connections:
+// callers that leave because of the silence are a failure of the target.
+func TestSilentTargetIsAvoided(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(t)
+	x.catalog(1, route(quick))
+	x.target("silent", fleet.Mixed, stalls(0, ""))
+	var callers sync.WaitGroup
+	for i := range 2 {
+		callers.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 2050*time.Millisecond)
+			defer cancel()
+			x.send(func(q *http.Request) { *q = *q.WithContext(ctx); q.Header.Set("Id", "left-"+strconv.Itoa(i)) })
+		})
+	}
+	callers.Wait()
+	x.target("second", fleet.Mixed, streams(1, 0))
+	for i := range 4 {
+		is.Equal(x.send(func(q *http.Request) { q.Header.Set("Id", "later-"+strconv.Itoa(i)) }).body, eventText(1))
+	}
+}
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -184,7 +184,7 @@
 func (a *attempt) handleTruncatedStream(ctx context.Context, err error) (retry.Execution, bool) {
 	outcome := place.Failed
 	switch {
-	case errors.Is(context.Cause(ctx), errStalled):
+	case errors.Is(context.Cause(ctx), errStalled), a.stall.silent():
 		err = errStalled
 	case ctx.Err() != nil:
 		outcome = place.Abandoned
