io/gateway: bound the memory of all buffered events and responses together

Callers: a target that sends events without an end on many streams could use up the memory of a gateway, and the requests of all its callers would end with it.

Cause: an incomplete event may have 1 MiB, on each connection, and nothing bounded the sum. Streams that have begun do not count as unanswered requests, which are limited. The buffer of a large event was kept until the end of the stream.

Change: buffers are charged to one share, an eighth of the memory limit, before they are filled. If it is used up, plain responses are forwarded unbuffered and a stream whose event does not fit ends.

--- a/io/gateway/event_test.go
+++ b/io/gateway/event_test.go
@@ -24,7 +24,7 @@
 			is := is.New(t)
 			event := fmt.Sprintf("id: 1\ndata: %s\n\n", text)
 			onlyData := fmt.Sprintf("data: %s\n\n", text)
-			e := newEventReader(strings.NewReader(event + onlyData))
+			e := newEventReader(strings.NewReader(event+onlyData), &memoryShare{})
 			got, err := e.next()
 			is.NoErr(err)
 			is.Equal(string(got), event)
@@ -49,10 +49,10 @@
 	for name, piece := range map[string]string{"line": "x", "lines": "data: x\n", "comments": ": x\n"} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			e := newEventReader(endless{piece})
+			e := newEventReader(endless{piece}, &memoryShare{})
 			_, err := e.next()
 			is.True(errors.Is(err, errEventTooLarge))
-			is.True(e.buf.Len() <= maxEventBytes+eventBufferBytes)
+			is.True(cap(e.buf.data) <= maxEventBytes+eventBufferBytes)
 		})
 	}
 }
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -72,6 +72,7 @@
 	truncated atomic.Uint64 // requests whose response was aborted after its header was sent
 	running   atomic.Int64  // requests in progress
 	bodyBytes atomic.Int64  // bytes of request bodies in memory
+	responses memoryShare   // of buffered responses and events
 
 	stopping atomic.Bool
 	draining shutdown
@@ -94,7 +95,8 @@
 // called.
 func New(o Options) *Gateway {
 	return &Gateway{
-		options: o, log: o.Log, placer: place.New(o.DataCentre, o.Regions), gateways: 1, budgetsFullAt: time.Now().Add(o.RetryWindow),
+		responses: memoryShare{limit: o.MemoryBytes / responseMemoryDivisor},
+		options:   o, log: o.Log, placer: place.New(o.DataCentre, o.Regions), gateways: 1, budgetsFullAt: time.Now().Add(o.RetryWindow),
 		waiting: make(map[uint64]chan place.Choice), budgets: make(map[string]*retry.Budget),
 		usage: usageCounter{window: o.UsageWindow}, metrics: newMetrics(),
 	}
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -233,9 +233,17 @@
 
 // forwardResponse forwards a response that is not a stream. If the response is truncated
 // within the first maxBufferedResponseBytes, nothing has been sent to the caller and the
-// request can be retried.
+// request can be retried. Less is buffered if the memory for responses is used up.
 func (a *attempt) forwardResponse(r *upstream.Response, info ResponseInfo) (retry.Execution, bool) {
-	buffered, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedResponseBytes+1))
+	buf := buffer{share: &a.g.responses}
+	defer buf.free()
+	err := buf.readFrom(r.Body, maxBufferedResponseBytes+1)
+	complete := err == nil && len(buf.data) <= maxBufferedResponseBytes
+	if errors.Is(err, errNoMemory) {
+		a.g.log.Warn("response is not buffered, the memory for responses is used up", "id", a.params.ID, "target", a.record.Target, "bytes", len(buf.data))
+		err = nil
+	}
+	buffered := buf.data
 	if err == nil && len(buffered) == 0 && !r.Delimited {
 		err = errNoBody
 	}
@@ -260,7 +268,7 @@
 		outcome = place.Erred
 	}
 	a.copyHeaders(r)
-	if len(buffered) <= maxBufferedResponseBytes {
+	if complete {
 		a.reportOutcome(outcome)
 		a.w.Header().Set("Content-Length", strconv.Itoa(len(buffered)))
 		a.w.WriteHeader(r.Status)
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,49 +33,54 @@
 // eventReader splits a stream of server-sent events into single events.
 type eventReader struct {
 	r      *bufio.Reader
-	buf    bytes.Buffer
+	buf    buffer
 	id     string // of the last event; empty if it has none
 	lastID string // id of the last event that has one
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, eventBufferBytes)}
+// newEventReader returns a reader whose buffer is charged to share. Call free when it is
+// not used any more.
+func newEventReader(r io.Reader, share *memoryShare) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, eventBufferBytes), buf: buffer{share: share}}
 }
 
+func (e *eventReader) free() { e.buf.free() }
+
 // next returns the bytes of the next event including its blank line; they are valid
 // until the next call. If the event has an id, next sets lastID. It returns io.EOF if the
-// stream ends between events, and errPartialEvent if it ends within one.
+// stream ends between events, errPartialEvent if it ends within one, errEventTooLarge, or
+// errNoMemory if the memory for all events is used up.
 func (e *eventReader) next() (event []byte, err error) {
-	e.buf.Reset()
+	e.buf.reset()
 	id, hasID := "", false
 	lineStart := 0 // in buf; a line that exceeds the read buffer arrives in pieces
 	for {
 		line, err := e.r.ReadSlice('\n')
-		e.buf.Write(line)
+		if bufferErr := e.buf.write(line, maxEventBytes); bufferErr != nil {
+			return nil, bufferErr
+		}
 		switch {
-		case e.buf.Len() > maxEventBytes:
-			return nil, errEventTooLarge
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && e.buf.Len() > 0:
+		case errors.Is(err, io.EOF) && len(e.buf.data) > 0:
 			return nil, errPartialEvent
 		case err != nil:
 			return nil, err
 		}
-		text := strings.TrimRight(string(e.buf.Bytes()[lineStart:]), "\r\n")
-		lineStart = e.buf.Len()
-		if text == "" {
+		text := bytes.TrimRight(e.buf.data[lineStart:], "\r\n")
+		lineStart = len(e.buf.data)
+		if len(text) == 0 {
 			break
 		}
-		if value, ok := strings.CutPrefix(text, "id:"); ok {
-			id, hasID = strings.TrimPrefix(value, " "), true
+		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			id, hasID = string(bytes.TrimPrefix(value, []byte(" "))), true
 		}
 	}
 	e.id = id
 	if hasID {
 		e.lastID = id
 	}
-	return e.buf.Bytes(), nil
+	return e.buf.data, nil
 }
 
 // forwardStream forwards the events of a response as they arrive. It writes the header
@@ -88,7 +92,8 @@
 		a.g.log.Warn("stream rejected: no proof of origin", "id", a.params.ID, "target", a.record.Target, "status", r.Status, "genuine", false)
 		return retry.Executed, false
 	}
-	e := newEventReader(r.Body)
+	e := newEventReader(r.Body, &a.g.responses)
+	defer e.free()
 	controller := http.NewResponseController(a.w)
 	var pace paceMeter
 	resumed := a.headerSent
@@ -186,7 +191,7 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errStalled), a.stall.silent():
 		err = errStalled
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(err, errNoMemory): // the memory is used up by other responses
 		outcome = place.Abandoned
 	}
 	a.recordBreak(quarantine.Starting, err)
