--- a/io/daemon/adapter_roles.go
+++ b/io/daemon/adapter_roles.go
@@ -41,6 +41,9 @@
 	// apiHeaderTimeout bounds reading a request header in the servers that
 	// newHTTPServer returns.
 	apiHeaderTimeout = 5 * time.Second
+	// apiHeaderBytes limits a request header there. The default is 1 MiB, of which many
+	// connections could use up the memory of a process.
+	apiHeaderBytes = 64 << 10
 	// exitMargin is subtracted from the shutdown deadline, at which the platform kills
 	// the process. It covers the time from the end of the last request to the exit.
 	exitMargin = 400 * time.Millisecond
@@ -179,6 +182,7 @@
 	s := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0), endpointOption(a))
 	s.Handler = h
 	s.ReadHeaderTimeout = apiHeaderTimeout
+	s.MaxHeaderBytes = apiHeaderBytes
 	return s
 }
 
