io/gateway: charge bodies before they are read

Callers: 39 bodies of 4 MiB at one gateway took it above its memory limit, and the orders that targets ran ended without an answer when it was killed.

Cause: a body was read completely and only then counted. A request that was refused for memory had used it by then, and a body could arrive slowly without a time limit.

Change: the length of a body, or the growing buffer of one without a length, is charged to the share of bodies before it is read. A request without room is refused at once with 503. A body that has not arrived at the deadline gets 408.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -36,9 +36,6 @@
 	// minWakeInterval is the minimum interval between checks of the queue by the timer of
 	// scheduleWake.
 	minWakeInterval = 2 * time.Millisecond
-	// bodyMemoryDivisor is the inverse of the share of the memory limit that buffered
-	// request bodies may use.
-	bodyMemoryDivisor = 4
 )
 
 // Options configure a Gateway.
@@ -71,7 +68,7 @@
 	retried   atomic.Uint64 // attempts after the first of each request
 	truncated atomic.Uint64 // requests whose response was aborted after its header was sent
 	running   atomic.Int64  // requests in progress
-	bodyBytes atomic.Int64  // bytes of request bodies in memory
+	bodies    memoryShare   // of request bodies
 	responses memoryShare   // of buffered responses and events
 
 	stopping atomic.Bool
@@ -95,8 +92,8 @@
 // called.
 func New(o Options) *Gateway {
 	return &Gateway{
-		responses: memoryShare{limit: o.MemoryBytes / responseMemoryDivisor},
-		options:   o, log: o.Log, placer: place.New(o.DataCentre, o.Regions), gateways: 1, budgetsFullAt: time.Now().Add(o.RetryWindow),
+		bodies: memoryShare{limit: o.MemoryBytes / bodyMemoryDivisor}, responses: memoryShare{limit: o.MemoryBytes / responseMemoryDivisor},
+		options: o, log: o.Log, placer: place.New(o.DataCentre, o.Regions), gateways: 1, budgetsFullAt: time.Now().Add(o.RetryWindow),
 		waiting: make(map[uint64]chan place.Choice), budgets: make(map[string]*retry.Budget),
 		usage: usageCounter{window: o.UsageWindow}, metrics: newMetrics(),
 	}
@@ -395,7 +392,7 @@
 // Dump returns a diagnostic snapshot of type Dump.
 func (g *Gateway) Dump() any {
 	d := Dump{
-		Version: g.CatalogVersion(), Ready: g.Ready(), Running: g.running.Load(), BodyBytes: g.bodyBytes.Load(),
+		Version: g.CatalogVersion(), Ready: g.Ready(), Running: g.running.Load(), BodyBytes: g.bodies.held.Load(),
 		Served: g.served.Load(), Refused: g.refused.Load(), Failed: g.failed.Load(), Retried: g.retried.Load(),
 		Cut: g.truncated.Load(), Idle: g.options.Upstream.Idle(), Dials: g.options.Upstream.Dials.Load(), Reuses: g.options.Upstream.Reuses.Load(),
 	}
--- a/io/gateway/memory.go
+++ b/io/gateway/memory.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// responseMemoryDivisor is the inverse of the share of the memory limit that buffered
-	// responses may take. It is separate from that of request bodies, so that targets that
-	// send without end do not cause bodies to be refused.
+	// bodyMemoryDivisor and responseMemoryDivisor are the inverses of the shares of the
+	// memory limit that request bodies and buffered responses may take. The two are
+	// separate, so that targets that send without end do not cause bodies to be refused.
+	bodyMemoryDivisor     = 4
 	responseMemoryDivisor = 8
 	// minBufferBytes is the size of the first buffer. It is not charged, so that ordinary
 	// events and responses can be read while the share is used up.
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -62,7 +62,7 @@
 	r.MustRegister(g.metrics.requests, g.metrics.retries, g.metrics.duration, g.metrics.queueTime, g.metrics.prefillTime)
 	gauge("running_requests", "Requests of callers that run now.", func() float64 { return float64(g.running.Load()) })
 	gauge("response_bytes", "Bytes of responses that are held.", func() float64 { return float64(g.responses.held.Load()) })
-	gauge("body_bytes", "Bytes of request bodies that are held.", func() float64 { return float64(g.bodyBytes.Load()) })
+	gauge("body_bytes", "Bytes of request bodies that are held.", func() float64 { return float64(g.bodies.held.Load()) })
 	gauge("catalog_version", "Version of the catalog in force.", func() float64 { return float64(g.CatalogVersion()) })
 	gauge("idle_connections", "Idle connections to targets.", func() float64 { return float64(g.options.Upstream.Idle()) })
 	r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -42,6 +42,7 @@
 	reasonKeyUnknown      = "key-unknown"
 	reasonBodyTooLarge    = "body-too-large"
 	reasonLengthAmbiguous = "length-ambiguous"
+	reasonBodyLate        = "body-late"
 	reasonMemory          = "memory"
 	reasonTargetsRefused  = "targets-refused"
 	reasonTimeout         = "timeout"
@@ -65,10 +66,11 @@
 	rank     int
 	pool     string
 	segments []quarantine.Segment // of the prompt, without the last one
-	body     []byte
-	started  time.Time // arrival of the request
-	deadline time.Time // deadline of the complete response
+	body     []byte               // nil if the request has none
+	started  time.Time            // arrival of the request
+	deadline time.Time            // deadline of the complete response
 
+	bodyBuffer buffer        // holds body
 	retryAfter time.Duration // sent with a 503 response
 
 	failedAttempts   int
@@ -92,7 +94,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	now := time.Now()
-	j := &job{g: g, w: w, r: r, started: now, params: g.options.HeaderCodec.DecodeRequest(now, r), index: g.index.Load()}
+	j := &job{bodyBuffer: buffer{share: &g.bodies}, g: g, w: w, r: r, started: now, params: g.options.HeaderCodec.DecodeRequest(now, r), index: g.index.Load()}
 	j.lastEventID = j.params.LastEventID
 	if c := framingConnOf(r); c != nil {
 		if err := c.takeHeadResult(); err != nil {
@@ -102,10 +104,10 @@
 			return
 		}
 	}
+	defer j.bodyBuffer.free()
 	if !j.admit() {
 		return
 	}
-	defer func() { g.bodyBytes.Add(-int64(len(j.body))) }()
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline.Add(responseGrace))
 	defer cancel()
 	defer g.draining.add(cancel)()
@@ -144,24 +146,11 @@
 			j.body = []byte{}
 		}
 	} else {
-		b, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, limit))
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			return j.reject(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, time.Time{})
-		}
-		if err != nil {
-			g.log.Debug("reading request body failed", "id", j.params.ID, "error", err)
-			panic(http.ErrAbortHandler)
+		if !j.readBody(limit) {
+			return false
 		}
-		j.body = b
-	}
-	total := g.bodyBytes.Add(int64(len(j.body)))
-	if g.options.MemoryBytes > 0 && total > g.options.MemoryBytes/bodyMemoryDivisor {
-		g.bodyBytes.Add(-int64(len(j.body)))
-		return j.reject(http.StatusServiceUnavailable, reasonMemory, j.started.Add(time.Second))
 	}
 	if g.draining.tooLate(j.deadline.Add(responseGrace)) {
-		g.bodyBytes.Add(-int64(len(j.body)))
 		return j.reject(http.StatusServiceUnavailable, reasonStopping, j.started)
 	}
 	key := j.params.AffinityKey()
@@ -175,6 +164,47 @@
 
 const defaultBodyBytes = 4 << 20 // used if the catalog sets no limit
 
+// readBody reads the body, of at most limit bytes, until the deadline of the request. It
+// returns false if it has rejected the request, which it does before it reads if the length
+// is known and there is no memory for it. It panics if the body cannot be read, which
+// closes the connection.
+func (j *job) readBody(limit int64) bool {
+	length := j.r.ContentLength
+	if length > 0 && j.bodyBuffer.reserve(int(length)) != nil {
+		return j.reject(http.StatusServiceUnavailable, reasonMemory, j.started.Add(time.Second))
+	}
+	j.limitReading(j.deadline)
+	err := j.bodyBuffer.readFrom(http.MaxBytesReader(j.w, j.r.Body, limit), int(limit)+1)
+	j.limitReading(time.Time{})
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+	case errors.As(err, &large):
+		return j.reject(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, time.Time{})
+	case errors.Is(err, errNoMemory):
+		return j.reject(http.StatusServiceUnavailable, reasonMemory, j.started.Add(time.Second))
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		j.w.Header().Set("Connection", "close")
+		return j.reject(http.StatusRequestTimeout, reasonBodyLate, time.Time{})
+	default:
+		j.g.log.Debug("reading request body failed", "id", j.params.ID, "error", err)
+		panic(http.ErrAbortHandler)
+	}
+	j.body = j.bodyBuffer.data
+	if j.body == nil {
+		j.body = []byte{} // forwarded with Content-Length: 0
+	}
+	return true
+}
+
+// limitReading sets the time until which the caller may send the body; the zero time is no
+// limit. The server sets its own limits for the next request.
+func (j *job) limitReading(end time.Time) {
+	if err := http.NewResponseController(j.w).SetReadDeadline(end); err != nil {
+		j.g.log.Debug("setting the time limit for reading the body failed", "id", j.params.ID, "error", err)
+	}
+}
+
 // identify determines the customer and the rank of the request from its API key. It
 // returns false if the catalog and the route require a key, and it is missing or unknown.
 func (j *job) identify() bool {
