io/gateway: no burst of retries if the slack is zero

Cause: a burst of zero selects the default of retry.Budget, three retries for each gateway. Change: the smallest burst is not zero. Result: the case "late, no slack" of TestRetryBudgetOfAllGateways failed before and passes.

--- a/io/gateway/budget_test.go
+++ b/io/gateway/budget_test.go
@@ -40,6 +40,7 @@
 	gateways  int
 	perSecond int // requests to all gateways
 	reported  int // number of gateways that the registry reports; gateways if zero
+	noSlack   bool
 	length    time.Duration
 	failFrom  time.Duration
 	failure   string // response of a failing target; empty if it closes the connection
@@ -88,10 +89,18 @@
 	}
 }
 
+// slack returns the number of repeats that are allowed whatever the number of requests.
+func (b *budgetRun) slack() float64 {
+	if b.noSlack {
+		return 0
+	}
+	return limitSlack
+}
+
 func (b *budgetRun) newGateway(t *testing.T) *gateway.Gateway {
 	g := gateway.New(gateway.Options{
 		DataCentre: "kt", Regions: map[fleet.DataCentre]fleet.Region{"kt": "east"}, HeaderCodec: testCodec{}, DecodeCatalog: decode,
-		Log: hclog.NewNullLogger(), Now: time.Now, RetryRatio: limitRatio, RetryBurst: limitSlack, RetryWindow: limitWindow, UsageWindow: time.Hour,
+		Log: hclog.NewNullLogger(), Now: time.Now, RetryRatio: limitRatio, RetryBurst: b.slack(), RetryWindow: limitWindow, UsageWindow: time.Hour,
 		Upstream: &upstream.Pool{Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
 			near, far := net.Pipe()
 			b.mu.Lock()
@@ -179,7 +188,7 @@
 	for _, at := range b.arrivals {
 		end := at + 1
 		n := max(count(b.requests, end), count(b.requests, end-limitWindow/2), count(b.requests, end-limitWindow))
-		r, a := count(b.arrivals, end), limitRatio*float64(n)+limitSlack
+		r, a := count(b.arrivals, end), limitRatio*float64(n)+b.slack()
 		if float64(r)/a > float64(repeats)/allowed {
 			repeats, allowed = r, a
 		}
@@ -211,6 +220,7 @@
 		"in turn, status 500":      {gateways: 6, perSecond: 30, failure: failed, restarts: inTurn},
 		"late, all restart":        {gateways: 6, perSecond: 20, failFrom: 30 * time.Second, restarts: all(7)},
 		"late, low count reported": {gateways: 6, perSecond: 20, failFrom: 60 * time.Second, reported: 1},
+		"late, no slack":           {gateways: 6, perSecond: 6, failFrom: 60 * time.Second, noSlack: true},
 		"late, many gateways":      {gateways: 150, perSecond: 20, failFrom: 120 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -359,7 +359,7 @@
 		g.budgets[pool] = b
 	}
 	b.Ratio = g.options.RetryRatio * retryBudgetFraction
-	b.Burst = g.options.RetryBurst * retryBudgetFraction / float64(g.placer.LimitGateways())
+	b.Burst = max(minBurst, g.options.RetryBurst*retryBudgetFraction/float64(g.placer.LimitGateways()))
 	b.Advance(now)
 	return b
 }
@@ -370,6 +370,9 @@
 // to which it applies.
 const retryBudgetFraction = 0.5
 
+// minBurst stands for a burst of zero, which would select the default of retry.Budget.
+const minBurst = 1e-9
+
 // Dump is a diagnostic snapshot of a Gateway.
 type Dump struct {
 	Version   uint64
