--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -106,7 +106,7 @@
 }
 
 // A process must have the burst of retries at the time that is set, and only once.
-func TestBudgetFullAt(t *testing.T) {
+func TestBudgetFill(t *testing.T) {
 	is := is.New(t)
 	b := retry.Budget{Ratio: 0.1, Burst: 2, FullAt: time.Unix(1, 0)}
 	f := retry.Failure{Idempotent: true, Last: retry.Lost, Deadline: time.Unix(100, 0), Attempts: 1, MaxAttempts: 2}
--- a/io/gateway/endless_test.go
+++ b/io/gateway/endless_test.go
@@ -50,22 +50,35 @@
 	}
 }
 
+// fillsHead sends a part of a response header that is below the limit of a header, and goes
+// on with a byte now and then.
+func fillsHead(w http.ResponseWriter, r *http.Request) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nMark: m\r\nLong: "+strings.Repeat("x", 60<<10))
+	for err == nil {
+		time.Sleep(50 * time.Millisecond)
+		_, err = io.WriteString(c, "x")
+	}
+}
+
 // Guards against responses without an end on many connections at once that use up the
 // memory of the gateway, although each of them is bounded, and against other requests that
 // are not served meanwhile.
 func TestEndlessFromManyCallers(t *testing.T) {
 	const callers = 150
-	for name, endless := range map[string]targetHandler{"event": fillsEvent, "body": fillsBody} {
+	for name, endless := range map[string]targetHandler{"event": fillsEvent, "body": fillsBody, "head": fillsHead} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			x := newFixture(t) // with a memory limit of 64 MiB
-			if name == "event" {
+			if name != "body" {
 				x.catalog(1, route(stream))
 			} else {
 				x.catalog(1, route(nil))
 			}
-			// Both responses of the sound target can be taken for a body or for events.
-			sound := func(w http.ResponseWriter, r *http.Request) { streams(3, 0)(w, r) }
 			var faulty sync.Map // ids of requests that a target responds to without an end
 			for i := range 2 {
 				name := "t" + strconv.Itoa(i)
@@ -74,7 +87,7 @@
 						endless(w, r)
 						return
 					}
-					sound(w, r)
+					streams(3, 0)(w, r) // also served as a plain body
 				})
 				x.gateway.UpdateTargets([]roster.Record{{Heard: time.Now(), Announcement: roster.Announcement{
 					Target: fleet.TargetName(name), Started: time.UnixMilli(1000), Sequence: 1, Pool: "pool", DataCentre: "kt",
--- a/io/settings/discovery_test.go
+++ b/io/settings/discovery_test.go
@@ -29,6 +29,8 @@
 		"no peers":             {common + gateway, "[peers]", ""},
 		"other link port":      {common + peers + strings.Replace(registry, ":7000", ":7002", 1), "has port 7002, but peers.link-port is 7000", ""},
 		"no data directory":    {common + peers + strings.Replace(registry, "data = \"/d\"\n", "", 1), "data", ""},
+		"retry window":         {common + peers + gateway + "retry-window = \"5s\"\n", "", ""},
+		"no retry window":      {common + peers + gateway + "retry-window = \"0s\"\n", "retry-window", ""},
 		"share above one":      {common + peers + gateway + "retry-share = 1.5\n", "retry-share", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
