--- a/io/gateway/endless_test.go
+++ b/io/gateway/endless_test.go
@@ -52,7 +52,7 @@
 
 // fillsHead sends a part of a response header that is below the limit of a header, and goes
 // on with a byte now and then.
-func fillsHead(w http.ResponseWriter, r *http.Request) {
+func fillsHead(w http.ResponseWriter, _ *http.Request) {
 	c, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
