io/gateway: log how long a target was silent and how much time was left

The log could not tell a stream that the gateway gave up while its caller still waited from one that its target or its deadline ended: both are "answer broke off" and "answer-cut". "answer broke off" now has the silence of the target, "request ended" the time left until the deadline.

--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -482,11 +482,15 @@
 		return
 	}
 	route := ""
+	var left time.Duration // until the deadline of the request
 	if j.route != nil {
 		route = j.route.Name
 	}
+	if !j.deadline.IsZero() {
+		left = time.Until(j.deadline)
+	}
 	j.g.log.Info("request ended", "id", j.params.ID, "reason", reason, "status", status, "route", route, "customer", j.customer,
-		"rank", j.rank, "target", j.target, "attempts", j.failedAttempts, "waited", j.queueTime, "read", j.prefillTime, "first", j.timeToFirstEvent, "took", took,
+		"rank", j.rank, "target", j.target, "attempts", j.failedAttempts, "waited", j.queueTime, "read", j.prefillTime, "first", j.timeToFirstEvent, "took", took, "left", left,
 		"retry-after", j.retryAfter, "catalog", j.version(), "replicas", j.g.replicas())
 }
 
--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -85,6 +85,14 @@
 	return !w.paused && !time.Now().Before(w.stream.StallDeadline(w.last, false))
 }
 
+// silence returns the time since the last complete event of the target, or since the start
+// of the attempt.
+func (w *stallWatch) silence() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.last)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -196,6 +196,6 @@
 	}
 	a.recordBreak(quarantine.Starting, err)
 	a.reportOutcome(outcome)
-	a.g.log.Info("answer broke off", "id", a.params.ID, "target", a.record.Target, "after", a.lastEventID, "answered", a.headerSent, "segments", a.segmentList(), "error", err)
+	a.g.log.Info("answer broke off", "id", a.params.ID, "target", a.record.Target, "after", a.lastEventID, "answered", a.headerSent, "silent", a.stall.silence(), "segments", a.segmentList(), "error", err)
 	return retry.Executed, false
 }
