io/gateway, core/retry: leave the end of a silent stream to its deadline

Callers that wait for longer than usual had their streams cut, and requests without a first event got 502, 2.5 s after the last event of their target although it was sound and went on later.

The cause: the gateway ended each silent stream 0.5 s after its caller should have left, whether it had left or not. A silence is no reason to end a response. The end of the caller's connection ends the attempt anyway, and the deadline of the request ends a stream whose target sends parts of an event without end.

A prefill, and a resumable stream without a first event, are still given up after that time if another target has room. A stream whose events have no id is never given up, since no other target knows where to go on.

--- a/core/retry/stall.go
+++ b/core/retry/stall.go
@@ -14,10 +14,9 @@
 // is continued elsewhere. The rest is for the continuation.
 const stallShare = 0.5
 
-// endMargin is how long a stream is kept after its caller should have abandoned it. It
-// covers the time for the last event to reach the caller, also if it is sent again after a
-// loss, and for the end of the caller's connection to arrive.
-const endMargin = 500 * time.Millisecond
+// restartMargin is how long after the caller should have left a stream without an event is
+// sent to another target as well. A caller that has left by then is known to have.
+const restartMargin = 500 * time.Millisecond
 
 // Stream describes how long a stream may go without an event.
 type Stream struct {
@@ -41,8 +40,9 @@
 	return last.Add(time.Duration(share * float64(gap)))
 }
 
-// EndDeadline returns when a stream whose last complete event was at last is ended. Until
-// then that is left to the caller, which may still wait for an event that is on its way.
-func (s Stream) EndDeadline(last time.Time) time.Time {
-	return s.StallDeadline(last, false).Add(endMargin)
+// RestartDeadline returns when a stream that has not begun may be sent to another target. last
+// is the time of the request. The caller usually has left by then; one that has not is
+// waiting for longer than expected.
+func (s Stream) RestartDeadline(last time.Time) time.Time {
+	return s.StallDeadline(last, false).Add(restartMargin)
 }
--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -22,18 +22,18 @@
 // continue it.
 const stallRecheck = 50 * time.Millisecond
 
-// stallWatch cancels an attempt when its stream stalls. It does nothing for requests that
-// are not streams.
+// stallWatch cancels an attempt when its stream stalls and another target can take it over.
+// It does nothing for requests that are not streams.
 type stallWatch struct {
-	stream  retry.Stream
-	canMove func() bool // reports whether another target can continue the stream now
-	cancel  context.CancelCauseFunc
-	timer   *time.Timer // nil if the request is not a stream
-
-	mu     sync.Mutex
-	last   time.Time // of the last complete event, or the start of the attempt
-	begun  bool      // the stream can be continued after its last event
-	paused bool
+	stream retry.Stream
+	cancel context.CancelCauseFunc
+	timer  *time.Timer // nil if the request is not a stream
+
+	mu      sync.Mutex
+	canMove func() bool // reports whether another target can continue the stream now; nil if none may
+	last    time.Time   // of the last complete event, or the start of the attempt
+	begun   bool        // the stream can be continued after its last event
+	paused  bool
 }
 
 // watchStream returns a context that is cancelled with errStalled when the stream of the
@@ -43,34 +43,40 @@
 	w := &stallWatch{cancel: cancel, last: a.sent}
 	if a.route.Kind == catalog.Stream {
 		w.stream = a.stream()
-		w.canMove = a.canMove
+		if a.prefillOnly || w.stream.Resumable {
+			w.canMove = a.canMove
+		}
 		w.mu.Lock() // check, which runs beside this function, uses timer as well
 		defer w.mu.Unlock()
-		w.timer = time.AfterFunc(time.Until(w.stream.StallDeadline(a.sent, false)), w.check)
+		w.timer = time.AfterFunc(time.Until(w.deadline()), w.check)
 	}
 	return ctx, w
 }
 
-// check cancels the attempt if its stream has stalled and another target can continue it, or
-// if the caller must have given up by now. A target that is busy may only have preempted the
-// request, and the stream would be cut if no other target took it.
+// deadline returns when the stream counts as stalled. The caller holds mu.
+func (w *stallWatch) deadline() time.Time {
+	if w.begun {
+		return w.stream.StallDeadline(w.last, true)
+	}
+	return w.stream.RestartDeadline(w.last)
+}
+
+// check cancels the attempt if its stream has stalled and another target can continue it. A
+// target that is silent may go on at any time, so the stream is left to its caller and its
+// deadline otherwise.
 func (w *stallWatch) check() {
 	now := time.Now()
 	w.mu.Lock()
-	paused, begun, last := w.paused, w.begun, w.last
+	paused, canMove, stalled := w.paused, w.canMove, w.deadline()
 	w.mu.Unlock()
-	if paused {
-		return
-	}
-	end := w.stream.EndDeadline(last)
-	stalled := w.stream.StallDeadline(last, begun)
 	switch {
-	case !now.Before(end), !now.Before(stalled) && begun && w.stream.Resumable && w.canMove():
-		w.cancel(errStalled)
+	case paused || canMove == nil:
 	case now.Before(stalled):
 		w.schedule(stalled)
+	case canMove():
+		w.cancel(errStalled)
 	default:
-		w.schedule(earlier(now.Add(stallRecheck), end))
+		w.schedule(now.Add(stallRecheck))
 	}
 }
 
@@ -116,7 +122,11 @@
 	now := time.Now()
 	a.g.mu.Lock()
 	defer a.g.mu.Unlock()
-	return a.failedAttempts+1 < max(1, a.route.Attempts) && a.g.budget(now, a.pool).Available() && a.g.placer.HasSpare(now, request)
+	attempts := max(1, a.route.Attempts)
+	if a.prefillOnly {
+		attempts = max(attempts, retry.MaxAttempts) // as in prepareRetry, since a prefill does not execute the request
+	}
+	return a.failedAttempts+1 < attempts && a.g.budget(now, a.pool).Available() && a.g.placer.HasSpare(now, request)
 }
 
 // pause stops the watch while the gateway does not read from the target.
@@ -139,7 +149,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.last, w.begun, w.paused = time.Now(), begun, false
-	w.timer.Reset(time.Until(w.stream.StallDeadline(w.last, begun)))
+	if !begun {
+		w.canMove = nil // no other target knows where to go on
+	}
+	w.timer.Reset(time.Until(w.deadline()))
 }
 
 // drainTimeout limits the time for reading a body that is not forwarded.
--- a/io/gateway/stall_test.go
+++ b/io/gateway/stall_test.go
@@ -153,6 +153,50 @@
 	}
 }
 
+// patient is a resumable stream like quick, with three attempts and more time.
+func patient(r *catalog.Route) {
+	quick(r)
+	r.Attempts, r.Timeout = 3, 10*time.Second
+}
+
+// Guards against streams, begun or not, that the gateway ends because of a silence of their
+// target although their callers have time left.
+func TestSilenceBeyondCallerGap(t *testing.T) {
+	const pause = 3 * time.Second // callers usually give up after two seconds
+	late := func(w http.ResponseWriter, r *http.Request) { time.Sleep(pause); streams(5, 0)(w, r) }
+	withoutIDs := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Mark", "m")
+		for range 2 {
+			_, _ = io.WriteString(w, "data: piece\n\n")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(pause)
+		}
+	}
+	for name, test := range map[string]struct {
+		resumable bool
+		target    targetHandler
+		body      string
+	}{
+		"resumable":                  {true, pauses(5, pause), eventText(5)},
+		"not resumable":              {false, pauses(5, pause), eventText(5)},
+		"first event, resumable":     {true, late, eventText(5)},
+		"first event, not resumable": {false, late, eventText(5)},
+		"events without ids":         {true, withoutIDs, "data: piece\n\ndata: piece\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			x := newFixture(t)
+			x.catalog(1, route(func(r *catalog.Route) { patient(r); r.Resumable = test.resumable }))
+			x.target("first", fleet.Mixed, test.target)
+			got := x.send(nil)
+			is.NoErr(got.err) // the stream was cut
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(got.body, test.body)
+		})
+	}
+}
+
 // Guards against further requests to a target that is silent but keeps its connections:
 // callers that leave because of the silence are a failure of the target.
 func TestSilentTargetIsAvoided(t *testing.T) {
