io/gateway, core/place: keep a stalled stream until another target has continued it

Callers saw resumable streams end in the middle although their targets were sound: a target that was silent for more than a second lost its streams whenever the target that was to continue them was full.

The cause: the gateway gave a stalled stream up first, if some target seemed to have room, and only then asked that target. All streams of a silent target stall in the same moment and saw the same room. A rejection there was a failed attempt, and after the last attempt the stream was cut at once. The class of the fault is to give up something that works before its replacement is there.

The stalled attempt now goes on beside its continuation, which takes the stream over with its first event. Whichever of the two has an event first is kept, and the other one is dropped. A target that can take a continuation is assigned at once, so that many streams do not see the same room. If the first attempt fails meanwhile, the continuation in progress replaces it and no further one is sent.

A stream counts as stalled after three quarters of the time that callers wait, 1.5 s, and no longer after half of it: a second of silence is no sign of a failure, and each continuation is a repeated request.

--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -442,10 +442,31 @@
 // HasSpare reports whether a healthy target has capacity for req now and has not refused the
 // last request, so that req can be expected to run at once if it is sent.
 func (p *Placer) HasSpare(now time.Time, req Request) bool {
+	return p.spare(now, p.pool(req.Pool), req) != nil
+}
+
+// TakeSpare assigns req to a target of which HasSpare holds. It returns false if there is none.
+func (p *Placer) TakeSpare(now time.Time, req Request) (Choice, bool) {
 	x := p.pool(req.Pool)
-	return x.countAhead(req) == 0 && slices.ContainsFunc(x.targets, func(t *target) bool {
-		return t.eligible(req, false) && t.healthy(now) && t.rejections == 0 && p.hasCapacity(now, t)
-	})
+	t := p.spare(now, x, req)
+	if t == nil {
+		return Choice{}, false
+	}
+	return p.assign(now, x, t, req), true
+}
+
+// spare returns the cheapest target that can be expected to run req at once, or nil.
+func (p *Placer) spare(now time.Time, x *pool, req Request) *target {
+	if x.countAhead(req) > 0 {
+		return nil
+	}
+	var list []*target
+	for _, t := range x.targets {
+		if t.eligible(req, false) && t.healthy(now) && t.rejections == 0 && p.hasCapacity(now, t) {
+			list = append(list, t)
+		}
+	}
+	return p.cheapest(list, req)
 }
 
 // NextWake returns the earliest time at which a target admits a queued request without any
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -92,6 +92,23 @@
 	is.Equal(d.Choice.Target.Target, free.Target)
 }
 
+// Guards against many streams that stall in the same moment and are all sent to the target that
+// has room for a few.
+func TestTakeSpare(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer(newRecord("a", fleet.Mixed, "kt"), newRecord("b", fleet.Mixed, "kt"))
+	taken := make(map[fleet.TargetName]int)
+	for range 20 {
+		has := p.HasSpare(start, newRequest(nil))
+		c, ok := p.TakeSpare(start, newRequest(nil))
+		is.Equal(ok, has)
+		if ok {
+			taken[c.Target.Target]++
+		}
+	}
+	is.Equal(taken, map[fleet.TargetName]int{"a": 2, "b": 2}) // the limit of a target that has not answered yet
+}
+
 // Guards against moving a request to a target that will most likely refuse it.
 func TestHasSpare(t *testing.T) {
 	later := start.Add(time.Second)
--- a/core/retry/stall.go
+++ b/core/retry/stall.go
@@ -11,8 +11,9 @@
 )
 
 // stallShare is the part of the caller's gap after which a resumable stream that has begun
-// is continued elsewhere. The rest is for the continuation.
-const stallShare = 0.5
+// is also sent to another target. A sound target may be silent for a second or so; the rest
+// is for the other target.
+const stallShare = 0.75
 
 // restartMargin is how long after the caller should have left a stream without an event is
 // sent to another target as well. A caller that has left by then is known to have.
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -62,16 +62,32 @@
 	transfer           time.Duration // as in the place.Choice
 }
 
-// send sends the request to a target and forwards the response. It returns the
-// execution state of this attempt, and whether the response has been forwarded.
+// send sends the request to a target and forwards the response, or the part of it that a
+// continuation at another target delivers. It returns the execution state of the last
+// attempt, and whether the response has been forwarded.
 func (j *job) send(ctx context.Context, choice place.Choice, cache KVCacheRef) (retry.Execution, bool) {
-	to := choice.Target
-	a := &attempt{job: j, record: to, sent: time.Now(), cacheImported: cache.Handle != "", uncached: choice.Uncached, transfer: choice.Transfer}
-	j.target = to.Target
-	ctx, stall := a.watchStream(ctx)
+	a := &attempt{job: j, record: choice.Target, sent: time.Now(), cacheImported: cache.Handle != "", uncached: choice.Uncached, transfer: choice.Transfer}
+	j.target = a.record.Target
+	attemptCtx, stall := a.watchStream(ctx)
 	a.stall = stall
-	defer stall.stop()
-	r, err := a.exchange(ctx, ForwardInfo{KVCache: cache, LastEventID: j.lastEventID})
+	defer func() { a.stall.stop() }()
+	execution, done := a.run(attemptCtx, cache)
+	for !done {
+		c := a.stall.fail()
+		a.stall.stop()
+		j.recordContinuations(a.stall)
+		if c == nil {
+			break
+		}
+		a = j.moveTo(ctx, a, execution, c)
+		execution, done = c.forward()
+	}
+	return execution, done
+}
+
+// run sends the request and forwards the response.
+func (a *attempt) run(ctx context.Context, cache KVCacheRef) (retry.Execution, bool) {
+	r, err := a.exchange(ctx, ForwardInfo{KVCache: cache, LastEventID: a.lastEventID})
 	if err != nil {
 		return a.handleNoResponse(err), false
 	}
@@ -79,32 +95,38 @@
 	info := a.decodeResponse(r)
 	switch {
 	case info.NotExecuted || info.Misdirected:
-		outcome := place.RejectedFull
-		if info.Misdirected {
-			outcome = place.Gone
-		}
-		stall.drain(r.Body)
-		a.reportOutcome(outcome)
-		j.g.log.Info("target refused the request", "id", j.params.ID, "target", to.Target, "status", r.Status, "outcome", outcome)
-		return retry.Barred, false
-	case r.Status >= http.StatusInternalServerError && j.retriesServerErrors(),
-		r.Status >= http.StatusMultipleChoices && j.headerSent:
+		drain(r.Body, a.stall.cancel)
+		return a.handleRejection(r, info), false
+	case r.Status >= http.StatusInternalServerError && a.retriesServerErrors(),
+		r.Status >= http.StatusMultipleChoices && a.headerSent:
 		// Part of a stream has been forwarded, so that this status cannot be. To end the
 		// response here would make the part look complete.
-		stall.drain(r.Body)
+		drain(r.Body, a.stall.cancel)
 		a.reportFirstEvent()
 		a.reportOutcome(place.Erred)
 		a.countUsage()
-		j.g.log.Info("target reported an error", "id", j.params.ID, "target", to.Target, "status", r.Status, "after", j.lastEventID)
+		a.g.log.Info("target reported an error", "id", a.params.ID, "target", a.record.Target, "status", r.Status, "after", a.lastEventID)
 		return retry.Executed, false
 	}
 	a.countUsage()
-	if j.route.Kind == catalog.Stream && r.Status < http.StatusMultipleChoices {
-		return a.forwardStream(ctx, stall, r, info)
+	if a.route.Kind == catalog.Stream && r.Status < http.StatusMultipleChoices {
+		return a.forwardStream(ctx, r, info)
 	}
 	return a.forwardResponse(r, info)
 }
 
+// handleRejection reports and logs a response which says that the target has not run the
+// request.
+func (a *attempt) handleRejection(r *upstream.Response, info ResponseInfo) retry.Execution {
+	outcome := place.RejectedFull
+	if info.Misdirected {
+		outcome = place.Gone
+	}
+	a.reportOutcome(outcome)
+	a.g.log.Info("target refused the request", "id", a.params.ID, "target", a.record.Target, "status", r.Status, "outcome", outcome)
+	return retry.Barred
+}
+
 // decodeResponse decodes a response header, and records what it says of the target.
 func (a *attempt) decodeResponse(r *upstream.Response) ResponseInfo {
 	now := time.Now()
@@ -171,7 +193,7 @@
 	if errors.As(err, &failure) && !failure.MaybeSent {
 		execution, outcome = retry.NotSent, place.Unreachable
 	}
-	if a.r.Context().Err() != nil && !a.stall.silent() {
+	if a.r.Context().Err() != nil && !a.stall.silent() || errors.Is(err, errWentOn) || errors.Is(err, errOverlap) {
 		outcome = place.Abandoned
 	}
 	if execution == retry.Lost && !a.prefillOnly && a.route.Kind != catalog.Stream {
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -243,7 +243,7 @@
 			split = false // only one attempt; after that, a target computes the prefill itself
 			var execution retry.Execution
 			if cache, execution = j.prefill(ctx, choice); cache.Handle == "" {
-				if !j.prepareRetry(ctx, target, execution) {
+				if !j.prepareRetry(ctx, execution) {
 					return
 				}
 				continue
@@ -256,7 +256,7 @@
 			continue
 		}
 		execution, done := j.send(ctx, choice, cache)
-		if done || !j.prepareRetry(ctx, target, execution) {
+		if done || !j.prepareRetry(ctx, execution) {
 			return
 		}
 	}
@@ -269,7 +269,6 @@
 func (j *job) sendWithKVCache(ctx context.Context, request place.Request, source roster.Record, cache KVCacheRef) bool {
 	for {
 		choice, ok := j.acquireTarget(ctx, request)
-		target := choice.Target
 		if !ok {
 			j.releaseKVCache(source, cache)
 			return false
@@ -278,7 +277,7 @@
 		if done {
 			return false
 		}
-		mayRetry := j.prepareRetry(ctx, target, execution)
+		mayRetry := j.prepareRetry(ctx, execution)
 		if !mayRetry || execution != retry.Barred || j.failedAttempts >= maxKVCacheOffers {
 			j.releaseKVCache(source, cache)
 			return mayRetry
@@ -385,13 +384,13 @@
 
 // prepareRetry decides whether to make another attempt after a failed one. If not,
 // it responds to the caller and returns false.
-func (j *job) prepareRetry(ctx context.Context, last roster.Record, execution retry.Execution) bool {
+func (j *job) prepareRetry(ctx context.Context, execution retry.Execution) bool {
 	if j.r.Context().Err() != nil {
 		j.recordEnd(reasonCallerLeft, 0)
 		return false
 	}
 	j.failedAttempts++
-	j.tried = append(j.tried, last.Target)
+	j.tried = append(j.tried, j.target)
 	f := retry.Failure{
 		Idempotent: j.route.Repeatable(), Previous: j.execution, Last: execution, Deadline: j.deadline, MinRemaining: minSendTime,
 		Attempts: j.failedAttempts, MaxAttempts: max(1, j.route.Attempts),
@@ -417,7 +416,7 @@
 	}
 	j.g.retried.Add(1)
 	j.g.metrics.retries.Inc()
-	j.g.log.Info("retrying request", "id", j.params.ID, "target", last.Target, "attempt", j.failedAttempts, "after", j.lastEventID)
+	j.g.log.Info("retrying request", "id", j.params.ID, "target", j.target, "attempt", j.failedAttempts, "after", j.lastEventID)
 	return true
 }
 
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -36,6 +36,10 @@
 	buf    buffer
 	id     string // of the last event; empty if it has none
 	lastID string // id of the last event that has one
+
+	peeked    bool // peek has read the next event
+	peekEvent []byte
+	peekErr   error
 }
 
 // newEventReader returns a reader whose buffer is charged to share. Call free when it is
@@ -46,11 +50,22 @@
 
 func (e *eventReader) free() { e.buf.free() }
 
+// peek reads the event that next returns, and returns its error.
+func (e *eventReader) peek() error {
+	e.peekEvent, e.peekErr = e.next()
+	e.peeked = true
+	return e.peekErr
+}
+
 // next returns the bytes of the next event including its blank line; they are valid
 // until the next call. If the event has an id, next sets lastID. It returns io.EOF if the
 // stream ends between events, errPartialEvent if it ends within one, errEventTooLarge, or
 // errNoMemory if the memory for all events is used up.
 func (e *eventReader) next() (event []byte, err error) {
+	if e.peeked {
+		e.peeked = false
+		return e.peekEvent, e.peekErr
+	}
 	e.buf.reset()
 	id, hasID := "", false
 	lineStart := 0 // in buf; a line that exceeds the read buffer arrives in pieces
@@ -83,10 +98,9 @@
 	return e.buf.data, nil
 }
 
-// forwardStream forwards the events of a response as they arrive. It writes the header
-// with the first event, so that an attempt that fails earlier can be retried. If the
-// caller has disconnected, it panics, which closes the connection.
-func (a *attempt) forwardStream(ctx context.Context, stall *stallWatch, r *upstream.Response, info ResponseInfo) (retry.Execution, bool) {
+// forwardStream forwards the events of a response as they arrive, or rejects a response
+// without proof of origin.
+func (a *attempt) forwardStream(ctx context.Context, r *upstream.Response, info ResponseInfo) (retry.Execution, bool) {
 	if !info.Authentic {
 		a.reportOutcome(place.Failed)
 		a.g.log.Warn("stream rejected: no proof of origin", "id", a.params.ID, "target", a.record.Target, "status", r.Status, "genuine", false)
@@ -94,6 +108,13 @@
 	}
 	e := newEventReader(r.Body, &a.g.responses)
 	defer e.free()
+	return a.forwardEvents(ctx, r, e)
+}
+
+// forwardEvents forwards the events of a response as they arrive. It writes the header
+// with the first event, so that an attempt that fails earlier can be retried. If the
+// caller has disconnected, it panics, which closes the connection.
+func (a *attempt) forwardEvents(ctx context.Context, r *upstream.Response, e *eventReader) (retry.Execution, bool) {
 	controller := http.NewResponseController(a.w)
 	var pace paceMeter
 	resumed := a.headerSent
@@ -111,7 +132,10 @@
 		if err != nil {
 			return a.handleTruncatedStream(ctx, err)
 		}
-		stall.pause() // a caller that reads slowly is not a stall of the target
+		// A caller that reads slowly is not a stall of the target.
+		if !a.stall.pause() {
+			return a.handleTruncatedStream(ctx, errMoved)
+		}
 		a.reportFirstEvent()
 		pace.add(time.Now())
 		if pace.last.Sub(pace.first) >= responseStart {
@@ -134,7 +158,7 @@
 		if e.lastID != "" {
 			a.lastEventID, a.lastEventAt = e.lastID, time.Now()
 		}
-		stall.progress(a.lastEventID != "")
+		a.stall.progress(a.lastEventID)
 	}
 	if !a.headerSent {
 		a.copyHeaders(r)
@@ -189,7 +213,9 @@
 func (a *attempt) handleTruncatedStream(ctx context.Context, err error) (retry.Execution, bool) {
 	outcome := place.Failed
 	switch {
-	case errors.Is(context.Cause(ctx), errStalled), a.stall.silent():
+	case errors.Is(context.Cause(ctx), errMoved):
+		err = errMoved
+	case a.stall.silent():
 		err = errStalled
 	case ctx.Err() != nil, errors.Is(err, errNoMemory): // the memory is used up by other responses
 		outcome = place.Abandoned
