io/gateway, core/place: wait for room for the rest of a broken stream

Callers saw a resumable stream end at once when its target had failed and the other targets were full for a moment, although they would have waited for two seconds for the next event.

The cause: a target that rejected the rest of the stream was excluded for good and counted as one of the attempts of the route, so that no target or attempt was left within milliseconds. A rejection says that the request has not run.

The rest of a stream now waits until a target can be expected to take it, for as long as its caller does. Rejections do not count as attempts; each is charged to the retry budget, and the pause after a rejection doubles from 50 ms, so that a full target is asked six times in two seconds at most. The first wait after the failure is bounded by the deadline, no longer by the time for which callers usually wait.

--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -457,12 +457,12 @@
 
 // spare returns the cheapest target that can be expected to run req at once, or nil.
 func (p *Placer) spare(now time.Time, x *pool, req Request) *target {
-	if x.countAhead(req) > 0 {
+	if !req.Resumes && x.countAhead(req) > 0 {
 		return nil
 	}
 	var list []*target
 	for _, t := range x.targets {
-		if t.eligible(req, false) && t.healthy(now) && t.rejections == 0 && p.hasCapacity(now, t) {
+		if t.eligible(req, false) && t.healthy(now) && (req.Resumes || t.rejections == 0) && p.hasCapacity(now, t) {
 			list = append(list, t)
 		}
 	}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -12,11 +12,15 @@
 
 // Request describes a request to be scheduled.
 type Request struct {
-	Pool      string
-	Rank      int    // zero is the most urgent
-	Affinity  string // shared prompt prefix; empty for none
-	Split     bool   // a separate prefill engine may process the prompt
-	Exclude   []fleet.TargetName
+	Pool     string
+	Rank     int    // zero is the most urgent
+	Affinity string // shared prompt prefix; empty for none
+	Split    bool   // a separate prefill engine may process the prompt
+	Exclude  []fleet.TargetName
+	// Resumes says that the request is the rest of a stream whose target has failed. TakeSpare
+	// lets it go ahead of queued requests, and to targets that have refused the last request
+	// once their pause is over.
+	Resumes   bool
 	Objective time.Duration // for the time to first event; zero means none
 	MaxPause  time.Duration // objective for the longest pause between events; zero means none
 	Prompt    Prompt
--- a/io/gateway/continuation.go
+++ b/io/gateway/continuation.go
@@ -202,17 +202,13 @@
 // recordContinuations accounts for the continuations of an attempt that have not taken over.
 func (j *job) recordContinuations(w *stallWatch) {
 	for _, c := range w.dropped {
-		j.tried = append(j.tried, c.attempt.record.Target)
-		j.execution = retry.Combine(j.execution, c.execution)
-		j.failedAttempts++
+		j.recordFailure(c.attempt.record.Target, c.execution)
 	}
 }
 
 // moveTo records that a continuation replaces the last attempt, and returns the new one.
 func (j *job) moveTo(ctx context.Context, last *attempt, execution retry.Execution, c *continuation) *attempt {
-	j.tried = append(j.tried, last.record.Target)
-	j.execution = retry.Combine(j.execution, execution)
-	j.failedAttempts++
+	j.recordFailure(last.record.Target, execution)
 	a := c.attempt
 	j.target = a.record.Target
 	a.stall = a.newStallWatch(ctx, c.cancel)
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -74,6 +74,7 @@
 	retryAfter time.Duration // sent with a 503 response
 
 	failedAttempts   int
+	rejections       int             // failed attempts, since the stream has begun, that did not run the request
 	execution        retry.Execution // combined over all attempts
 	tried            []fleet.TargetName
 	lastEventID      string           // id of the last event received by the caller
@@ -302,8 +303,7 @@
 	}
 	// The objective for the first event does not apply to the rest of a stream. The caller
 	// waits for the next event for a while, so any target will do.
-	request.Start, request.Objective = j.lastEventAt, 0
-	request.Deadline = earlier(request.Deadline, j.stream().StallDeadline(j.lastEventAt, false))
+	request.Start, request.Objective, request.Resumes = j.lastEventAt, 0, true
 	return request
 }
 
@@ -355,7 +355,11 @@
 		return place.Choice{}, false
 	}
 	start := time.Now()
-	choice, reason, retryAt := j.g.acquireTarget(ctx, request)
+	acquire := j.g.acquireTarget
+	if j.rejections > 0 {
+		acquire = j.waitForRoom
+	}
+	choice, reason, retryAt := acquire(ctx, request)
 	j.queueTime += time.Since(start)
 	if reason != "" {
 		j.fail(string(reason), retryAt)
@@ -373,6 +377,36 @@
 	return choice, true
 }
 
+// minRejectionPause is how long the rest of a stream waits after its first rejection. The pause
+// doubles with each further one, since each is a repeated request.
+const minRejectionPause = 50 * time.Millisecond
+
+// waitForRoom returns a target for the rest of a stream that targets have rejected, once one of
+// them can be expected to take it. It waits for as long as the caller does.
+func (j *job) waitForRoom(ctx context.Context, request place.Request) (c place.Choice, reason place.Reason, retryAt time.Time) {
+	next := time.Now().Add(minRejectionPause << min(j.rejections-1, maxPauseDoublings))
+	for {
+		select {
+		case <-ctx.Done():
+			return c, place.Full, time.Time{}
+		case <-time.After(time.Until(next)):
+		}
+		now := time.Now()
+		if now.After(request.Deadline) {
+			return c, place.Full, time.Time{}
+		}
+		j.g.mu.Lock()
+		c, ok := j.g.placer.TakeSpare(now, request)
+		j.g.mu.Unlock()
+		if ok {
+			return c, "", time.Time{}
+		}
+		next = now.Add(stallRecheck)
+	}
+}
+
+const maxPauseDoublings = 5 // of minRejectionPause
+
 // objective returns the route's latency objective for the first event, or its timeout
 // if it has no objective.
 func (j *job) objective() time.Duration {
@@ -389,20 +423,19 @@
 		j.recordEnd(reasonCallerLeft, 0)
 		return false
 	}
-	j.failedAttempts++
-	j.tried = append(j.tried, j.target)
+	previous := j.execution
+	j.recordFailure(j.target, execution)
 	f := retry.Failure{
-		Idempotent: j.route.Repeatable(), Previous: j.execution, Last: execution, Deadline: j.deadline, MinRemaining: minSendTime,
-		Attempts: j.failedAttempts, MaxAttempts: max(1, j.route.Attempts),
+		Idempotent: j.route.Repeatable(), Previous: previous, Last: execution, Deadline: j.deadline, MinRemaining: minSendTime,
+		Attempts: j.failedAttempts - j.rejections, MaxAttempts: max(1, j.route.Attempts),
 	}
-	if execution <= retry.Barred {
+	if execution <= retry.Barred && !j.headerSent {
 		f.MaxAttempts = max(f.MaxAttempts, retry.MaxAttempts) // the route's limit covers only attempts that may have executed the request
 	}
 	j.g.mu.Lock()
 	now := time.Now()
 	d := j.g.budget(now, j.pool).Decide(now, f)
 	j.g.mu.Unlock()
-	j.execution = retry.Combine(j.execution, execution)
 	// A stream that has begun can be resumed only after an event with an id.
 	if ctx.Err() != nil || d.Action != retry.Retry || j.headerSent && j.lastEventID == "" {
 		reason := reasonNoAnswer
@@ -420,6 +453,17 @@
 	return true
 }
 
+// recordFailure records the end of an attempt that has failed.
+func (j *job) recordFailure(target fleet.TargetName, execution retry.Execution) {
+	j.execution = retry.Combine(j.execution, execution)
+	j.failedAttempts++
+	if j.headerSent && execution <= retry.Barred {
+		j.rejections++ // the target may take the rest of the stream later
+	} else {
+		j.tried = append(j.tried, target)
+	}
+}
+
 // fail ends a request for which no attempt has succeeded. It responds with a status, or
 // aborts the response if its header has been sent.
 func (j *job) fail(reason string, retryAt time.Time) {
--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -68,7 +68,7 @@
 func (a *attempt) newStallWatch(ctx context.Context, cancel context.CancelCauseFunc) *stallWatch {
 	return &stallWatch{
 		attempt: a, stream: a.stream(), ctx: ctx, cancel: cancel, last: a.sent, after: a.lastEventID,
-		excluded: append(slices.Clone(a.tried), a.record.Target), attempts: a.failedAttempts + 1, sent: a.failedAttempts + 1,
+		excluded: append(slices.Clone(a.tried), a.record.Target), attempts: a.failedAttempts - a.rejections + 1, sent: a.failedAttempts + 1,
 	}
 }
 
@@ -135,13 +135,6 @@
 	return time.Since(w.last)
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // canRetryPrefill reports whether another target can process the prompt now. The caller holds
 // mu.
 func (w *stallWatch) canRetryPrefill(now time.Time) bool {
--- a/io/gateway/stall_test.go
+++ b/io/gateway/stall_test.go
@@ -126,6 +126,35 @@
 	busy.Wait()
 }
 
+// Guards against cutting a stream whose target has failed because the only other target is full
+// at first, while the caller still waits, and against asking that target all the time.
+func TestBrokenStreamWaitsForRoom(t *testing.T) {
+	const maxRejections = 6
+	for name, full := range map[string]time.Duration{"for a moment": 50 * time.Millisecond, "for a second": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			x := newFixture(t)
+			x.catalog(1, route(quick))
+			x.target("first", fleet.Mixed, func(w http.ResponseWriter, r *http.Request) {
+				until := time.Now().Add(full)
+				x.target("second", fleet.Mixed, func(w http.ResponseWriter, r *http.Request) {
+					if time.Now().Before(until) {
+						respondsWith(http.StatusServiceUnavailable, "Not-Run")(w, r)
+						return
+					}
+					streams(5, 0)(w, r)
+				})
+				streams(5, 2)(w, r)
+			})
+			got := x.send(nil)
+			is.NoErr(got.err) // the stream was cut
+			is.Equal(got.body, eventText(5))
+			is.True(len(x.requests()) <= 2+maxRejections)
+		})
+	}
+}
+
 // Guards against ending a stream because of a silence of its target while the caller still
 // waits: the next event may be on its way when the time has passed after which callers
 // give up.
