io/gateway: tests of other requests to a silent target

Plain requests, requests with a prefill and streams of a target that leaves are answered and sent once while their target is silent for 1.3 s, beside a change of the document.

--- a/io/gateway/continuation_test.go
+++ b/io/gateway/continuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -11,7 +12,9 @@
 
 	"github.com/matryer/is"
 
+	"papayarock/core/catalog"
 	"papayarock/core/fleet"
+	"papayarock/core/roster"
 )
 
 // sendMany sends n requests shortly after one another, so that none of them queues for long,
@@ -166,3 +169,100 @@
 		})
 	}
 }
+
+// Guards against repeating or ending other requests because their target is silent for 1.3 s: each
+// must be answered, and sent once.
+func TestSilenceOfOtherRequests(t *testing.T) {
+	const pause = 1300 * time.Millisecond
+	late := func(f targetHandler) targetHandler {
+		return func(w http.ResponseWriter, r *http.Request) { time.Sleep(pause); f(w, r) }
+	}
+	inBody := func(length bool) targetHandler {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Mark", "m")
+			if length {
+				w.Header().Set("Content-Length", "8")
+			}
+			_, _ = io.WriteString(w, "body")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(pause)
+			_, _ = io.WriteString(w, "body")
+		}
+	}
+	kind := func(k catalog.Kind) func(r *catalog.Route) {
+		return func(r *catalog.Route) { quick(r); r.Kind = k }
+	}
+	once := func(r *catalog.Route) { quick(r); r.Resumable = false }
+	for name, test := range map[string]struct {
+		route  func(r *catalog.Route)
+		target targetHandler
+		body   string
+	}{
+		"idempotent":                {kind(catalog.Idempotent), late(serves("body")), "body"},
+		"non-idempotent":            {kind(catalog.NonIdempotent), late(serves("body")), "body"},
+		"within a body":             {kind(catalog.NonIdempotent), inBody(true), "bodybody"},
+		"within a chunked body":     {kind(catalog.Idempotent), inBody(false), "bodybody"},
+		"first event":               {quick, late(streams(5, 0)), eventText(5)},
+		"first event, runs once":    {once, late(streams(5, 0)), eventText(5)},
+		"within a stream":           {quick, pauses(5, pause), eventText(5)},
+		"within a stream, run once": {once, pauses(5, pause), eventText(5)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			x := newFixture(t)
+			x.catalog(1, route(test.route))
+			x.target("first", fleet.Mixed, func(w http.ResponseWriter, r *http.Request) {
+				x.target("second", fleet.Mixed, respondsWith(http.StatusInternalServerError, "Mark"))
+				x.catalog(2, route(once)) // a change of the document beside the request
+				test.target(w, r)
+			})
+			got := x.send(nil)
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(got.body, test.body)
+			is.Equal(len(x.requests()), 1)
+		})
+	}
+}
+
+// Guards against giving up a prefill, and the request with it, because its engine is silent for a
+// time.
+func TestSilentPrefill(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(t)
+	x.catalog(1, route(patient))
+	x.target("prefill", fleet.Prefill, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(1300 * time.Millisecond)
+		_, _ = io.WriteString(w, "handle")
+	})
+	x.target("decode", fleet.Decode, streams(5, 0))
+	got := x.send(func(q *http.Request) { q.Header.Set("Prompt", "4000") })
+	is.NoErr(got.err)
+	is.Equal(got.body, eventText(5))
+	list := x.requests()
+	is.Equal(len(list), 2)
+	is.Equal(list[1].header.Get("Cache"), "handle")
+}
+
+// Guards against ending the streams of a target that leaves while it is silent.
+func TestSilentTargetLeaves(t *testing.T) {
+	for name, condition := range map[string]roster.Condition{"drains": roster.Draining, "has left": roster.Left} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			x := newFixture(t)
+			x.catalog(1, route(patient))
+			const pause = 1800 * time.Millisecond
+			first := x.target("first", fleet.Mixed, pauses(5, pause))
+			time.AfterFunc(pause/2, func() {
+				x.target("second", fleet.Mixed, respondsWith(http.StatusServiceUnavailable, "Not-Run"))
+				x.announce("first", fleet.Mixed, first.Listener.Addr().(*net.TCPAddr).AddrPort(), condition)
+			})
+			for _, got := range x.sendMany(3) {
+				is.NoErr(got.err)
+				is.Equal(got.body, eventText(5))
+			}
+		})
+	}
+}
