io/gateway: account for a continuation that is replaced in the same moment

A continuation that was dropped because its request had ended counted as a failure of its target, and one that took over in the moment in which the first attempt ended was never reported to the placer, which would have counted it as in flight for good. Found by reading; the second needs two events within microseconds and has no test of its own.

--- a/io/gateway/continuation.go
+++ b/io/gateway/continuation.go
@@ -45,7 +45,7 @@
 // holds mu.
 func (w *stallWatch) startContinuation(now time.Time) *continuation {
 	a := w.attempt
-	if w.sent >= max(a.route.Attempts, retry.MaxAttempts) {
+	if w.ctx.Err() != nil || w.sent >= max(a.route.Attempts, retry.MaxAttempts) {
 		return nil
 	}
 	request := place.Request{Pool: a.pool, Rank: a.targetRank(), Exclude: w.excluded, MaxPause: a.route.MaxPause, Prompt: a.prompt(), Start: now, Deadline: a.deadline}
--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -227,7 +227,11 @@
 		w.mu.Lock()
 		w.paused = true
 		w.timer.Stop()
-		w.drop(nil)
+		if w.moved && w.standby != nil {
+			// The attempt has ended in the moment in which it was replaced.
+			w.standby.attempt.reportOutcome(place.Abandoned)
+		}
+		w.drop(errWentOn)
 		dropped := w.dropped
 		w.mu.Unlock()
 		for _, c := range dropped {
