io/gateway: leave more time for the end of a dropped run

A gateway with little processor time ends a run late, so that 300 ms beside the continuation left it 100 ms within the 400 ms for which two runs may overlap. The limit is 250 ms now. A stream whose prompt has a quarantined segment is not continued elsewhere.

--- a/io/gateway/continuation.go
+++ b/io/gateway/continuation.go
@@ -9,14 +9,15 @@
 	"github.com/pkg/errors"
 
 	"papayarock/core/place"
+	"papayarock/core/quarantine"
 	"papayarock/core/retry"
 	"papayarock/io/upstream"
 )
 
-// maxOverlap is how long a continuation runs beside the attempt that it is to replace. Two
-// runs of a stream may overlap by at most 400 ms; the rest is for the end of the dropped run
-// to reach its target.
-const maxOverlap = 300 * time.Millisecond
+// maxOverlap is how long a continuation without an event runs beside the attempt that it is to
+// replace. Two runs of a stream may overlap by at most 400 ms; the rest is for a busy gateway
+// and for the end of the dropped run to reach its target.
+const maxOverlap = 250 * time.Millisecond
 
 // Reasons for which a continuation is dropped.
 var (
@@ -53,7 +54,7 @@
 		Idempotent: true, Last: retry.Executed, Deadline: a.deadline, MinRemaining: minSendTime,
 		Attempts: w.attempts, MaxAttempts: max(1, a.route.Attempts),
 	}
-	choice, ok := a.g.takeSpare(now, request, failure)
+	choice, ok := a.g.takeSpare(now, request, failure, a.segments)
 	if !ok {
 		return nil
 	}
@@ -77,10 +78,13 @@
 }
 
 // takeSpare takes a target that can run a repeated request at once, and charges the repeat to
-// the budget.
-func (g *Gateway) takeSpare(now time.Time, request place.Request, f retry.Failure) (place.Choice, bool) {
+// the budget. It takes none if a segment of the prompt crashes targets.
+func (g *Gateway) takeSpare(now time.Time, request place.Request, f retry.Failure, segments []quarantine.Segment) (place.Choice, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if _, rejected := g.observer.Rejects(now, segments); rejected {
+		return place.Choice{}, false
+	}
 	if !g.placer.HasSpare(now, request) || g.budget(now, request.Pool).Decide(now, f).Action != retry.Retry {
 		return place.Choice{}, false
 	}
