--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -74,6 +74,7 @@
 	retryAfter time.Duration // sent with a 503 response
 
 	failedAttempts   int
+	noRetry          string          // why there was no further attempt after the last one; empty if it was answered
 	rejections       int             // failed attempts, since the stream has begun, that did not run the request
 	execution        retry.Execution // combined over all attempts
 	tried            []fleet.TargetName
@@ -438,6 +439,7 @@
 	j.g.mu.Unlock()
 	// A stream that has begun can be resumed only after an event with an id.
 	if ctx.Err() != nil || d.Action != retry.Retry || j.headerSent && j.lastEventID == "" {
+		j.noRetry = noRetryReason(d, f)
 		reason := reasonNoAnswer
 		if ctx.Err() != nil {
 			reason = reasonTimeout
@@ -453,6 +455,21 @@
 	return true
 }
 
+// noRetryReason says, for the log, why there is no attempt after a failed one.
+func noRetryReason(d retry.Decision, f retry.Failure) string {
+	switch {
+	case d.Action == retry.Retry:
+		return "no-event-id"
+	case d.BudgetExhausted:
+		return "retry-budget"
+	case f.Attempts >= f.MaxAttempts:
+		return "attempts"
+	case !time.Now().Add(f.MinRemaining).Before(f.Deadline):
+		return "deadline"
+	}
+	return "may-have-run"
+}
+
 // recordFailure records the end of an attempt that has failed.
 func (j *job) recordFailure(target fleet.TargetName, execution retry.Execution) {
 	j.execution = retry.Combine(j.execution, execution)
@@ -533,7 +550,7 @@
 		left = time.Until(j.deadline)
 	}
 	j.g.log.Info("request ended", "id", j.params.ID, "reason", reason, "status", status, "route", route, "customer", j.customer,
-		"rank", j.rank, "target", j.target, "attempts", j.failedAttempts, "waited", j.queueTime, "read", j.prefillTime, "first", j.timeToFirstEvent, "took", took, "left", left,
+		"rank", j.rank, "target", j.target, "attempts", j.failedAttempts, "waited", j.queueTime, "read", j.prefillTime, "first", j.timeToFirstEvent, "took", took, "left", left, "no-retry", j.noRetry,
 		"retry-after", j.retryAfter, "catalog", j.version(), "replicas", j.g.replicas())
 }
 
--- a/io/gateway/walk_test.go
+++ b/io/gateway/walk_test.go
@@ -99,7 +99,7 @@
 	a := x.send(func(q *http.Request) { q.Header.Set("Id", "id-truncated") })
 	is.True(a.err != nil)
 	got := l.linesFor("id-truncated")
-	for _, want := range []string{"answer broke off", "target=dies", "after=2", "error=", "request ended", "reason=answer-cut"} {
+	for _, want := range []string{"answer broke off", "target=dies", "after=2", "error=", "request ended", "reason=answer-cut", "no-retry=may-have-run"} {
 		is.True(strings.Contains(got, want)) // want
 	}
 	is.True(strings.Contains(scrape(), `papayarock_gateway_requests_total{reason="answer-cut",status="200"} 1`))
