--- a/internal/soak/silence_test.go
+++ b/internal/soak/silence_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"papayarock/internal/fake"
 	"papayarock/platform/standin"
 )
 
@@ -45,6 +46,8 @@
 		"resumable, room for six, changes":       {streamPath, streams, 6, 250 * ms, 1300 * ms, (*plannedRun).change},
 		"resumable, room for six, long silences": {streamPath, streams, 6, 250 * ms, 1900 * ms, (*plannedRun).change},
 		"resumable, room for all, SIGHUP":        {streamPath, streams, 0, 250 * ms, 1300 * ms, (*plannedRun).reload},
+		"resumable, room for six, SIGTERM":       {streamPath, streams, 6, 100 * ms, 1300 * ms, (*plannedRun).stopGateway},
+		"resumable, connections held, changes":   {streamPath, streams, 6, 250 * ms, 0, (*plannedRun).holdTarget},
 		"not resumable, SIGTERM":                 {streamPath, fixed, 0, 100 * ms, 1300 * ms, (*plannedRun).stopGateway},
 		"plain, changes":                         {[]string{"/read/", "/order/"}, plain, 0, 0, 1300 * ms, (*plannedRun).change},
 	} {
@@ -150,6 +153,20 @@
 	}
 }
 
+// holdTarget holds what one target sends for 1.3 s, and replaces the document.
+func (r *plannedRun) holdTarget(step int) {
+	r.change(step)
+	if step%8 != 0 {
+		return
+	}
+	target := r.targets[step/8%len(r.targets)]
+	target.proxy.UpdateFaults(func(f *fake.ProxyFaults) { f.HoldFrom = true })
+	r.pending.Go(func() {
+		time.Sleep(1300 * time.Millisecond)
+		target.proxy.UpdateFaults(func(f *fake.ProxyFaults) { f.HoldFrom = false })
+	})
+}
+
 // stopGateway stops and starts one gateway after the other.
 func (r *plannedRun) stopGateway(step int) {
 	if step%25 == 5 {
