--- a/internal/soak/silence_test.go
+++ b/internal/soak/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -23,6 +24,9 @@
 	patience       = 8 * time.Second // of the callers, and of the routes
 	// maxRunOverlap is how long a run may go on beside a later run of the same stream.
 	maxRunOverlap = 400 * time.Millisecond
+	// lossSlack is how long after it was sent a request may have crossed the end of its
+	// connection.
+	lossSlack = 200 * time.Millisecond
 )
 
 // Guards against requests that are cut or repeated because a sound target is silent for 1.3 s:
@@ -186,11 +190,14 @@
 			want = standin.EventStreamBody(o.ID, 0)
 		}
 		switch {
+		case len(runs) == 0 && o.Status == 0 && !isDialError(o.Err) && o.Ended.Sub(o.Sent) > lossSlack:
+			unanswered++
+			r.t.Errorf("%s %s got neither a response nor a refusal, after %v: %v", o.Path, o.ID, o.Ended.Sub(o.Sent), o.Err)
 		case len(runs) == 0:
 			rejected++
 		case o.Status != http.StatusOK || !o.Complete || o.Body != want:
 			unanswered++
-			r.t.Errorf("%s %s ran but has status %d, complete %v, %d of %d bytes, after %v: %+v", o.Path, o.ID, o.Status, o.Complete, len(o.Body), len(want), time.Since(o.Sent), runs)
+			r.t.Errorf("%s %s ran but has status %d, complete %v, %d of %d bytes, after %v: %+v", o.Path, o.ID, o.Status, o.Complete, len(o.Body), len(want), o.Ended.Sub(o.Sent), runs)
 		}
 		for i := 1; i < len(runs); i++ {
 			if overlap := runs[i-1].End.Sub(runs[i].Start); overlap > maxRunOverlap && runs[i].End.Sub(runs[i].Start) > maxRunOverlap {
@@ -202,6 +209,12 @@
 	r.t.Logf("%d requests: %d ran without a complete response, %d did not run, %d repeats", len(r.outcomes), unanswered, rejected, repeats)
 }
 
+// isDialError reports whether a request failed because no connection could be opened.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // checkRepeats requires that the repeats in any window, also those that targets reject, stay
 // within the limit. It returns their number.
 func (r *plannedRun) checkRepeats() int {
