--- a/core/retry/stall.go
+++ b/core/retry/stall.go
@@ -15,8 +15,8 @@
 // is for the other target.
 const stallShare = 0.75
 
-// restartMargin is how long after the caller should have left a stream without an event is
-// sent to another target as well. A caller that has left by then is known to have.
+// restartMargin is added to the caller's gap before a stream without an event is sent to another
+// target as well. It covers the way of the caller's close to the gateway.
 const restartMargin = 500 * time.Millisecond
 
 // Stream describes how long a stream may go without an event.
--- a/core/retry/stall_test.go
+++ b/core/retry/stall_test.go
@@ -33,3 +33,12 @@
 		})
 	}
 }
+
+// Guards against sending a stream without an event again while its caller may be about to leave.
+func TestRestartDeadline(t *testing.T) {
+	is := is.New(t)
+	s := retry.Stream{Objective: 800 * time.Millisecond, Resumable: true}
+	start := time.Unix(1000, 0)
+	is.Equal(s.RestartDeadline(start), start.Add(3700*time.Millisecond))
+	is.True(s.RestartDeadline(start).After(s.StallDeadline(start, false)))
+}
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -378,9 +378,12 @@
 	return choice, true
 }
 
-// minRejectionPause is how long the rest of a stream waits after its first rejection. The pause
-// doubles with each further one, since each is a repeated request.
-const minRejectionPause = 50 * time.Millisecond
+const (
+	// minRejectionPause is how long the rest of a stream waits after its first rejection. The
+	// pause doubles with each further one, since each is a repeated request.
+	minRejectionPause = 50 * time.Millisecond
+	maxPauseDoublings = 5
+)
 
 // waitForRoom returns a target for the rest of a stream that targets have rejected, once one of
 // them can be expected to take it. It waits for as long as the caller does.
@@ -406,8 +409,6 @@
 	}
 }
 
-const maxPauseDoublings = 5 // of minRejectionPause
-
 // objective returns the route's latency objective for the first event, or its timeout
 // if it has no objective.
 func (j *job) objective() time.Duration {
--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -42,7 +42,7 @@
 	last     time.Time // of the last complete event, or the start of the attempt
 	after    string    // id of the last event that has been forwarded
 	begun    bool      // the target has sent an event
-	bound    bool      // the last event had no id, so that no other target knows where to go on
+	noID     bool      // the last event had no id, so that no other target knows where to go on
 	paused   bool
 	failed   bool               // the attempt has failed
 	moved    bool               // standby has taken the stream over
@@ -93,7 +93,7 @@
 	now := time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.paused || w.standby != nil || w.bound {
+	if w.paused || w.standby != nil || w.noID {
 		return
 	}
 	stalled := w.deadline()
@@ -180,7 +180,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.last, w.after, w.begun, w.bound, w.paused = time.Now(), after, true, after == "", false
+	w.last, w.after, w.begun, w.noID, w.paused = time.Now(), after, true, after == "", false
 	w.timer.Reset(time.Until(w.deadline()))
 }
 
