upstream: reject responses with an invalid status or length

A target's response with status 000 or 099 made the gateway panic on plain routes, because net/http refuses to write such a status, and closed the connection of the caller. 600 to 999 were forwarded. A 101, or a 1xx with a body, was skipped, so that the caller waited until its deadline. Transfer-Encoding beside Content-Length, or in HTTP/1.0, was accepted.

Pool.Do now checks the status of a final response, that 101 and interim responses with a length are no final ones, and the fields that state the length of the body, which net/http removes before it returns the header. All callers of the pool get an error that names the value, at most 256 bytes long. A failed release of a KV cache is logged at level info.

--- a/io/gateway/prefill.go
+++ b/io/gateway/prefill.go
@@ -104,7 +104,7 @@
 		defer cancel()
 		r, err := j.g.options.Upstream.Do(ctx, endpoint(source), &upstream.Request{Method: method, URI: uri, Host: source.Address.String()})
 		if err != nil {
-			j.g.log.Debug("releasing KV cache failed", "id", id, "target", source.Target, "error", err)
+			j.g.log.Info("releasing KV cache failed", "id", id, "target", source.Target, "error", err)
 			return
 		}
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxPrefillResponseBytes))
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -21,11 +21,12 @@
 
 var errHeadTooLarge = errors.Errorf("response header exceeds %d bytes", maxHeadBytes)
 
-// limitedReader reads from a connection and fails after a number of bytes, unless that
-// is negative.
+// limitedReader reads from a connection. While it reads the header of a response, it keeps
+// the bytes and fails after a number of them.
 type limitedReader struct {
 	source io.Reader
-	left   int
+	left   int    // unlimited if negative
+	head   []byte // read since startHead
 }
 
 // Read reads at most the remaining number of bytes.
@@ -38,9 +39,24 @@
 	}
 	n, err := l.source.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	l.head = append(l.head, p[:n]...)
 	return n, err
 }
 
+// startHead limits what is read until endHead, and keeps it.
+func (c *conn) startHead() {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // can't fail
+	c.limit.left, c.limit.head = maxHeadBytes, append([]byte(nil), buffered...)
+}
+
+// endHead ends the limit, and returns the bytes consumed since startHead. net/http does not
+// pass on the fields that state the length of the body.
+func (c *conn) endHead() []byte {
+	head := c.limit.head
+	c.limit.left, c.limit.head = -1, nil
+	return head[:len(head)-c.reader.Buffered()]
+}
+
 // conn is one connection to a target.
 type conn struct {
 	net.Conn
@@ -52,7 +68,7 @@
 }
 
 func newConn(c net.Conn) *conn {
-	limit := &limitedReader{c, -1}
+	limit := &limitedReader{source: c, left: -1}
 	return &conn{Conn: c, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), writer: bufio.NewWriterSize(c, writeBufferBytes)}
 }
 
--- a/io/upstream/do.go
+++ b/io/upstream/do.go
@@ -85,11 +85,11 @@
 		_ = c.Close()
 		return nil, &Error{MaybeSent: true, Err: contextCause(ctx, err)}
 	}
-	r, err := c.readResponse(q) //nolint:bodyclose // body owns the connection and closes it
+	r, err := c.readResponse(ctx, q) //nolint:bodyclose // body owns the connection and closes it
 	if err != nil {
 		stop()
 		_ = c.Close()
-		return nil, &Error{MaybeSent: true, Err: contextCause(ctx, err)}
+		return nil, &Error{MaybeSent: true, Err: err}
 	}
 	b := &body{ctx: ctx, pool: p, endpoint: endpoint, conn: c, response: r, written: written, stop: stop}
 	return &Response{
@@ -147,29 +147,53 @@
 }
 
 // readResponse returns the first final response that belongs to q. It reads at most
-// maxResponses responses.
-func (c *conn) readResponse(q *Request) (*http.Response, error) {
+// maxResponses responses. Errors name the status of the interim response before them, which
+// the target may have meant as the final one.
+func (c *conn) readResponse(ctx context.Context, q *Request) (*http.Response, error) {
+	interim := 0
 	for range maxResponses {
-		c.limit.left = maxHeadBytes
-		r, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
-		c.limit.left = -1
-		if err != nil {
-			return nil, errors.Wrap(err, "read answer")
-		}
-		if r.StatusCode >= 100 && r.StatusCode < 200 {
+		r, err := c.readOne(q)
+		switch {
+		case err != nil && interim > 0:
+			return nil, shortError{errors.Wrapf(contextCause(ctx, err), "read answer after interim status %d", interim)}
+		case err != nil:
+			return nil, shortError{errors.Wrap(contextCause(ctx, err), "read answer")}
+		case isInterim(r.StatusCode):
+			interim = r.StatusCode
 			continue
-		}
-		if q.Matches == nil || q.Matches(c.kept, r.StatusCode, r.Header) {
+		case q.Matches == nil || q.Matches(c.kept, r.StatusCode, r.Header):
+			if err := CheckStatus(r.StatusCode); err != nil {
+				return nil, errors.Wrap(err, "read answer")
+			}
 			return r, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxSkippedBytes))
 		if err != nil || n == maxSkippedBytes || r.Close {
-			return nil, errors.Errorf("skip response to another request: status %d, %d body bytes read, limit %d", r.StatusCode, n, maxSkippedBytes)
+			return nil, errors.Errorf("skip response to another request: status %03d, %d body bytes read, limit %d", r.StatusCode, n, maxSkippedBytes)
 		}
 	}
+	if interim > 0 {
+		return nil, errors.Errorf("none of %d responses is the final response to the request, last interim status %d", maxResponses, interim)
+	}
 	return nil, errors.Errorf("none of %d responses is the final response to the request", maxResponses)
 }
 
+func isInterim(status int) bool { return status >= http.StatusContinue && status < minFinalStatus }
+
+// readOne reads the header of the next response and checks what it says of its body.
+func (c *conn) readOne(q *Request) (*http.Response, error) {
+	c.startHead()
+	r, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
+	head := c.endHead()
+	if err != nil {
+		return nil, err
+	}
+	if isInterim(r.StatusCode) {
+		return r, checkInterim(r.StatusCode, head)
+	}
+	return r, checkFraming(r, head)
+}
+
 // body is the body of a response. It owns the connection.
 type body struct {
 	ctx       context.Context
