upstream, gateway: find responses that end during an upload

A response without a length ends with the connection. When a target reset the connection during a long upload, the writer of the request could get the error, which the kernel reports once, and the reader saw the end of the data: a part of the response looked complete. A FIN during the upload looked the same.

At the end of such a response, the body now checks that the request has been written and that the target's kernel has confirmed it. A truncated response to an HTTP/1.0 caller ends with a reset, since a FIN would look like the end of a complete one.

--- a/io/gateway/framing_listener.go
+++ b/io/gateway/framing_listener.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"github.com/pkg/errors"
 )
 
 // MaxHeaderBytes is the value for http.Server.MaxHeaderBytes of the server for callers.
@@ -62,6 +64,15 @@
 	return err
 }
 
+// resetOnClose makes Close reset the connection, so that the caller gets an error.
+func (c *framingConn) resetOnClose() error {
+	socket, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return errors.Errorf("connection of type %T can't be reset", c.Conn)
+	}
+	return errors.Wrap(socket.SetLinger(0), "set connection to be reset")
+}
+
 type connKey struct{}
 
 // ConnContext stores a connection of a framing listener in the context, for use by
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -499,14 +499,6 @@
 	}
 }
 
-// abort records a truncated response and panics. This closes the connection, so that the
-// caller does not take the response for complete.
-func (j *job) abort() {
-	j.g.truncated.Add(1)
-	j.recordEnd(reasonAnswerCut, http.StatusOK)
-	panic(http.ErrAbortHandler)
-}
-
 // reject responds with a status of the gateway itself. It always returns false, which
 // admit returns in turn.
 func (j *job) reject(status int, reason string, retryAt time.Time) bool {
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -225,3 +225,17 @@
 	a.g.log.Info("answer broke off", "id", a.params.ID, "target", a.record.Target, "after", a.lastEventID, "answered", a.headerSent, "silent", a.stall.silence(), "segments", a.segmentList(), "error", err)
 	return retry.Executed, false
 }
+
+// abort records a truncated response and panics. This closes the connection, so that the
+// caller does not take the response for complete. With HTTP/1.0, where the response may end
+// with the connection, it resets the connection.
+func (j *job) abort() {
+	j.g.truncated.Add(1)
+	if c := framingConnOf(j.r); c != nil && !j.r.ProtoAtLeast(1, 1) {
+		if err := c.resetOnClose(); err != nil {
+			j.g.log.Warn("truncated response may look complete", "id", j.params.ID, "error", err)
+		}
+	}
+	j.recordEnd(reasonAnswerCut, http.StatusOK)
+	panic(http.ErrAbortHandler)
+}
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // errUnsolicited reports data from the target that no request asked for.
@@ -106,6 +107,27 @@
 	return errors.New("target closed an idle connection")
 }
 
+// unsent returns the number of bytes that have been written to the connection and that the
+// kernel of the target has not confirmed. The end of a connection from a target that has read
+// the whole request confirms all of it.
+func (c *conn) unsent() (int, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, nil // not a socket, as in tests
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0, errors.Wrap(err, "access socket")
+	}
+	var n int
+	var ioctlErr error
+	err = raw.Control(func(fd uintptr) { n, ioctlErr = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	if err == nil {
+		err = ioctlErr
+	}
+	return n, errors.Wrap(err, "read size of send queue")
+}
+
 // closeOnDone closes the connection when ctx ends. The returned function detaches the
 // connection from ctx. It returns false if ctx has already ended, in which case the
 // connection is closed or about to be closed.
--- a/io/upstream/do.go
+++ b/io/upstream/do.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -91,7 +90,7 @@
 		_ = c.Close()
 		return nil, &Error{MaybeSent: true, Err: err}
 	}
-	b := &body{ctx: ctx, pool: p, endpoint: endpoint, conn: c, response: r, written: written, stop: stop}
+	b := &body{ctx: ctx, pool: p, endpoint: endpoint, conn: c, response: r, upload: len(q.Body), written: written, stop: stop}
 	return &Response{
 		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, Delimited: delimited(r) || r.Body == http.NoBody, Body: b, DialTime: dialTime,
 	}, nil
@@ -194,65 +193,6 @@
 	return r, checkFraming(r, head)
 }
 
-// body is the body of a response. It owns the connection.
-type body struct {
-	ctx       context.Context
-	pool      *Pool
-	endpoint  Endpoint
-	conn      *conn
-	response  *http.Response
-	written   <-chan error // as returned by writeRequest
-	stop      func() bool  // as returned by closeOnDone
-	readToEnd bool
-	once      sync.Once
-}
-
-// Read reads from the body. For a body with a length or chunked coding, it returns
-// io.EOF only if the body is complete. Other bodies end when the target closes the
-// connection, so a truncated one looks complete.
-func (b *body) Read(p []byte) (int, error) {
-	n, err := b.response.Body.Read(p)
-	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-		b.readToEnd = true
-		return n, io.EOF
-	}
-	if err != nil {
-		err = errors.Wrap(contextCause(b.ctx, err), "read answer")
-	}
-	return n, err
-}
-
-// Close returns the connection to the pool if ctx has not ended, the body has been
-// read to io.EOF and the connection is reusable. Otherwise it closes the connection.
-func (b *body) Close() error {
-	b.once.Do(func() {
-		open := b.stop()
-		if open && b.readToEnd && b.reusable() {
-			b.pool.putIdle(b.endpoint, b.conn, idleDeadline(time.Now(), b.response.Header))
-			return
-		}
-		_ = b.conn.Close()
-	})
-	return nil
-}
-
-// delimited reports whether a length or chunks mark the end of the body.
-func delimited(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
-
-// reusable reports whether the connection can carry another request: the response
-// delimits its body, no further data follows, and the request was written completely.
-func (b *body) reusable() bool {
-	if b.response.Close || !delimited(b.response) || b.conn.reader.Buffered() > 0 {
-		return false
-	}
-	select {
-	case err := <-b.written:
-		return err == nil
-	default:
-		return false // the target responded before it had read the whole request
-	}
-}
-
 // idleDeadline returns the time after which an idle connection is no longer used. It
 // uses the timeout in the Keep-Alive header field of the response, if there is one,
 // and defaultIdleTimeout otherwise.
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -48,6 +48,8 @@
 	Dials  atomic.Uint64 // attempts to connect, including failed ones
 	Reuses atomic.Uint64 // requests sent on a pooled connection
 
+	lateUploads atomic.Int64 // bytes of the requests that are being written after their responses
+
 	mu   sync.Mutex
 	idle map[Endpoint][]*conn // the most recently used last
 }
