--- a/core/catalog/check.go
+++ b/core/catalog/check.go
@@ -65,6 +65,9 @@
 			return errors.Wrapf(ErrInvalid, "customer name %q is empty or not unique", c.Name)
 		}
 		names[c.Name] = true
+		if l := c.Limit; l.Rate < 0 || l.Burst < 0 || l.PlainTokens < 0 {
+			return errors.Wrapf(ErrInvalid, "customer %q: rate %v, burst %v or tokens of a plain request %v is negative", c.Name, l.Rate, l.Burst, l.PlainTokens)
+		}
 		for _, k := range c.Keys {
 			if other, ok := owners[k]; ok && other != c.Name {
 				return errors.Wrapf(ErrInvalid, "customers %q and %q have a key in common", other, c.Name)
--- a/core/catalog/document.go
+++ b/core/catalog/document.go
@@ -83,6 +83,31 @@
 	Keys    []string
 	Rank    int // overrides the rank of the route if HasRank is set
 	HasRank bool
+	Limit   Limit
+}
+
+// Limit is the limit on the requests of a customer at all gateways together. It is a rate
+// with a burst, counted in requests or in tokens. The zero value is no limit.
+type Limit struct {
+	Rate        float64 // per second
+	Burst       float64
+	Tokens      bool    // Rate and Burst count tokens instead of requests
+	PlainTokens float64 // what a request counts that does not state its tokens
+}
+
+// Limited reports whether l is a limit. A rate or a burst of zero is none.
+func (l Limit) Limited() bool { return l.Rate > 0 && l.Burst > 0 }
+
+// Cost returns what a request counts that states its tokens, or does not if stated is
+// false.
+func (l Limit) Cost(tokens int, stated bool) float64 {
+	switch {
+	case !l.Tokens:
+		return 1
+	case !stated:
+		return l.PlainTokens
+	}
+	return float64(tokens)
 }
 
 // Limits are the sizes and times that requests from callers may use up. A gateway
--- a/core/catalog/index.go
+++ b/core/catalog/index.go
@@ -61,6 +61,17 @@
 	return c, ok
 }
 
+// Limited returns the customers that have a limit.
+func (x *Index) Limited() []Customer {
+	var out []Customer
+	for _, c := range x.Document.Customers {
+		if c.Limit.Limited() {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // Pool returns the pool with the given name.
 func (x *Index) Pool(name string) (*Pool, bool) {
 	p, ok := x.pools[name]
--- a/io/gateway/codec.go
+++ b/io/gateway/codec.go
@@ -15,6 +15,7 @@
 	Deadline        time.Time       // the caller's deadline; zero if not stated
 	PromptTokens    int             // number of tokens in the prompt
 	MaxOutputTokens int             // maximum number of tokens in the response
+	StatesTokens    bool            // the caller states both numbers of tokens, which may be zero
 	Segments        []PromptSegment // all segments of the prompt, in order; the last is unique to this request
 	LastEventID     string          // id of the last event received by the caller
 }
