io/gateway, io/registry, io/feed: limits of customers over all gateways

Cause: core/quota was not in use. Change: gateways charge a request before it gets a target and refuse it with 429 and Retry-After above the limit; the leader assigns shares in feed updates; bounds are settings; the use of limits has metrics.

--- a/core/catalog/document.go
+++ b/core/catalog/document.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"papayarock/core/fleet"
+	"papayarock/core/quota"
 )
 
 // Kind says whether a request may be repeated.
@@ -99,15 +100,26 @@
 func (l Limit) Limited() bool { return l.Rate > 0 && l.Burst > 0 }
 
 // Cost returns what a request counts that states its tokens, or does not if stated is
-// false.
-func (l Limit) Cost(tokens int, stated bool) float64 {
+// false. The sum of both numbers may exceed the range of an int.
+func (l Limit) Cost(prompt, output int, stated bool) float64 {
 	switch {
 	case !l.Tokens:
 		return 1
 	case !stated:
 		return l.PlainTokens
 	}
-	return float64(tokens)
+	return float64(prompt) + float64(output)
+}
+
+// QuotaLimits returns the limits of the customers that have one.
+func (d Document) QuotaLimits() []quota.Limit {
+	var out []quota.Limit
+	for _, c := range d.Customers {
+		if l := c.Limit; l.Limited() {
+			out = append(out, quota.Limit{Customer: c.Name, Rate: l.Rate, Burst: l.Burst, Tokens: l.Tokens})
+		}
+	}
+	return out
 }
 
 // Limits are the sizes and times that requests from callers may use up. A gateway
--- a/core/catalog/index.go
+++ b/core/catalog/index.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"papayarock/core/quota"
 )
 
 // Index provides lookups in a document. It is immutable.
@@ -61,16 +63,8 @@
 	return c, ok
 }
 
-// Limited returns the customers that have a limit.
-func (x *Index) Limited() []Customer {
-	var out []Customer
-	for _, c := range x.Document.Customers {
-		if c.Limit.Limited() {
-			out = append(out, c)
-		}
-	}
-	return out
-}
+// Limits returns the limits of the customers that have one.
+func (x *Index) Limits() []quota.Limit { return x.Document.QuotaLimits() }
 
 // Pool returns the pool with the given name.
 func (x *Index) Pool(name string) (*Pool, bool) {
--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -99,6 +99,16 @@
 // Limited reports whether there are limits.
 func (l *Limiter) Limited() bool { return len(l.buckets) > 0 }
 
+// Leased reports whether the leases are valid.
+func (l *Limiter) Leased(now time.Time) bool {
+	for _, b := range l.buckets {
+		if b.leased(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Offer decides on a request of a customer. A request that can be charged before giveUp
 // waits.
 func (l *Limiter) Offer(now time.Time, id uint64, customer fleet.Customer, cost float64, giveUp time.Time) Decision {
--- a/io/daemon/adapter_roles.go
+++ b/io/daemon/adapter_roles.go
@@ -113,7 +113,7 @@
 	g := gateway.New(gateway.Options{
 		DataCentre: p.settings.DataCentre, Regions: s.Regions, HeaderCodec: p.adapter, DecodeCatalog: p.adapter.Decode, Upstream: conns,
 		Log: p.log.Named("gateway"), Now: clock.Now, RetryRatio: s.RetryRatio, RetryBurst: s.RetryBurst, RetryWindow: s.RetryWindow,
-		UsageWindow: s.UsageWindow, MemoryBytes: s.MemoryBytes, ConnectedReplicas: func() int { return f.Connected() },
+		UsageWindow: s.UsageWindow, MemoryBytes: s.MemoryBytes, Quota: s.Quota, ConnectedReplicas: func() int { return f.Connected() },
 	})
 	f = feed.New(feed.Options{
 		Host: string(p.settings.Host), DataCentre: p.settings.DataCentre, Region: p.settings.Region, Run: rand.Uint64(), Seeds: linkAddresses(p.settings.Peers), Log: p.log.Named("feed"),
@@ -121,7 +121,7 @@
 			return &link.Pool{Credentials: p.credentials, Roles: []identity.Role{identity.Control}}
 		},
 		CatalogVersion: g.CatalogVersion, OnCatalog: g.UpdateCatalog, OnTargets: g.UpdateTargets, UsageCounts: g.UsageCounts, Loads: g.Loads,
-		Engines: g, OnReplicaTime: clock.AddSample,
+		Engines: g, Quotas: g, OnReplicaTime: clock.AddSample,
 	})
 	p.seedSetters = append(p.seedSetters, f.SetSeeds)
 	p.add("feed", f)
@@ -200,7 +200,7 @@
 		o.UsageSink = p.adapter.NewUsageSink(s.Usage)
 	}
 	o.Engines, o.DecodeCatalog, o.Regions = p.adapter.NewEngineClient(), p.adapter.Decode, s.Regions
-	o.WatchTargets = p.watchTargets
+	o.WatchTargets, o.Quota = p.watchTargets, s.Quota
 	r, err := registry.New(o)
 	if err != nil {
 		return errors.Wrapf(ErrStart, "registry: %v", err)
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -20,6 +20,7 @@
 	"papayarock/core/fleet"
 	"papayarock/core/place"
 	"papayarock/core/quarantine"
+	"papayarock/core/quota"
 	"papayarock/core/roles"
 	"papayarock/core/roster"
 	"papayarock/io/link"
@@ -36,6 +37,9 @@
 	reconnectDelay = 250 * time.Millisecond
 	// reportPeriod is the interval between usage reports.
 	reportPeriod = 500 * time.Millisecond
+	// minQuotaInterval is the least time between two reports on the limits of customers. It
+	// batches requests that begin to wait at about the same time.
+	minQuotaInterval = 20 * time.Millisecond
 	// maxReplicas limits the number of replicas to connect to.
 	maxReplicas = 32
 )
@@ -59,7 +63,9 @@
 	UsageCounts    func() []*wire.FeedCount                    // returns cumulative counts of the open usage windows
 	Loads          func() map[string]roles.Counters            // returns the load on engines by pool; may be nil
 	// Engines exchanges the state of engines with the other gateways; may be nil.
-	Engines       EngineExchange
+	Engines EngineExchange
+	// Quotas exchanges the limits of customers with the leader; may be nil.
+	Quotas        QuotaExchange
 	OnReplicaTime func(replica netip.AddrPort, t time.Time) // receives the wall-clock time of a replica; may be nil
 }
 
@@ -83,6 +89,18 @@
 	ApplyVerdict(v quarantine.Verdict)
 }
 
+// QuotaExchange is the part of a gateway that enforces the limits of customers.
+type QuotaExchange interface {
+	// QuotaReport returns the next report for the leader, which is sent at once. It returns
+	// false if no customer has a limit.
+	QuotaReport() (quota.Report, bool)
+	// ApplyQuota applies an update of the leader.
+	ApplyQuota(u quota.Update)
+	// QuotaUrgent returns a channel that signals that requests have begun to wait for a
+	// grant.
+	QuotaUrgent() <-chan struct{}
+}
+
 // Client maintains a feed to each registry replica. Create it with New.
 type Client struct {
 	options Options
@@ -214,7 +232,7 @@
 	var reporting sync.WaitGroup
 	defer reporting.Wait()
 	defer cancel() // runs before Wait, so that sendReports returns
-	status := &streamStatus{}
+	status := &streamStatus{startsLeading: make(chan struct{}, 1)}
 	if !c.options.Observer {
 		reporting.Go(func() {
 			defer cancel()
@@ -251,6 +269,12 @@
 		c.newCatalog = make(chan struct{})
 		c.mu.Unlock()
 	}
+	if m.GetQuota() != nil && c.options.Quotas != nil {
+		c.options.Quotas.ApplyQuota(wire.DecodeFeedQuotaUpdate(m.GetQuota()))
+	}
+	if m.GetQuotaOnly() {
+		return
+	}
 	now := time.Now()
 	records := make([]roster.Record, 0, len(m.GetTargets()))
 	for _, t := range m.GetTargets() {
@@ -282,6 +306,7 @@
 // or a send fails. While the replica leads, it sends backlogs more often.
 func (c *Client) sendReports(ctx context.Context, stream *link.Stream, status *streamStatus) {
 	nextReport := time.Now().Add(reportPeriod)
+	var lastQuota time.Time
 	sent := make(map[countKey]uint64)
 	var sentEvidence uint64 // version
 	for {
@@ -293,6 +318,17 @@
 		case <-ctx.Done():
 			return
 		case <-newCatalog: // the other replicas need not send it
+		case <-status.startsLeading: // a new leader only knows the leases that are reported
+			if !c.sendQuota(ctx, stream, time.Now()) {
+				return
+			}
+			continue
+		case <-c.quotaUrgent(leads):
+			if !c.sendQuota(ctx, stream, lastQuota.Add(minQuotaInterval)) {
+				return
+			}
+			lastQuota = time.Now()
+			continue
 		case <-time.After(min(interval, time.Until(nextReport))):
 		}
 		report := &wire.FeedReport{BacklogsOnly: true}
@@ -313,6 +349,9 @@
 			report.Backlogs = wire.EncodeFeedBacklogs(c.options.Engines.Backlogs())
 			report.Prefixes = wire.EncodeFeedPrefixes(c.options.Engines.TakeSightings())
 		}
+		if leads {
+			report.Quota, lastQuota = c.quotaReport(), time.Now()
+		}
 		if err := stream.Send(report); err != nil {
 			c.options.Log.Debug("sending report failed", "error", err)
 			return
@@ -320,6 +359,46 @@
 	}
 }
 
+// quotaUrgent returns the channel on which the gateway asks for a report to the leader at
+// once, or nil on the feed of another replica.
+func (c *Client) quotaUrgent(leads bool) <-chan struct{} {
+	if !leads || c.options.Quotas == nil {
+		return nil
+	}
+	return c.options.Quotas.QuotaUrgent()
+}
+
+// quotaReport returns the report on the limits of customers, or nil if there are none.
+func (c *Client) quotaReport() *wire.FeedQuotaReport {
+	if c.options.Quotas == nil {
+		return nil
+	}
+	r, ok := c.options.Quotas.QuotaReport()
+	if !ok {
+		return nil
+	}
+	return wire.EncodeFeedQuotaReport(r)
+}
+
+// sendQuota sends a report that contains nothing but the limits of customers, not before the
+// given time. It sends nothing if there are none. It returns false if that has failed.
+func (c *Client) sendQuota(ctx context.Context, stream *link.Stream, earliest time.Time) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Until(earliest)):
+	}
+	report := c.quotaReport()
+	if report == nil {
+		return true
+	}
+	if err := stream.Send(&wire.FeedReport{Quota: report, QuotaOnly: true, BacklogsOnly: true}); err != nil {
+		c.options.Log.Debug("sending report on customer limits failed", "error", err)
+		return false
+	}
+	return true
+}
+
 // countKey identifies a usage count of this gateway.
 type countKey struct {
 	window   int64
@@ -350,12 +429,20 @@
 	leads    bool
 	gateways int
 	verdict  uint64 // sequence of the last verdict
+	// startsLeading signals that the replica has begun to lead.
+	startsLeading chan struct{}
 }
 
 // set records an update that has been handled.
 func (s *streamStatus) set(m *wire.FeedUpdate) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if m.GetLeads() && !s.leads {
+		select {
+		case s.startsLeading <- struct{}{}:
+		default:
+		}
+	}
 	s.leads, s.gateways = m.GetLeads(), int(m.GetGateways())
 	if m.GetVerdict() != nil {
 		s.verdict = m.GetVerdict().GetSequence()
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"papayarock/core/fleet"
 	"papayarock/core/place"
 	"papayarock/core/quarantine"
+	"papayarock/core/quota"
 	"papayarock/core/retry"
 	"papayarock/core/roster"
 	"papayarock/io/upstream"
@@ -54,6 +55,7 @@
 	RetryWindow time.Duration // to which RetryRatio and RetryBurst apply
 	UsageWindow time.Duration // length of a usage window; no usage is counted if zero
 	MemoryBytes int64         // memory limit of the process; none if zero
+	Quota       quota.Bounds  // within which the limits of customers are enforced
 }
 
 // Gateway is an http.Handler that forwards requests from callers to targets. Create
@@ -63,7 +65,7 @@
 	log       hclog.Logger
 	index     atomic.Pointer[catalog.Index]
 	served    atomic.Uint64 // requests whose response from a target was forwarded completely
-	refused   atomic.Uint64 // requests to which the gateway itself responded with status 503
+	refused   atomic.Uint64 // requests to which the gateway itself responded with status 503 or 429
 	failed    atomic.Uint64 // requests to which the gateway itself responded with another 5xx status
 	retried   atomic.Uint64 // attempts after the first of each request
 	truncated atomic.Uint64 // requests whose response was aborted after its header was sent
@@ -75,6 +77,7 @@
 	draining shutdown
 	usage    usageCounter
 	metrics  *metrics
+	quotas   *quotas
 
 	mu            sync.Mutex
 	roster        roster.Roster
@@ -95,7 +98,7 @@
 		bodies: memoryShare{limit: o.MemoryBytes / bodyMemoryDivisor}, responses: memoryShare{limit: o.MemoryBytes / responseMemoryDivisor},
 		options: o, log: o.Log, placer: place.New(o.DataCentre, o.Regions), gateways: 1, budgetsFullAt: time.Now().Add(o.RetryWindow),
 		waiting: make(map[uint64]chan place.Choice), budgets: make(map[string]*retry.Budget),
-		usage: usageCounter{window: o.UsageWindow}, metrics: newMetrics(),
+		usage: usageCounter{window: o.UsageWindow}, metrics: newMetrics(), quotas: newQuotas(o.Quota),
 	}
 }
 
@@ -125,6 +128,7 @@
 			return
 		}
 		if g.index.CompareAndSwap(old, x) {
+			g.quotas.setLimits(time.Now(), &g.index)
 			g.log.Info("catalog activated", "version", version, "routes", len(d.Routes), "customers", len(d.Customers))
 			return
 		}
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -19,6 +19,10 @@
 	duration    *prometheus.HistogramVec // seconds from arrival to the end of the request, by rank
 	queueTime   *prometheus.HistogramVec // seconds spent queued, by rank
 	prefillTime prometheus.Histogram     // seconds taken by prefill engines
+	quotaWait   prometheus.Histogram     // seconds spent waiting for the charge to a customer's limit
+	// quotaCredits counts requests that ended without having run after their charge, by
+	// whether it was credited.
+	quotaCredits *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -39,6 +43,12 @@
 		prefillTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "papayarock_gateway_prefill_seconds", Help: "Time that a prefill engine took to read a prompt.", Buckets: seconds,
 		}),
+		quotaWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "papayarock_gateway_quota_wait_seconds", Help: "Time for which a request waited for its charge to the limit of the customer.", Buckets: seconds,
+		}),
+		quotaCredits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "papayarock_gateway_quota_credits_total", Help: "Charged requests that ended without having run, by whether the charge was credited or too old.",
+		}, []string{"outcome"}),
 	}
 }
 
@@ -59,7 +69,7 @@
 	gauge := func(name, help string, read func() float64) {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "papayarock_gateway_" + name, Help: help}, read))
 	}
-	r.MustRegister(g.metrics.requests, g.metrics.retries, g.metrics.duration, g.metrics.queueTime, g.metrics.prefillTime)
+	r.MustRegister(g.metrics.requests, g.metrics.retries, g.metrics.duration, g.metrics.queueTime, g.metrics.prefillTime, g.metrics.quotaWait, g.metrics.quotaCredits, newQuotaCollector(g.quotas))
 	gauge("running_requests", "Requests of callers that run now.", func() float64 { return float64(g.running.Load()) })
 	gauge("response_bytes", "Bytes of responses that are held.", func() float64 { return float64(g.responses.held.Load()) })
 	gauge("body_bytes", "Bytes of request bodies that are held.", func() float64 { return float64(g.bodies.held.Load()) })
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -15,6 +15,7 @@
 	"papayarock/core/fleet"
 	"papayarock/core/place"
 	"papayarock/core/quarantine"
+	"papayarock/core/quota"
 	"papayarock/core/retry"
 	"papayarock/core/roster"
 )
@@ -63,6 +64,7 @@
 	index    *catalog.Index
 	route    *catalog.Route
 	customer fleet.Customer
+	limited  *catalog.Customer // with the limit that applies to the request; nil if there is none
 	rank     int
 	pool     string
 	segments []quarantine.Segment // of the prompt, without the last one
@@ -85,6 +87,8 @@
 	queueTime        time.Duration    // time spent queued for a target
 	prefillTime      time.Duration    // time taken by the prefill engine
 	timeToFirstEvent time.Duration    // time to the first event of the last attempt that had one, from the start of that attempt
+	charged          quota.Charge     // to the limit of the customer
+	quotaWait        time.Duration    // time spent waiting for the charge
 	usageCounted     bool             // the request has been counted for usage
 }
 
@@ -219,6 +223,9 @@
 		return j.route.Open
 	}
 	j.customer = c.Name
+	if c.Limit.Limited() {
+		j.limited = c
+	}
 	if c.HasRank {
 		j.rank = c.Rank
 	}
@@ -229,6 +236,9 @@
 // has failed.
 func (j *job) serve(ctx context.Context) {
 	g := j.g
+	if !j.charge(ctx) {
+		return
+	}
 	g.mu.Lock()
 	g.budget(time.Now(), j.pool).CountFirstAttempt()
 	g.mu.Unlock()
@@ -487,6 +497,9 @@
 func (j *job) fail(reason string, retryAt time.Time) {
 	switch {
 	case j.r.Context().Err() != nil:
+		if j.execution <= retry.Barred && !j.headerSent {
+			j.credit()
+		}
 		j.recordEnd(reasonCallerLeft, 0)
 	case j.headerSent:
 		j.abort()
@@ -511,7 +524,7 @@
 // admit returns in turn.
 func (j *job) reject(status int, reason string, retryAt time.Time) bool {
 	h := j.w.Header()
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		limit := maxRetryAfter
 		if reason == reasonQuarantined {
 			limit = time.Until(retryAt) // earlier retries are rejected, too
@@ -521,6 +534,7 @@
 		// Seconds, rounded up to 10 ms.
 		h.Set("Retry-After", strconv.FormatFloat(math.Ceil(wait.Seconds()*100)/100, 'f', -1, 64))
 		j.g.refused.Add(1)
+		j.credit()
 	} else if status >= http.StatusInternalServerError {
 		j.g.failed.Add(1)
 	}
@@ -552,7 +566,7 @@
 	}
 	j.g.log.Info("request ended", "id", j.params.ID, "reason", reason, "status", status, "route", route, "customer", j.customer,
 		"rank", j.rank, "target", j.target, "attempts", j.failedAttempts, "waited", j.queueTime, "read", j.prefillTime, "first", j.timeToFirstEvent, "took", took, "left", left, "no-retry", j.noRetry,
-		"retry-after", j.retryAfter, "catalog", j.version(), "replicas", j.g.replicas())
+		"retry-after", j.retryAfter, "charged", j.charged.Amount, "catalog", j.version(), "replicas", j.g.replicas())
 }
 
 func (j *job) version() uint64 {
--- a/io/registry/feed.go
+++ b/io/registry/feed.go
@@ -58,9 +58,10 @@
 	defer receiving.Wait()
 	defer cancel()
 	from := gatewayRun{request.GetHost(), request.GetRun()}
+	quotaWanted := make(chan struct{}, 1) // signals that the gateway waits for a grant
 	receiving.Go(func() {
 		defer cancel()
-		if err := r.receiveReports(s, from, request.GetObserver()); err != nil {
+		if err := r.receiveReports(s, from, request.GetObserver(), quotaWanted); err != nil {
 			r.log.Debug("feed ended", "gateway", from.host, "error", err)
 		}
 	})
@@ -69,10 +70,19 @@
 		gateway: from, observer: request.GetObserver(), version: request.GetVersion(),
 		documentDelay: r.documentDelay(fleet.DataCentre(request.GetDataCentre()), fleet.Region(request.GetRegion())),
 	}
+	var catalogChanged, rosterChanged <-chan struct{}
 	for {
-		catalogChanged, rosterChanged := r.changeSignals()
 		now := time.Now()
-		update := r.nextUpdate(now, &state)
+		var update *wire.FeedUpdate
+		if state.quotaOnly && now.Before(state.due) {
+			update = r.nextQuotaUpdate(now, &state)
+		} else {
+			state.quotaOnly = false
+			// A change during an update with limits only must not be missed, so that the
+			// signals are replaced by complete updates only.
+			catalogChanged, rosterChanged = r.changeSignals()
+			update = r.nextUpdate(now, &state)
+		}
 		err := s.Send(update)
 		if took := time.Since(now); len(update.GetDocument()) > 0 && (err != nil || took > slowDocument) {
 			r.log.Warn("sending document was slow or failed", "gateway", from.host, "version", update.GetVersion(), "bytes", len(update.GetDocument()), "took", took, "error", err)
@@ -80,25 +90,47 @@
 		if err != nil {
 			return err
 		}
-		interval := FeedHeartbeat
-		if state.leads && !state.observer {
-			interval = BacklogInterval(state.gateways)
-		}
-		if !state.documentDue.IsZero() {
-			interval = min(interval, max(0, state.documentDue.Sub(now)))
+		if !state.quotaOnly {
+			state.due = time.Now().Add(state.interval(now))
 		}
 		minInterval := time.After(minFeedInterval)
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-catalogChanged:
+			state.quotaOnly = false
 		case <-rosterChanged:
-		case <-time.After(interval):
+			state.quotaOnly = false
+		case <-quotaWanted:
+			state.quotaOnly = true
+		case <-time.After(state.wait(time.Now())):
+			state.quotaOnly = true // unless the next complete update is due
 		}
 		<-minInterval
 	}
 }
 
+// interval returns the time to the next complete update.
+func (s *feedState) interval(now time.Time) time.Duration {
+	interval := FeedHeartbeat
+	if s.leads && !s.observer {
+		interval = BacklogInterval(s.gateways)
+	}
+	if !s.documentDue.IsZero() {
+		interval = min(interval, max(0, s.documentDue.Sub(now)))
+	}
+	return interval
+}
+
+// wait returns the time to the next update of any kind.
+func (s *feedState) wait(now time.Time) time.Duration {
+	wait := s.due.Sub(now)
+	if s.quotaRetry {
+		wait = min(wait, quotaRetryInterval)
+	}
+	return max(0, wait)
+}
+
 // documentDelay returns how long this replica leaves sending a new document to others
 // that are nearer to a gateway.
 func (r *Registry) documentDelay(dc fleet.DataCentre, region fleet.Region) time.Duration {
@@ -124,6 +156,10 @@
 	gateways      int       // as last sent
 	sightings     uint64    // position in the log of sightings
 	verdict       uint64    // sequence of the verdict as last sent
+	newest        uint64    // version of the catalog as last sent
+	due           time.Time // when the next complete update is sent without any change
+	quotaOnly     bool      // the next update contains limits of customers only
+	quotaRetry    bool      // requests of the gateway wait for a grant that was not possible yet
 }
 
 // changeSignals returns channels that are closed when the catalog or the roster changes.
@@ -139,6 +175,7 @@
 func (r *Registry) nextUpdate(now time.Time, state *feedState) *wire.FeedUpdate {
 	newest, document, _ := r.machine.catalog()
 	update := &wire.FeedUpdate{Version: newest}
+	state.newest = newest
 	r.mu.Lock()
 	state.version = max(state.version, r.gatewayVersions[state.gateway])
 	r.mu.Unlock()
@@ -179,6 +216,9 @@
 		update.Targets = append(update.Targets, wire.EncodeFeedTarget(now, record))
 	}
 	update.Gateways = uint32(state.gateways)
+	if state.leads {
+		r.addQuota(now, state, update)
+	}
 	if heartbeat {
 		state.lastHeartbeat = now
 		update.TimeMs = r.options.Now().UnixMilli()
@@ -231,7 +271,7 @@
 
 // receiveReports receives the reports of a gateway until the feed ends. An observer
 // sends none.
-func (r *Registry) receiveReports(s *link.Stream, from gatewayRun, observer bool) error {
+func (r *Registry) receiveReports(s *link.Stream, from gatewayRun, observer bool, quotaWanted chan<- struct{}) error {
 	s.ReceiveTimeout = -1 // no timeout: session heartbeats detect a dead peer
 	if !observer {
 		defer r.recordReport(from, false)
@@ -246,6 +286,15 @@
 		if err := s.Receive(&m); err != nil {
 			return err
 		}
+		if q := m.GetQuota(); q != nil && r.quota.report(time.Now(), from, q) {
+			select {
+			case quotaWanted <- struct{}{}:
+			default:
+			}
+		}
+		if m.GetQuotaOnly() {
+			continue
+		}
 		r.mu.Lock()
 		r.gatewayVersions[from] = max(r.gatewayVersions[from], m.GetVersion())
 		r.backlogs[from] = reportedBacklog{time.Now(), wire.DecodeFeedBacklogs(m.GetBacklogs())}
--- a/io/registry/metrics.go
+++ b/io/registry/metrics.go
@@ -1,6 +1,10 @@
 package registry
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
 
 // RegisterMetrics registers the metrics of the replica with m.
 func (r *Registry) RegisterMetrics(m prometheus.Registerer) {
@@ -30,4 +34,41 @@
 		list, _ := r.machine.unsent()
 		return float64(len(list))
 	})
+	m.MustRegister(&quotaCollector{&r.quota})
+}
+
+// quotaCollector collects the assignment of the limits of customers. The number of label
+// values is that of the customers with a limit in the catalog.
+type quotaCollector struct{ quota *quotaLeader }
+
+var (
+	quotaInUse   = describeQuota("in_use", "Part of the customer's limit that gateways may use by leases.")
+	quotaDemand  = describeQuota("demand", "Tokens or requests per second that callers ask for at all gateways.")
+	quotaLevel   = describeQuota("level", "Tokens or requests that can be granted to gateways.")
+	quotaHolders = describeQuota("holders", "Gateways with a share of the customer's limit.")
+)
+
+func describeQuota(name, help string) *prometheus.Desc {
+	return prometheus.NewDesc("papayarock_registry_quota_"+name, help, []string{"customer"}, nil)
+}
+
+// Describe sends the descriptions of the metrics.
+func (c *quotaCollector) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{quotaInUse, quotaDemand, quotaLevel, quotaHolders} {
+		out <- d
+	}
+}
+
+// Collect sends the metrics of all customers with a limit. They are those of the time when
+// this replica last led.
+func (c *quotaCollector) Collect(out chan<- prometheus.Metric) {
+	for _, a := range c.quota.assignments(time.Now()) {
+		send := func(d *prometheus.Desc, v float64) {
+			out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, string(a.Customer))
+		}
+		send(quotaInUse, a.InUse)
+		send(quotaDemand, a.Demand)
+		send(quotaLevel, a.Level)
+		send(quotaHolders, float64(a.Holders))
+	}
 }
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -17,6 +17,7 @@
 	"papayarock/core/log"
 	"papayarock/core/place"
 	"papayarock/core/quarantine"
+	"papayarock/core/quota"
 	"papayarock/core/roles"
 	"papayarock/core/roster"
 	"papayarock/io/disk"
@@ -112,6 +113,7 @@
 	ReportTimeout time.Duration
 	Engines       EngineClient // nil disables role changes
 	DecodeCatalog func(document []byte) (catalog.Document, error)
+	Quota         quota.Bounds // within which the limits of customers are enforced
 	Regions       map[fleet.DataCentre]fleet.Region
 	// WatchTargets passes the target records of all replicas to onTargets until ctx
 	// ends. Each replica knows only the targets that announce themselves to it.
@@ -126,6 +128,7 @@
 	machine   *stateMachine
 	member    *replica.Member
 	transport *logstream.Transport
+	quota     quotaLeader
 
 	mu              sync.Mutex
 	seeds           []netip.AddrPort
@@ -175,6 +178,7 @@
 		meters: make(map[string]*roles.Meter[gatewayRun]), backlogs: make(map[gatewayRun]reportedBacklog), gatewayVersions: make(map[gatewayRun]uint64), roleChanges: make(map[fleet.TargetName]place.RoleChange),
 	}
 	r.transport = &logstream.Transport{Self: r.self, Pool: o.Links, Address: linkAddress, Log: o.Log}
+	r.quota.bounds, r.quota.decode, r.quota.log = o.Quota, o.DecodeCatalog, o.Log
 	if r.options.Now == nil {
 		r.options.Now = time.Now
 	}
--- a/io/settings/discovery.go
+++ b/io/settings/discovery.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"papayarock/core/fleet"
+	"papayarock/core/quota"
 	"papayarock/internal/tomlfile"
 )
 
@@ -22,6 +23,12 @@
 	maxToleratedLosses        = 3
 	defaultUsageReportTimeout = 10 * time.Second
 	defaultMemoryMB           = 256
+	minQuotaWindow            = time.Second
+	maxQuotaWindow            = time.Hour
+	defaultQuotaWindow        = 8 * time.Second
+	maxQuotaOverage           = 1
+	defaultQuotaOverage       = 0.1
+	maxQuotaSlack             = 1e9
 )
 
 // Peers configures how a process discovers the registry replicas. A process with
@@ -41,6 +48,7 @@
 	RetryWindow time.Duration // to which RetryRatio and RetryBurst apply
 	UsageWindow time.Duration // length of a usage reporting window
 	MemoryBytes int64         // memory limit of the process
+	Quota       quota.Bounds  // within which the limits of customers are enforced
 }
 
 // Registry contains the settings of the registry role.
@@ -56,6 +64,7 @@
 	UsageWindow        time.Duration  // length of a usage reporting window
 	UsageReportTimeout time.Duration  // time after the end of a window by which its usage must have arrived
 	MemoryBytes        int64          // memory limit of the process
+	Quota              quota.Bounds   // within which the limits of customers are enforced
 }
 
 func (r *reader) readPeers() {
@@ -90,11 +99,22 @@
 		RetryWindow: t.Duration("retry-window", time.Second, maxRetryWindow, defaultRetryWindow),
 		UsageWindow: t.Duration("usage-window", time.Second, maxUsageWindow, defaultUsageWindow),
 		MemoryBytes: t.Int("memory-mb", minMemoryMB, maxMemoryMB, defaultMemoryMB) << 20,
+		Quota:       readQuotaBounds(t),
 	}
 	t.ReportUnknownKeys()
 	r.settings.Gateway = gateway
 }
 
+// readQuotaBounds reads the bounds of the limits of customers. They are the same for gateways
+// and the registry.
+func readQuotaBounds(t *tomlfile.Table) quota.Bounds {
+	return quota.Bounds{
+		Window:  t.Duration("quota-window", minQuotaWindow, maxQuotaWindow, defaultQuotaWindow),
+		Overage: t.Float("quota-overage", 0, maxQuotaOverage, defaultQuotaOverage),
+		Slack:   t.Float("quota-slack", 0, maxQuotaSlack, 0),
+	}
+}
+
 // readRegions reads the region of each data centre from a list of tables.
 func readRegions(t *tomlfile.Table) map[fleet.DataCentre]fleet.Region {
 	out := make(map[fleet.DataCentre]fleet.Region)
@@ -116,6 +136,7 @@
 		UsageWindow:        t.Duration("usage-window", time.Second, maxUsageWindow, defaultUsageWindow),
 		MemoryBytes:        t.Int("memory-mb", minMemoryMB, maxMemoryMB, defaultMemoryMB) << 20,
 		UsageReportTimeout: t.Duration("usage-due", time.Second, maxUsageWindow, defaultUsageReportTimeout),
+		Quota:              readQuotaBounds(t),
 	}
 	if registry.Listen = registry.Link; t.Has("listen") {
 		registry.Listen = r.listen(t, "listen")
