--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -42,6 +43,10 @@
 		"shared key":           {func(d *catalog.Document) { d.Customers[1].Keys = []string{"k2"} }, false},
 		"customer twice":       {func(d *catalog.Document) { d.Customers[1].Name = "klang" }, false},
 		"customer not named":   {func(d *catalog.Document) { d.Customers[1].Name = "" }, false},
+		"limit":                {func(d *catalog.Document) { d.Customers[0].Limit = catalog.Limit{Rate: 5, Burst: 0.5} }, true},
+		"negative rate":        {func(d *catalog.Document) { d.Customers[0].Limit.Rate = -1 }, false},
+		"negative burst":       {func(d *catalog.Document) { d.Customers[0].Limit.Burst = -1 }, false},
+		"negative size":        {func(d *catalog.Document) { d.Customers[0].Limit.PlainTokens = -1 }, false},
 		"pool without a name":  {func(d *catalog.Document) { d.Pools[1].Name = "" }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -92,6 +97,29 @@
 	is.Equal((&catalog.Route{}).PickPool("key"), "")
 }
 
+// Guards against a request that counts something else than its unit says, that counts less
+// than nothing, or that counts nothing because it does not state its tokens.
+func TestCost(t *testing.T) {
+	tokens := catalog.Limit{Rate: 10, Burst: 10, Tokens: true, PlainTokens: 700}
+	for name, test := range map[string]struct {
+		limit          catalog.Limit
+		prompt, output int
+		stated         bool
+		cost           float64
+	}{
+		"requests":       {catalog.Limit{Rate: 10, Burst: 10, PlainTokens: 700}, 100, 20, true, 1},
+		"tokens":         {tokens, 100, 20, true, 120},
+		"no tokens":      {tokens, 0, 0, true, 0},
+		"not stated":     {tokens, 0, 0, false, 700},
+		"beyond integer": {tokens, math.MaxInt, math.MaxInt, true, 2 * float64(math.MaxInt)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(test.limit.Cost(test.prompt, test.output, test.stated), test.cost)
+		})
+	}
+}
+
 func ExampleIndex_Route() {
 	x := catalog.NewIndex(catalog.Document{Routes: []catalog.Route{{Name: "notes", Host: "h.example", Prefix: "/notes/"}}})
 	r, ok := x.Route("h.example:80", "/notes/17")
--- a/io/gateway/feed_fuzz_test.go
+++ b/io/gateway/feed_fuzz_test.go
@@ -8,9 +8,11 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"papayarock/core/catalog"
 	"papayarock/core/fleet"
 	"papayarock/core/place"
 	"papayarock/core/quarantine"
+	"papayarock/core/quota"
 	"papayarock/core/roster"
 	"papayarock/io/wire"
 )
@@ -48,12 +50,17 @@
 	add()
 	update.Targets[0].AgeMs = math.MinInt64
 	add()
+	update.Quota = wire.EncodeFeedQuotaUpdate(quota.Update{Term: 1, Sequence: 1, Seen: 1, Gateways: 2, Leases: []quota.Lease{
+		{Customer: "klang", Share: 0.5, Granted: 100, Available: -5, Fill: 3},
+	}})
+	add()
 	f.Fuzz(func(t *testing.T, text []byte) {
 		var m wire.FeedUpdate
 		if proto.Unmarshal(text, &m) != nil {
 			return
 		}
 		x := newFixture(t)
+		x.limit = catalog.Limit{Rate: 10, Burst: 10}
 		x.catalog(1, route(stream))
 		x.gateway.UpdateCatalog(m.GetVersion(), m.GetDocument())
 		var records []roster.Record
@@ -69,6 +76,11 @@
 		x.gateway.UpdateEngines(wire.DecodeFeedBacklogs(m.GetBacklogs()), wire.DecodeFeedRoleChanges(time.Now(), m.GetRoleChanges()))
 		x.gateway.AddSightings(wire.DecodeFeedPrefixes(m.GetPrefixes()))
 		x.gateway.ApplyVerdict(wire.DecodeFeedVerdict(time.Now(), m.GetVerdict()))
+		x.gateway.QuotaReport()
+		x.gateway.ApplyQuota(wire.DecodeFeedQuotaUpdate(m.GetQuota()))
+		if x.gateway.QuotaReport(); x.send(nil).err != nil {
+			t.Fatal("a request got no response")
+		}
 		x.gateway.Evidence()
 		x.gateway.Backlogs()
 		x.gateway.Loads()
--- a/io/settings/discovery_test.go
+++ b/io/settings/discovery_test.go
@@ -31,6 +31,9 @@
 		"no data directory":    {common + peers + strings.Replace(registry, "data = \"/d\"\n", "", 1), "data", ""},
 		"retry window":         {common + peers + gateway + "retry-window = \"5s\"\n", "", ""},
 		"no retry window":      {common + peers + gateway + "retry-window = \"0s\"\n", "retry-window", ""},
+		"quota bounds":         {common + peers + gateway + "quota-window = \"8s\"\nquota-overage = 0.1\nquota-slack = 73000\n", "", ""},
+		"no quota window":      {common + peers + gateway + "quota-window = \"0s\"\n", "quota-window", ""},
+		"quota slack below 0":  {common + peers + registry + "quota-slack = -1\n", "quota-slack", ""},
 		"share above one":      {common + peers + gateway + "retry-share = 1.5\n", "retry-share", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
