core/quota: a lower overage reduces the age of credits

Cause: credits raise a window by 3% of the limit, which a lower overage does not cover. Change: the age is scaled like the fallback shares. Result: go test ./core/quota passes.

--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -157,7 +157,7 @@
 // whether the charge is recent enough for that.
 func (l *Limiter) Credit(now time.Time, c Charge) bool {
 	b := l.buckets[c.Customer]
-	if b == nil || c.Amount <= 0 || now.Sub(c.At) > l.bounds.Window/creditAgeDivisor {
+	if b == nil || c.Amount <= 0 || now.Sub(c.At) > l.bounds.creditAge() {
 		return false
 	}
 	b.advance(now)
--- a/core/quota/types.go
+++ b/core/quota/types.go
@@ -47,6 +47,11 @@
 // scale returns the factor for the parts that the overage covers.
 func (b Bounds) scale() float64 { return min(1, b.Overage/baseOverage) }
 
+// creditAge returns the age up to which charges are credited.
+func (b Bounds) creditAge() time.Duration {
+	return time.Duration(b.scale() * float64(b.Window) / creditAgeDivisor)
+}
+
 // Limit is the limit of a customer.
 type Limit struct {
 	Customer fleet.Customer
