--- a/core/catalog/document.go
+++ b/core/catalog/document.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"papayarock/core/fleet"
+	"papayarock/core/quota"
 )
 
 // Kind says whether a request may be repeated.
@@ -83,6 +84,42 @@
 	Keys    []string
 	Rank    int // overrides the rank of the route if HasRank is set
 	HasRank bool
+	Limit   Limit
+}
+
+// Limit is the limit on the requests of a customer at all gateways together. It is a rate
+// with a burst, counted in requests or in tokens. The zero value is no limit.
+type Limit struct {
+	Rate        float64 // per second
+	Burst       float64
+	Tokens      bool    // Rate and Burst count tokens instead of requests
+	PlainTokens float64 // what a request counts that does not state its tokens
+}
+
+// Limited reports whether l is a limit. A rate or a burst of zero is none.
+func (l Limit) Limited() bool { return l.Rate > 0 && l.Burst > 0 }
+
+// Cost returns what a request counts that states its tokens, or does not if stated is
+// false. The sum of both numbers may exceed the range of an int.
+func (l Limit) Cost(prompt, output int, stated bool) float64 {
+	switch {
+	case !l.Tokens:
+		return 1
+	case !stated:
+		return l.PlainTokens
+	}
+	return float64(prompt) + float64(output)
+}
+
+// QuotaLimits returns the limits of the customers that have one.
+func (d Document) QuotaLimits() []quota.Limit {
+	var out []quota.Limit
+	for _, c := range d.Customers {
+		if l := c.Limit; l.Limited() {
+			out = append(out, quota.Limit{Customer: c.Name, Rate: l.Rate, Burst: l.Burst, Tokens: l.Tokens})
+		}
+	}
+	return out
 }
 
 // Limits are the sizes and times that requests from callers may use up. A gateway
