core/place: order queued requests of one rank fairly between customers

The queue was ordered by rank and expiry, and refusals counted all queued requests of the rank. At 1.5 times the capacity, a customer that sent ten times as much as each of seven others was served like them: the smallest share that one of the others was served was 0.66 of what it asked for.

Requests of one rank are now served by start-time fair queuing between customers, in prompt tokens, and within a customer by the time left. Refusals count what is ahead in this order, and retry times are spaced for each customer and rank.

--- a/core/place/doc.go
+++ b/core/place/doc.go
@@ -20,8 +20,8 @@
 // are still waiting for their first event. The limit adapts to the time to
 // first event: it grows while that stays close to its recent minimum, and
 // shrinks otherwise, so that all gateways together keep the queue at the target
-// short. Further requests are queued at the gateway, by rank and then by
-// deadline. They are not bound to a target there, so the loss of a target does not
+// short. Further requests are queued at the gateway, by rank, then by the work done
+// for their customers, and then by deadline. They are not bound to a target there, so the loss of a target does not
 // affect them and more urgent requests that arrive later can go first.
 //
 // Refusal. A request that cannot meet its objective, given the rate at which
--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -60,6 +60,8 @@
 	id      uint64
 	request Request
 	expires time.Time // when the request must be withdrawn
+	flow    *flow     // of its customer and rank
+	granted bool
 }
 
 // Offer decides what happens to a request. If the decision is Wait, id
@@ -73,18 +75,20 @@
 	if req.Split {
 		x.observePrompt(req.Prompt)
 	}
-	ahead := x.countAhead(req)
+	c, position := x.fair.flow(now, req), x.positionOf(req)
+	ahead := position.ahead
 	if ahead == 0 || req.CacheFrom != "" {
 		if t := p.pick(now, x, req); t != nil {
+			x.fair.charge(now, c, req)
 			return Decision{Action: Send, Choice: p.assign(now, x, t, req)}
 		}
 	}
-	at, until := p.expectedAdmission(now, x, req, ahead+1), p.waitDeadline(now, x, req)
+	at, until := p.expectedAdmission(now, x, req, p.admissions(now, x, req, position)), p.waitDeadline(now, x, req)
 	if at.After(until) {
 		x.countDelayed(req)
 		return Decision{Action: Refuse, Reason: Full, RetryAt: p.retryTime(now, x, req, at), Queue: ahead}
 	}
-	x.enqueue(waiter{id: id, request: req, expires: until})
+	x.enqueue(waiter{id: id, request: req, expires: until, flow: c})
 	return Decision{Action: Wait, Until: until, Queue: ahead}
 }
 
@@ -178,20 +182,8 @@
 		now.Sub(t.record.Heard) <= staleAfter && !t.probing()
 }
 
-// countAhead returns the number of queued requests that are at least as urgent
-// as req. Retries do not count: they wait for targets other than those that they exclude,
-// and get the capacity that becomes free there before new requests do.
-func (x *pool) countAhead(req Request) int {
-	n := 0
-	for _, w := range x.waiting {
-		if w.request.Rank <= req.Rank && len(w.request.Exclude) == 0 {
-			n++
-		}
-	}
-	return n
-}
-
-// enqueue inserts w by rank, then by expiry, then in order of arrival.
+// enqueue inserts w by rank, then by expiry, then in order of arrival. The order of service
+// differs if customers compete.
 func (x *pool) enqueue(w waiter) {
 	at, _ := slices.BinarySearchFunc(x.waiting, w, func(v, w waiter) int {
 		if c := cmp.Compare(v.request.Rank, w.request.Rank); c != 0 {
@@ -203,6 +195,7 @@
 		return -1 // FIFO among equals
 	})
 	x.waiting = slices.Insert(x.waiting, at, w)
+	x.fair.join(w.flow)
 }
 
 // Withdraw removes a request from the queue of the named pool. It returns the
@@ -216,8 +209,13 @@
 	}
 	w := x.waiting[at]
 	x.waiting = slices.Delete(x.waiting, at, at+1)
+	x.fair.leave(w.flow)
 	x.countDelayed(w.request)
-	return p.retryTime(now, x, w.request, p.expectedAdmission(now, x, w.request, at+1)), true
+	n := at + 1
+	if x.fair.contested(w.request) {
+		n = p.admissions(now, x, w.request, x.positionOf(w.request))
+	}
+	return p.retryTime(now, x, w.request, p.expectedAdmission(now, x, w.request, n)), true
 }
 
 // countDelayed counts a refused request with a prompt that decode engines cannot
@@ -230,17 +228,17 @@
 }
 
 // retryTime returns when a refused caller should retry: at, when capacity is
-// expected, or one admission after the caller that was refused last, whichever
-// is later, but within maxRetryDelay.
+// expected, or one admission after the caller of the same customer and rank that was
+// refused last, whichever is later, but within maxRetryDelay.
 func (p *Placer) retryTime(now time.Time, x *pool, req Request, at time.Time) time.Time {
-	interval := p.expectedAdmission(now, x, req, 1).Sub(now)
-	if next := x.lastRetryAt.Add(interval); next.After(at) {
+	interval := p.expectedAdmission(now, x, req, x.retrySpacing(now, req)).Sub(now)
+	if next := x.lastRetry(now, req).Add(interval); next.After(at) {
 		at = next
 	}
 	if longest := now.Add(maxRetryDelay); at.After(longest) {
 		at = longest
 	}
-	x.lastRetryAt = at
+	x.setLastRetry(now, req, at)
 	return at
 }
 
@@ -297,17 +295,20 @@
 		return nil
 	}
 	var out []Grant
-	kept := x.waiting[:0]
-	for _, w := range x.waiting {
+	for _, turn := range x.serviceOrder() {
+		w := &x.waiting[turn.index]
 		t := p.pick(now, x, w.request)
 		if t == nil {
-			kept = append(kept, w)
 			continue
 		}
+		w.granted = true
+		x.fair.charge(now, w.flow, w.request)
+		x.fair.leave(w.flow)
 		out = append(out, Grant{ID: w.id, Choice: p.assign(now, x, t, w.request)})
 	}
-	clear(x.waiting[len(kept):])
-	x.waiting = kept
+	if len(out) > 0 {
+		x.waiting = slices.DeleteFunc(x.waiting, func(w waiter) bool { return w.granted })
+	}
 	return out
 }
 
@@ -452,6 +453,7 @@
 	if t == nil {
 		return Choice{}, false
 	}
+	x.fair.charge(now, x.fair.flow(now, req), req)
 	return p.assign(now, x, t, req), true
 }
 
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -13,9 +13,10 @@
 // Request describes a request to be scheduled.
 type Request struct {
 	Pool     string
-	Rank     int    // zero is the most urgent
-	Affinity string // shared prompt prefix; empty for none
-	Split    bool   // a separate prefill engine may process the prompt
+	Customer fleet.Customer // among which requests of one rank are shared fairly; empty if there is none
+	Rank     int            // zero is the most urgent
+	Affinity string         // shared prompt prefix; empty for none
+	Split    bool           // a separate prefill engine may process the prompt
 	Exclude  []fleet.TargetName
 	// Resumes says that the request is the rest of a stream whose target has failed. TakeSpare
 	// lets it go ahead of queued requests, and to targets that have refused the last request
@@ -25,6 +26,9 @@
 	MaxPause  time.Duration // objective for the longest pause between events; zero means none
 	Prompt    Prompt
 	Start     time.Time // when the caller sent the request
+	// FirstSent is when the caller first sent the request, if it has repeated it after a
+	// refusal. Zero means Start.
+	FirstSent time.Time
 	Deadline  time.Time // after which a response is useless
 	// CacheFrom is the data centre that holds the KV cache to transfer, or empty
 	// if there is none. TransferTime is the time to transfer the KV cache of the whole
@@ -139,7 +143,8 @@
 // pool is a set of interchangeable targets and the queue of requests for them.
 type pool struct {
 	targets []*target
-	waiting []waiter // in order of service
+	waiting []waiter // by rank and expiry
+	fair    fairness // the order of service where customers compete
 	// lastRetryAt is the retry time given to the last refused caller. Retry
 	// times are spaced so that refused callers do not return all at once.
 	lastRetryAt time.Time
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -73,6 +73,11 @@
 		defer g.mu.Unlock()
 		return float64(g.observer.Quarantined())
 	})
+	gauge("competing_customers", "Customers that have had requests of the same pool and rank lately, at most.", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.placer.Competing())
+	})
 	gauge("waiting_requests", "Requests that wait for a place.", func() float64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -74,6 +74,7 @@
 	retryAfter time.Duration // sent with a 503 response
 
 	failedAttempts   int
+	standing         place.Standing  // when the request was refused for lack of capacity
 	noRetry          string          // why there was no further attempt after the last one; empty if it was answered
 	rejections       int             // failed attempts, since the stream has begun, that did not run the request
 	execution        retry.Execution // combined over all attempts
@@ -295,11 +296,14 @@
 // placementRequest describes the request to the placer.
 func (j *job) placementRequest(split bool) place.Request {
 	request := place.Request{
-		Pool: j.pool, Rank: j.targetRank(), Split: split, Exclude: j.tried, Objective: j.objective(), Start: j.started,
+		Pool: j.pool, Customer: j.customer, Rank: j.targetRank(), Split: split, Exclude: j.tried, Objective: j.objective(), Start: j.started,
 		Deadline: j.deadline.Add(-minSendTime), MaxPause: j.route.MaxPause, Prompt: j.prompt(), TransferTime: j.kvCacheTransferTime(),
 	}
 	if !j.headerSent {
 		request.Affinity = j.affinity()
+		// A caller that repeats a request after a refusal states the deadline that the request
+		// has had from the start.
+		request.FirstSent = j.deadline.Add(-j.route.Timeout)
 		return request
 	}
 	// The objective for the first event does not apply to the rest of a stream. The caller
@@ -363,6 +367,7 @@
 	choice, reason, retryAt := acquire(ctx, request)
 	j.queueTime += time.Since(start)
 	if reason != "" {
+		j.noteStanding(reason, request)
 		j.fail(string(reason), retryAt)
 		return choice, false
 	}
@@ -550,9 +555,10 @@
 	if !j.deadline.IsZero() {
 		left = time.Until(j.deadline)
 	}
-	j.g.log.Info("request ended", "id", j.params.ID, "reason", reason, "status", status, "route", route, "customer", j.customer,
+	fields := []any{"id", j.params.ID, "reason", reason, "status", status, "route", route, "customer", j.customer,
 		"rank", j.rank, "target", j.target, "attempts", j.failedAttempts, "waited", j.queueTime, "read", j.prefillTime, "first", j.timeToFirstEvent, "took", took, "left", left, "no-retry", j.noRetry,
-		"retry-after", j.retryAfter, "catalog", j.version(), "replicas", j.g.replicas())
+		"retry-after", j.retryAfter, "catalog", j.version(), "replicas", j.g.replicas()}
+	j.g.log.Info("request ended", append(fields, j.standingFields()...)...)
 }
 
 func (j *job) version() uint64 {
--- /dev/null
+++ b/io/gateway/standing_test.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"papayarock/core/catalog"
+)
+
+// Guards against a placer that is not told of the customer, or takes a caller that has
+// returned after a refusal for a new one.
+func TestPlacementRequestCustomer(t *testing.T) {
+	started := time.Unix(1000, 0)
+	for name, test := range map[string]struct {
+		left      time.Duration // until the deadline
+		firstSent time.Time
+	}{
+		"new":      {20 * time.Second, started},
+		"returned": {15 * time.Second, started.Add(-5 * time.Second)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			j := &job{
+				index: &catalog.Index{}, route: &catalog.Route{Timeout: 20 * time.Second}, customer: "klang", started: started,
+				deadline: started.Add(test.left),
+			}
+			request := j.placementRequest(false)
+			is.Equal(string(request.Customer), "klang")
+			is.True(request.FirstSent.Equal(test.firstSent))
+		})
+	}
+}
--- a/io/gateway/walk_test.go
+++ b/io/gateway/walk_test.go
@@ -83,7 +83,7 @@
 	wg.Wait()
 	is.Equal(a.status, 503)
 	got := l.linesFor("id-overload")
-	for _, want := range []string{"request ended", "reason=queue-full", "status=503", "waited=", "retry-after=", "attempts=0"} {
+	for _, want := range []string{"request ended", "reason=queue-full", "status=503", "waited=", "retry-after=", "attempts=0", "ahead=", "customers=1 ", "share=1"} {
 		is.True(strings.Contains(got, want)) // want
 	}
 	is.True(strings.Contains(scrape(), `papayarock_gateway_requests_total{reason="queue-full",status="503"}`))
