--- a/io/gateway/continuation.go
+++ b/io/gateway/continuation.go
@@ -49,7 +49,7 @@
 	if w.ctx.Err() != nil || w.sent >= max(a.route.Attempts, retry.MaxAttempts) {
 		return nil
 	}
-	request := place.Request{Pool: a.pool, Customer: a.customer, Rank: a.targetRank(), Exclude: w.excluded, MaxPause: a.route.MaxPause, Prompt: a.prompt(), Start: now, Deadline: a.deadline}
+	request := place.Request{Pool: a.pool, Customer: a.competitor(), Rank: a.targetRank(), Exclude: w.excluded, MaxPause: a.route.MaxPause, Prompt: a.prompt(), Start: now, Deadline: a.deadline}
 	failure := retry.Failure{
 		Idempotent: true, Last: retry.Executed, Deadline: a.deadline, MinRemaining: minSendTime,
 		Attempts: w.attempts, MaxAttempts: max(1, a.route.Attempts),
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -54,6 +54,7 @@
 	RetryBurst  float64       // retries allowed in a burst, across all gateways
 	RetryWindow time.Duration // to which RetryRatio and RetryBurst apply
 	UsageWindow time.Duration // length of a usage window; no usage is counted if zero
+	FairOrder   bool          // queued requests of one rank are ordered fairly between customers
 	MemoryBytes int64         // memory limit of the process; none if zero
 	Quota       quota.Bounds  // within which the limits of customers are enforced
 }
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -306,7 +306,7 @@
 // placementRequest describes the request to the placer.
 func (j *job) placementRequest(split bool) place.Request {
 	request := place.Request{
-		Pool: j.pool, Customer: j.customer, Rank: j.targetRank(), Split: split, Exclude: j.tried, Objective: j.objective(), Start: j.started,
+		Pool: j.pool, Customer: j.competitor(), Rank: j.targetRank(), Split: split, Exclude: j.tried, Objective: j.objective(), Start: j.started,
 		Deadline: j.deadline.Add(-minSendTime), MaxPause: j.route.MaxPause, Prompt: j.prompt(), TransferTime: j.kvCacheTransferTime(),
 	}
 	if !j.headerSent {
@@ -322,6 +322,15 @@
 	return request
 }
 
+// competitor returns the customer by which the placer orders queued requests fairly, or none
+// if the deployment does not ask for that.
+func (j *job) competitor() fleet.Customer {
+	if !j.g.options.FairOrder {
+		return ""
+	}
+	return j.customer
+}
+
 // stream describes the pauses that the request may have if its response is a stream.
 func (j *job) stream() retry.Stream {
 	return retry.Stream{Objective: j.route.Objective, MaxPause: j.route.MaxPause, Resumable: j.route.Resumable}
--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -139,7 +139,7 @@
 // mu.
 func (w *stallWatch) canRetryPrefill(now time.Time) bool {
 	a := w.attempt
-	request := place.Request{Pool: a.pool, Customer: a.customer, Rank: a.targetRank(), Exclude: w.excluded}
+	request := place.Request{Pool: a.pool, Customer: a.competitor(), Rank: a.targetRank(), Exclude: w.excluded}
 	a.g.mu.Lock()
 	defer a.g.mu.Unlock()
 	return w.sent < max(a.route.Attempts, retry.MaxAttempts) && a.g.budget(now, a.pool).Available() && a.g.placer.HasSpare(now, request)
--- a/io/gateway/standing_test.go
+++ b/io/gateway/standing_test.go
@@ -14,20 +14,24 @@
 func TestPlacementRequestCustomer(t *testing.T) {
 	started := time.Unix(1000, 0)
 	for name, test := range map[string]struct {
+		fairOrder bool
 		left      time.Duration // until the deadline
 		firstSent time.Time
+		customer  string
 	}{
-		"new":      {20 * time.Second, started},
-		"returned": {15 * time.Second, started.Add(-5 * time.Second)},
+		"new":           {true, 20 * time.Second, started, "klang"},
+		"returned":      {true, 15 * time.Second, started.Add(-5 * time.Second), "klang"},
+		"no fair order": {false, 20 * time.Second, started, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			j := &job{
+				g:     &Gateway{options: Options{FairOrder: test.fairOrder}},
 				index: &catalog.Index{}, route: &catalog.Route{Timeout: 20 * time.Second}, customer: "klang", started: started,
 				deadline: started.Add(test.left),
 			}
 			request := j.placementRequest(false)
-			is.Equal(string(request.Customer), "klang")
+			is.Equal(string(request.Customer), test.customer)
 			is.True(request.FirstSent.Equal(test.firstSent))
 		})
 	}
--- a/io/settings/discovery.go
+++ b/io/settings/discovery.go
@@ -49,6 +49,7 @@
 	UsageWindow time.Duration // length of a usage reporting window
 	MemoryBytes int64         // memory limit of the process
 	Quota       quota.Bounds  // within which the limits of customers are enforced
+	Contracts   []string      // names of the platform's contracts that are in force
 }
 
 // Registry contains the settings of the registry role.
@@ -100,6 +101,7 @@
 		UsageWindow: t.Duration("usage-window", time.Second, maxUsageWindow, defaultUsageWindow),
 		MemoryBytes: t.Int("memory-mb", minMemoryMB, maxMemoryMB, defaultMemoryMB) << 20,
 		Quota:       readQuotaBounds(t),
+		Contracts:   t.Strings("contracts"),
 	}
 	t.ReportUnknownKeys()
 	r.settings.Gateway = gateway
