--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -73,6 +73,7 @@
 	if req.Split {
 		x.observePrompt(req.Prompt)
 	}
+	x.observeSize(req)
 	ahead := x.countAhead(req)
 	if ahead == 0 || req.CacheFrom != "" {
 		if t := p.pick(now, x, req); t != nil {
@@ -331,6 +332,12 @@
 			took, _ := x.speed.time(c.Uncached)
 			x.inflow.add(now, took+x.overhead.minimum())
 		}
+		if x.placesByWork() {
+			c.Expected = x.workTime(t, t.backlog().with(c.Uncached))
+			if t.record.Role != fleet.Prefill && req.Split {
+				p.takePromptShare(now, x, t, c.Uncached)
+			}
+		}
 		t.own = t.own.with(c.Uncached)
 	} else {
 		c.Transfer = p.transferTime(req, t)
@@ -343,6 +350,15 @@
 // prefill engine while there is one.
 func (p *Placer) pick(now time.Time, x *pool, req Request) *target {
 	free := p.usable(now, x, req, false)
+	if x.placesByWork() {
+		switch {
+		case req.Split:
+			return p.pickByWork(now, x, req, p.usable(now, x, req, true), free)
+		case req.CacheFrom == "":
+			free = slices.DeleteFunc(free, func(t *target) bool { return !p.hasCapacity(now, t) })
+		}
+		return p.cheapestDecode(now, x, free, req)
+	}
 	if req.Split {
 		prefill := p.usable(now, x, req, true)
 		atDecode := len(prefill) == 0 || x.mayPrefillAtDecode(req)
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -24,6 +24,8 @@
 	Objective time.Duration // for the time to first event; zero means none
 	MaxPause  time.Duration // objective for the longest pause between events; zero means none
 	Prompt    Prompt
+	Batch     Batch     // of the engines of the pool; zero if it has none
+	Events    float64   // expected number of events of the response; zero if unknown
 	Start     time.Time // when the caller sent the request
 	Deadline  time.Time // after which a response is useless
 	// CacheFrom is the data centre that holds the KV cache to transfer, or empty
@@ -48,6 +50,7 @@
 	Uncached  int    // as in the Choice
 	Affinity  string // as in the Request
 	MaxPause  time.Duration
+	Expected  time.Duration // as in the Choice
 }
 
 // Action is the kind of a Decision.
@@ -89,6 +92,9 @@
 	// Transfer is the expected time to import the KV cache of the prompt, or zero if the
 	// target does not import one.
 	Transfer time.Duration
+	// Expected is the expected time from the arrival of the request at the target to its
+	// first event, or zero if it is not known.
+	Expected time.Duration
 }
 
 // Outcome is how a request to a target ended.
@@ -148,6 +154,9 @@
 	meanUnique  float64      // moving average of the unique tokens of long prompts
 	counters    roles.Counters
 	inflow      inflow // to prefill engines
+	sized       int     // requests whose size is known
+	meanTokens  float64 // moving average of the tokens of all prompts
+	memoryBound bool    // requests are placed by work
 }
 
 // New returns a Placer for a gateway in data centre self. regions holds the region of
@@ -235,6 +244,10 @@
 		t.rtt = e.Connect
 	}
 	x := p.pool(r.Pool)
+	t.recordSlowdown(e)
+	if x.placesByWork() && r.Role != fleet.Prefill && e.Uncached > 0 {
+		p.recordSighting(now, r, e.Affinity)
+	}
 	if r.Role == fleet.Prefill {
 		x.speed.add(now, p.processedTokens(r, e), e.Took-t.rtt)
 		if read, ok := x.speed.time(e.Prompt.Unique); ok {
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"papayarock/core/roster"
+	"papayarock/core/work"
 )
 
 const (
@@ -92,6 +93,11 @@
 	// response.
 	leaving bool
 	change  RoleChange // in progress; zero if there is none
+
+	// The fields below are used where requests are placed by work.
+	slowdown   float64   // moving average of the time to first event relative to the expected one
+	nextPrompt time.Time // when a decode engine may process the next prompt of this gateway
+	pace       work.Pace // of the streams
 }
 
 // changingRole reports whether t is changing its role.
--- /dev/null
+++ b/core/place/work.go
@@ -0,0 +1,204 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"papayarock/core/fleet"
+)
+
+// Placement by work. Where the KV cache of an engine can't hold a full batch of average
+// prompts, engines are limited by tokens and not by slots, and a request is placed by the
+// work that it causes and the work that each engine still has to do: the time until its
+// first event, the gaps between its events and the time of its end.
+
+const (
+	// memoryBoundOn and memoryBoundOff are the ratios of the tokens of a full batch of
+	// average prompts to the KV cache of an engine at which placement by work begins and
+	// ends.
+	memoryBoundOn  = 1.0
+	memoryBoundOff = 0.8
+	// minSizedRequests is the number of requests after which the average size is known.
+	minSizedRequests = 20
+	// decodePromptShare is the share of the time for which a decode engine may process
+	// prompts. Its streams make no event in that time.
+	decodePromptShare = 0.4
+	// maxSlowdown bounds the measured slowdown of an engine.
+	maxSlowdown = 4
+	// slowdownSmoothing is the weight of a new sample in the moving average of the
+	// slowdown.
+	slowdownSmoothing = 0.2
+	// gapMargin is the share of the objective for gaps between events above which the
+	// longest usual gap of an engine makes it unsuitable for streams of several events.
+	gapMargin = 0.9
+)
+
+// Batch describes the batch of an engine.
+type Batch struct {
+	Slots       int // requests
+	CacheTokens int // capacity of the KV cache in tokens
+}
+
+// observeSize updates the average size of the prompts of the pool, and whether the memory
+// of its engines limits them.
+func (x *pool) observeSize(req Request) {
+	if req.Batch.CacheTokens <= 0 || req.Prompt.Tokens <= 0 {
+		return
+	}
+	x.sized++
+	x.meanTokens += max(promptSmoothing, 1/float64(x.sized)) * (float64(req.Prompt.Tokens) - x.meanTokens)
+	if x.sized < minSizedRequests {
+		return
+	}
+	ratio := x.meanTokens * float64(req.Batch.Slots) / float64(req.Batch.CacheTokens)
+	x.memoryBound = ratio > memoryBoundOn || x.memoryBound && ratio > memoryBoundOff
+}
+
+// placesByWork reports whether the requests of the pool are placed by work.
+func (x *pool) placesByWork() bool {
+	_, known := x.speed.time(1)
+	return x.memoryBound && known
+}
+
+// recordSlowdown compares the time to the first event with the one that was expected.
+func (t *target) recordSlowdown(e FirstEvent) {
+	if e.Expected <= 0 {
+		return
+	}
+	sample := min(max(float64(e.Took-t.rtt)/float64(e.Expected), 1/float64(maxSlowdown)), maxSlowdown)
+	if t.slowdown == 0 {
+		t.slowdown = 1
+	}
+	t.slowdown += slowdownSmoothing * (sample - t.slowdown)
+}
+
+// workTime returns the time that t takes for prompts with the given number of tokens.
+func (x *pool) workTime(t *target, b Backlog) time.Duration {
+	took := x.speed.timeAt(t, b.Tokens) + time.Duration(b.Prompts)*x.overhead.minimum()
+	if t.slowdown > 0 {
+		took = time.Duration(t.slowdown * float64(took))
+	}
+	return took
+}
+
+// backlog returns the prompts that t has not processed as far as is known.
+func (t *target) backlog() Backlog {
+	return Backlog{t.own.Prompts + t.others.Prompts, t.own.Tokens + t.others.Tokens}
+}
+
+// pickByWork returns the engine that is expected to lead to the first event of a prompt
+// soonest, or nil if all of them have too much work. Prefill engines are followed by the
+// transfer to a decode engine. Decode engines get a limited part of the prompts, since
+// their streams pause meanwhile.
+func (p *Placer) pickByWork(now time.Time, x *pool, req Request, prefill, decode []*target) *target {
+	allowed := x.allowedWait(now, req)
+	level := time.Duration(0)
+	if len(prefill) > 0 {
+		level = p.waitLevel(now, x, prefill)
+	}
+	var best []*target
+	var costs []time.Duration
+	add := func(t *target, cost time.Duration) {
+		best, costs = append(best, t), append(costs, cost)
+	}
+	handover := make(map[fleet.DataCentre]time.Duration)
+	for _, t := range prefill {
+		wait := x.workTime(t, t.backlog())
+		if wait > allowed || t.inFlight >= p.slotShare(t) {
+			continue
+		}
+		dc := t.record.DataCentre
+		if _, ok := handover[dc]; !ok {
+			handover[dc] = p.handoverTime(dc, decode, req)
+		}
+		add(t, p.rttTo(t)+max(wait, level)+p.promptCost(now, x, t, req)+handover[dc])
+	}
+	for _, t := range decode {
+		if !x.mayPrefillAtDecode(req) || now.Before(t.nextPrompt) || !p.hasCapacity(now, t) {
+			continue
+		}
+		add(t, p.rttTo(t)+x.workTime(t, t.backlog())+p.promptCost(now, x, t, req))
+	}
+	if len(best) == 0 {
+		return nil
+	}
+	limit := slices.Min(costs) + time.Duration(similarCostShare*float64(req.Objective))
+	var similar []*target
+	for i, t := range best {
+		if costs[i] <= limit {
+			similar = append(similar, t)
+		}
+	}
+	if req.Affinity != "" {
+		return rendezvous(similar, req.Affinity)
+	}
+	return leastRecent(similar)
+}
+
+// promptCost returns the time that t takes for the prompt itself.
+func (p *Placer) promptCost(now time.Time, x *pool, t *target, req Request) time.Duration {
+	source, cached := p.prefixSource(now, x, t, req)
+	tokens := req.Prompt.Tokens
+	var fetch time.Duration
+	if cached {
+		tokens = req.Prompt.Unique
+	}
+	if source != nil {
+		fetch = p.fetchTime(source, t, req)
+	}
+	return fetch + x.workTime(t, Backlog{1, tokens})
+}
+
+// handoverTime returns the shortest time in which a decode engine gets the KV cache of the
+// prompt from a data centre.
+func (p *Placer) handoverTime(from fleet.DataCentre, decode []*target, req Request) time.Duration {
+	var shortest time.Duration
+	req.CacheFrom = from
+	for i, t := range decode {
+		if took := p.rttTo(t) + p.transferTime(req, t); i == 0 || took < shortest {
+			shortest = took
+		}
+	}
+	return shortest
+}
+
+// takePromptShare accounts for a prompt that a decode engine processes. All gateways
+// together use at most decodePromptShare of its time.
+func (p *Placer) takePromptShare(now time.Time, x *pool, t *target, tokens int) {
+	took := x.workTime(t, Backlog{1, tokens})
+	interval := time.Duration(float64(took) * float64(p.gateways) / decodePromptShare)
+	if oldest := now.Add(-interval); t.nextPrompt.Before(oldest) {
+		t.nextPrompt = oldest
+	}
+	t.nextPrompt = t.nextPrompt.Add(interval)
+}
+
+// cheapestDecode returns the decode engine for a request that needs no prefill, or a short
+// one.
+func (p *Placer) cheapestDecode(now time.Time, x *pool, list []*target, req Request) *target {
+	if len(list) == 0 {
+		return nil
+	}
+	return slices.MinFunc(list, func(s, t *target) int {
+		return cmp.Compare(p.decodeCost(now, x, s, req), p.decodeCost(now, x, t, req))
+	})
+}
+
+// decodeCost returns the expected time to the first event, with penalties for gaps that
+// are too long and for an end after the deadline.
+func (p *Placer) decodeCost(now time.Time, x *pool, t *target, req Request) time.Duration {
+	cost := p.cost(t, req) + x.workTime(t, t.backlog())
+	mean, high := t.pace.Mean(now), t.pace.High(now)
+	if mean == 0 {
+		return cost
+	}
+	events := max(1, req.Events)
+	if high > time.Duration(gapMargin*float64(req.MaxPause)) && req.MaxPause > 0 {
+		cost += time.Duration(min(1, (events-1)/4) * float64(req.Objective))
+	}
+	if end := now.Add(cost + time.Duration(events*float64(mean))); end.After(req.Deadline) {
+		cost += end.Sub(req.Deadline)
+	}
+	return cost
+}
