--- a/core/catalog/document.go
+++ b/core/catalog/document.go
@@ -70,6 +70,7 @@
 // Engine describes the model engines of a pool.
 type Engine struct {
 	Slots         int           // requests in one batch
+	EventTokens   int           // tokens in one event of a stream at most; zero if unknown
 	CacheTokens   int           // capacity of the KV cache of one target, in tokens
 	BytesPerToken int           // size of the KV cache of one token, in bytes
 	LinkMbps      float64       // bandwidth of the link for KV cache transfers
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -153,7 +153,7 @@
 	overhead    baseLatency  // time of a prefill engine for one prompt, besides its tokens
 	meanUnique  float64      // moving average of the unique tokens of long prompts
 	counters    roles.Counters
-	inflow      inflow // to prefill engines
+	inflow      inflow  // to prefill engines
 	sized       int     // requests whose size is known
 	meanTokens  float64 // moving average of the tokens of all prompts
 	memoryBound bool    // requests are placed by work
--- a/core/place/work.go
+++ b/core/place/work.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"papayarock/core/fleet"
+	"papayarock/core/roster"
 )
 
 // Placement by work. Where the KV cache of an engine can't hold a full batch of average
@@ -202,3 +203,21 @@
 	}
 	return cost
 }
+
+// PlacesByWork reports whether the requests of a pool are placed by work.
+func (p *Placer) PlacesByWork(pool string) bool {
+	x := p.pools[pool]
+	return x != nil && x.placesByWork()
+}
+
+// RecordGaps records the time between consecutive events of a stream from the given run of
+// a target.
+func (p *Placer) RecordGaps(now time.Time, r roster.Record, gaps []time.Duration) {
+	t := p.find(r)
+	if t == nil || !p.PlacesByWork(r.Pool) {
+		return
+	}
+	for _, gap := range gaps {
+		t.pace.Observe(now, gap)
+	}
+}
--- a/io/gateway/codec.go
+++ b/io/gateway/codec.go
@@ -15,6 +15,7 @@
 	Deadline        time.Time       // the caller's deadline; zero if not stated
 	PromptTokens    int             // number of tokens in the prompt
 	MaxOutputTokens int             // maximum number of tokens in the response
+	LengthHint      int             // number of tokens that the caller expects in the response; zero if not stated
 	Segments        []PromptSegment // all segments of the prompt, in order; the last is unique to this request
 	LastEventID     string          // id of the last event received by the caller
 }
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"papayarock/core/quarantine"
 	"papayarock/core/retry"
 	"papayarock/core/roster"
+	"papayarock/core/work"
 	"papayarock/io/upstream"
 )
 
@@ -80,7 +81,8 @@
 	roster        roster.Roster
 	placer        *place.Placer
 	observer      quarantine.Observer
-	gateways      int // number of gateways, as reported by the registry
+	lengths       work.Lengths // of the responses of pools where requests are placed by work
+	gateways      int          // number of gateways, as reported by the registry
 	nextID        uint64
 	waiting       map[uint64]chan place.Choice // queued requests, by placer id
 	wakeScheduled bool                         // a timer is set to check the queue
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -298,6 +298,7 @@
 		Pool: j.pool, Rank: j.targetRank(), Split: split, Exclude: j.tried, Objective: j.objective(), Start: j.started,
 		Deadline: j.deadline.Add(-minSendTime), MaxPause: j.route.MaxPause, Prompt: j.prompt(), TransferTime: j.kvCacheTransferTime(),
 	}
+	request.Batch, request.Events = j.batch(), j.expectedEvents()
 	if !j.headerSent {
 		request.Affinity = j.affinity()
 		return request
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -117,6 +117,7 @@
 func (a *attempt) forwardEvents(ctx context.Context, r *upstream.Response, e *eventReader) (retry.Execution, bool) {
 	controller := http.NewResponseController(a.w)
 	var pace paceMeter
+	var gaps gapMeter
 	resumed := a.headerSent
 	for {
 		event, err := e.next()
@@ -138,6 +139,7 @@
 		}
 		a.reportFirstEvent()
 		pace.add(time.Now())
+		a.observeEvent(&gaps, pace.last)
 		if pace.last.Sub(pace.first) >= responseStart {
 			a.recordSurvival()
 		}
@@ -167,6 +169,7 @@
 	}
 	a.recordSurvival()
 	a.reportPause(pace)
+	a.reportGaps(&gaps, !resumed)
 	a.reportOutcome(place.Served)
 	a.recordResponse(r.Status)
 	return retry.Executed, true
--- /dev/null
+++ b/io/gateway/work.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"time"
+
+	"papayarock/core/catalog"
+	"papayarock/core/place"
+	"papayarock/core/work"
+)
+
+// engine returns the engines of the pool, or nil if it has none.
+func (j *job) engine() *catalog.Engine {
+	if pool, ok := j.index.Pool(j.pool); ok {
+		return pool.Engine
+	}
+	return nil
+}
+
+// batch describes the engines of the pool to the placer.
+func (j *job) batch() place.Batch {
+	e := j.engine()
+	if e == nil || j.route.Kind != catalog.Stream {
+		return place.Batch{}
+	}
+	return place.Batch{Slots: e.Slots, CacheTokens: e.CacheTokens}
+}
+
+// lengthKey selects the responses that are like the one of this request.
+func (j *job) lengthKey() work.Key {
+	return work.Key{Route: j.route.Name, Customer: j.customer, Prompt: j.params.PromptTokens}
+}
+
+// expectedEvents returns the number of events that the response is expected to have, or
+// zero if that is unknown or the pool does not place requests by work.
+func (j *job) expectedEvents() float64 {
+	e := j.engine()
+	if e == nil || e.EventTokens == 0 || j.route.Kind != catalog.Stream {
+		return 0
+	}
+	j.g.mu.Lock()
+	defer j.g.mu.Unlock()
+	if !j.g.placer.PlacesByWork(j.pool) {
+		return 0
+	}
+	return j.g.lengths.Estimate(j.lengthKey(), j.params.LengthHint, j.params.MaxOutputTokens, e.EventTokens).High
+}
+
+// gapMeter collects the time between the events of a stream. The placer is told of several
+// at once, to keep the lock of the gateway free.
+type gapMeter struct {
+	last   time.Time
+	gaps   []time.Duration
+	events int
+}
+
+// maxGaps is the number of gaps that are reported at once.
+const maxGaps = 4
+
+// observeEvent records the time of an event of a stream.
+func (a *attempt) observeEvent(m *gapMeter, now time.Time) {
+	m.events++
+	if !m.last.IsZero() {
+		m.gaps = append(m.gaps, now.Sub(m.last))
+	}
+	m.last = now
+	if len(m.gaps) >= maxGaps {
+		a.reportGaps(m, false)
+	}
+}
+
+// reportGaps tells the placer of the gaps that have been collected, and at the end of a
+// complete response of its length.
+func (a *attempt) reportGaps(m *gapMeter, complete bool) {
+	e := a.engine()
+	if e == nil || e.EventTokens == 0 {
+		return
+	}
+	a.g.mu.Lock()
+	defer a.g.mu.Unlock()
+	a.g.placer.RecordGaps(m.last, a.record, m.gaps)
+	m.gaps = m.gaps[:0]
+	if complete && a.g.placer.PlacesByWork(a.pool) {
+		a.g.lengths.Observe(a.lengthKey(), a.params.LengthHint, m.events, e.EventTokens)
+	}
+}
