--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -74,6 +74,9 @@
 		x.observePrompt(req.Prompt)
 	}
 	x.observeSize(req)
+	if req.Split {
+		x.counters.PromptTokens += uint64(p.uncachedTokens(now, x, req))
+	}
 	ahead := x.countAhead(req)
 	if ahead == 0 || req.CacheFrom != "" {
 		if t := p.pick(now, x, req); t != nil {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -371,6 +371,11 @@
 	for name, x := range p.pools {
 		c, prefill := x.counters, false
 		c.Streams = 0
+		if x.placesByWork() {
+			c.PrefillSpeed = x.speed.perSecond
+		} else {
+			c.PromptTokens = 0
+		}
 		for _, t := range x.targets {
 			switch t.record.Role {
 			case fleet.Prefill:
--- a/core/place/work.go
+++ b/core/place/work.go
@@ -24,7 +24,7 @@
 	minSizedRequests = 20
 	// decodePromptShare is the share of the time for which a decode engine may process
 	// prompts. Its streams make no event in that time.
-	decodePromptShare = 0.4
+	decodePromptShare = 0.2
 	// maxSlowdown bounds the measured slowdown of an engine.
 	maxSlowdown = 4
 	// slowdownSmoothing is the weight of a new sample in the moving average of the
@@ -221,3 +221,18 @@
 		t.pace.Observe(now, gap)
 	}
 }
+
+// uncachedTokens returns the number of tokens of a prompt that no engine has cached, as
+// far as is known.
+func (p *Placer) uncachedTokens(now time.Time, x *pool, req Request) int {
+	if req.Affinity == "" {
+		return req.Prompt.Tokens
+	}
+	prefix := NewPrefix(req.Pool, req.Affinity)
+	for target := range p.holders.targets[prefix] {
+		if p.holders.has(now, prefix, target) {
+			return req.Prompt.Unique
+		}
+	}
+	return req.Prompt.Tokens
+}
--- a/core/roles/meter.go
+++ b/core/roles/meter.go
@@ -27,6 +27,11 @@
 	Imports        uint64
 	RefusedImports uint64
 	TransferMicros uint64
+	// PromptTokens is the number of tokens of the prompts that prefill engines should
+	// process, without those that they have cached. It and PrefillSpeed, in tokens per second
+	// of one engine, are zero unless requests are placed by work.
+	PromptTokens uint64
+	PrefillSpeed float64
 }
 
 // Load is the load of all gateways over the last seconds.
@@ -40,6 +45,10 @@
 	Imports        float64 // KV caches offered to decode engines
 	RefusedImports float64
 	Transfers      float64 // KV caches in transfer at the same time, if none waits for another
+
+	// PrefillBusy is the number of prefill engines that the offered prompts keep busy, or
+	// zero unless requests are placed by work.
+	PrefillBusy float64
 }
 
 // Meter computes the load of one pool from the reports of gateways. G identifies a run
@@ -71,7 +80,8 @@
 // forgotten.
 func (m *Meter[G]) Load(now time.Time) Load {
 	var out Load
-	var paced, paceSum float64
+	var paced, paceSum, tokensPerSecond, speed float64
+	speeds := 0
 	for gateway, list := range m.reports {
 		first, last := list[0], list[len(list)-1]
 		if now.Sub(last.at) > reportTimeout {
@@ -83,7 +93,12 @@
 		out.Refused += float64(last.counters.Refused - first.counters.Refused)
 		out.Imports += float64(last.counters.Imports - first.counters.Imports)
 		out.RefusedImports += float64(last.counters.RefusedImports - first.counters.RefusedImports)
+		if last.counters.PrefillSpeed > 0 {
+			speed += last.counters.PrefillSpeed
+			speeds++
+		}
 		if span := last.at.Sub(first.at); span > 0 {
+			tokensPerSecond += float64(last.counters.PromptTokens-first.counters.PromptTokens) / span.Seconds()
 			out.Transfers += float64(last.counters.TransferMicros-first.counters.TransferMicros) / float64(span.Microseconds())
 		}
 		paced += float64(last.counters.Paced - first.counters.Paced)
@@ -97,6 +112,9 @@
 	if paced > 0 {
 		out.Pace = paceSum / paced / thousandths
 	}
+	if speeds > 0 {
+		out.PrefillBusy = tokensPerSecond / (speed / float64(speeds))
+	}
 	return out
 }
 
--- a/core/roles/planner.go
+++ b/core/roles/planner.go
@@ -70,12 +70,14 @@
 	pending  []Change
 	deadline time.Time // until which the pending changes are waited for
 	settled  time.Time // when the load shows the effect of the last change
+	peak     peakLoad
 }
 
 // Plan returns the changes to order now. engines are the engines that are ready, and
 // roleChange is how long a change makes an engine unavailable.
 func (p *Planner) Plan(now time.Time, engines []Engine, load Load, roleChange time.Duration) []Change {
 	prompts := load.Prefills + load.Delayed
+	p.peak.observe(now, load)
 	if p.settled.IsZero() && prompts > 0 {
 		p.settled = now.Add(meterWindow) // caches are empty at first
 	}
@@ -86,6 +88,9 @@
 	if len(prefill) == 0 || len(decode) == 0 {
 		return nil
 	}
+	if p.peak.busy > 0 {
+		return p.order(now, planByWork(prefill, decode, p.peak, load), roleChange)
+	}
 	delayed := load.Delayed / max(1, prompts)
 	occupancy := load.Streams / float64(totalSlots(decode))
 	refused := load.RefusedImports / max(1, load.Imports)
@@ -102,10 +107,15 @@
 	case delayed <= idleDelayedShare && max(occupancy, load.Pace) > fullOccupancy:
 		out = pick(prefill, decode, 1, fleet.Decode)
 	}
-	if len(out) > 0 {
-		p.pending, p.deadline = slices.Clone(out), now.Add(roleChange+changeTimeout)
+	return p.order(now, out, roleChange)
+}
+
+// order records the changes as pending and returns them.
+func (p *Planner) order(now time.Time, changes []Change, roleChange time.Duration) []Change {
+	if len(changes) > 0 {
+		p.pending, p.deadline = slices.Clone(changes), now.Add(roleChange+changeTimeout)
 	}
-	return out
+	return changes
 }
 
 // Pending returns the changes that have been ordered and not announced yet.
--- a/io/wire/codec_feed.go
+++ b/io/wire/codec_feed.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -74,6 +75,7 @@
 		out = append(out, &FeedLoad{
 			Pool: pool, Prefills: c.Prefills, Delayed: c.Delayed, Paced: c.Paced, PaceSum: c.PaceSum, Streams: c.Streams,
 			Refused: c.Refused, Imports: c.Imports, RefusedImports: c.RefusedImports, TransferMicros: c.TransferMicros,
+			PromptTokens: c.PromptTokens, PrefillSpeed: c.PrefillSpeed,
 		})
 	}
 	return out
@@ -84,6 +86,7 @@
 	return m.GetPool(), roles.Counters{
 		Prefills: m.GetPrefills(), Delayed: m.GetDelayed(), Paced: m.GetPaced(), PaceSum: m.GetPaceSum(), Streams: m.GetStreams(),
 		Refused: m.GetRefused(), Imports: m.GetImports(), RefusedImports: m.GetRefusedImports(), TransferMicros: m.GetTransferMicros(),
+		PromptTokens: m.GetPromptTokens(), PrefillSpeed: finite(m.GetPrefillSpeed()),
 	}
 }
 
@@ -165,3 +168,11 @@
 
 // maxRoleChange bounds the time for which an engine is not used because of a role change.
 const maxRoleChange = time.Minute
+
+// finite returns f, or zero if it is negative or not a number.
+func finite(f float64) float64 {
+	if f > 0 && !math.IsInf(f, 1) {
+		return f
+	}
+	return 0
+}
