--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -74,7 +74,7 @@
 		x.observePrompt(req.Prompt)
 	}
 	x.observeSize(req)
-	if req.Split {
+	if req.Split && x.placesByWork() {
 		x.counters.PromptTokens += uint64(p.uncachedTokens(now, x, req))
 	}
 	ahead := x.countAhead(req)
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -373,8 +373,6 @@
 		c.Streams = 0
 		if x.placesByWork() {
 			c.PrefillSpeed = x.speed.perSecond
-		} else {
-			c.PromptTokens = 0
 		}
 		for _, t := range x.targets {
 			switch t.record.Role {
