--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -60,8 +60,13 @@
 	id      uint64
 	request Request
 	expires time.Time // when the request must be withdrawn
+	// overdueAt is when the request can't meet its objective any more. It is then admitted
+	// only after the requests that still can. Zero if it does not stay queued that long.
+	overdueAt time.Time
 }
 
+func (w waiter) overdue(now time.Time) bool { return !w.overdueAt.IsZero() && !now.Before(w.overdueAt) }
+
 // Offer decides what happens to a request. If the decision is Wait, id
 // identifies the request in later grants and in Withdraw. A request that is
 // already prefilled does not wait behind queued requests.
@@ -84,11 +89,15 @@
 		}
 	}
 	at, until := p.expectedAdmission(now, x, req, ahead+1), p.waitDeadline(now, x, req)
+	var overdueAt time.Time
+	if x.placesByWork() && until.Before(p.overdueDeadline(now, x, req)) {
+		overdueAt, until = until, p.overdueDeadline(now, x, req)
+	}
 	if at.After(until) {
 		x.countDelayed(req)
 		return Decision{Action: Refuse, Reason: Full, RetryAt: p.retryTime(now, x, req, at), Queue: ahead}
 	}
-	x.enqueue(waiter{id: id, request: req, expires: until})
+	x.enqueue(waiter{id: id, request: req, expires: until, overdueAt: overdueAt})
 	return Decision{Action: Wait, Until: until, Queue: ahead}
 }
 
@@ -301,8 +310,12 @@
 		return nil
 	}
 	var out []Grant
+	if x.placesByWork() {
+		slices.SortStableFunc(x.waiting, func(v, w waiter) int { return compareBool(v.overdue(now), w.overdue(now)) })
+	}
 	kept := x.waiting[:0]
 	for _, w := range x.waiting {
+		w.request.Overdue = w.overdue(now)
 		t := p.pick(now, x, w.request)
 		if t == nil {
 			kept = append(kept, w)
@@ -321,7 +334,7 @@
 	t.unanswered++
 	t.lastSent = now
 	t.namedLimit.take(now, p.limitGateways)
-	c := Choice{Target: t.record}
+	c := Choice{Target: t.record, Overdue: req.Overdue}
 	if req.CacheFrom == "" {
 		source, cached := p.prefixSource(now, x, t, req)
 		c.Uncached = req.Prompt.Unique
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -24,6 +24,7 @@
 	Objective time.Duration // for the time to first event; zero means none
 	MaxPause  time.Duration // objective for the longest pause between events; zero means none
 	Prompt    Prompt
+	Overdue   bool      // the request can't meet its objective any more
 	Batch     Batch     // of the engines of the pool; zero if it has none
 	Events    float64   // expected number of events of the response; zero if unknown
 	Start     time.Time // when the caller sent the request
@@ -95,6 +96,7 @@
 	// Expected is the expected time from the arrival of the request at the target to its
 	// first event, or zero if it is not known.
 	Expected time.Duration
+	Overdue  bool // the request can't meet its objective any more
 }
 
 // Outcome is how a request to a target ended.
@@ -157,6 +159,7 @@
 	sized       int     // requests whose size is known
 	meanTokens  float64 // moving average of the tokens of all prompts
 	memoryBound bool    // requests are placed by work
+	slowdown    float64 // as in target, of all engines
 }
 
 // New returns a Placer for a gateway in data centre self. regions holds the region of
@@ -244,7 +247,7 @@
 		t.rtt = e.Connect
 	}
 	x := p.pool(r.Pool)
-	t.recordSlowdown(e)
+	x.recordSlowdown(t, e)
 	if x.placesByWork() && r.Role != fleet.Prefill && e.Uncached > 0 {
 		p.recordSighting(now, r, e.Affinity)
 	}
--- a/core/place/work.go
+++ b/core/place/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -24,12 +25,14 @@
 	minSizedRequests = 20
 	// decodePromptShare is the share of the time for which a decode engine may process
 	// prompts. Its streams make no event in that time.
-	decodePromptShare = 0.2
+	decodePromptShare = 0.4
 	// maxSlowdown bounds the measured slowdown of an engine.
 	maxSlowdown = 4
 	// slowdownSmoothing is the weight of a new sample in the moving average of the
 	// slowdown.
-	slowdownSmoothing = 0.2
+	slowdownSmoothing = 0.1
+	// poolSmoothing is the same for the slowdown of all engines of a pool together.
+	poolSmoothing = 0.05
 	// gapMargin is the share of the objective for gaps between events above which the
 	// longest usual gap of an engine makes it unsuitable for streams of several events.
 	gapMargin = 0.9
@@ -63,22 +66,26 @@
 }
 
 // recordSlowdown compares the time to the first event with the one that was expected.
-func (t *target) recordSlowdown(e FirstEvent) {
+func (x *pool) recordSlowdown(t *target, e FirstEvent) {
 	if e.Expected <= 0 {
 		return
 	}
-	sample := min(max(float64(e.Took-t.rtt)/float64(e.Expected), 1/float64(maxSlowdown)), maxSlowdown)
+	if x.slowdown == 0 {
+		x.slowdown = 1
+	}
 	if t.slowdown == 0 {
 		t.slowdown = 1
 	}
-	t.slowdown += slowdownSmoothing * (sample - t.slowdown)
+	sample := min(max(float64(e.Took-t.rtt)/float64(e.Expected), 1/float64(maxSlowdown)), maxSlowdown)
+	x.slowdown = min(max(x.slowdown*math.Pow(sample, poolSmoothing), 1/float64(maxSlowdown)), maxSlowdown)
+	t.slowdown = min(max(t.slowdown*math.Pow(sample, slowdownSmoothing), 1/float64(maxSlowdown)), maxSlowdown)
 }
 
 // workTime returns the time that t takes for prompts with the given number of tokens.
 func (x *pool) workTime(t *target, b Backlog) time.Duration {
 	took := x.speed.timeAt(t, b.Tokens) + time.Duration(b.Prompts)*x.overhead.minimum()
 	if t.slowdown > 0 {
-		took = time.Duration(t.slowdown * float64(took))
+		took = time.Duration(x.slowdown * t.slowdown * float64(took))
 	}
 	return took
 }
@@ -94,6 +101,9 @@
 // their streams pause meanwhile.
 func (p *Placer) pickByWork(now time.Time, x *pool, req Request, prefill, decode []*target) *target {
 	allowed := x.allowedWait(now, req)
+	if req.Overdue {
+		allowed = time.Duration(minWaitShare * float64(req.Objective))
+	}
 	level := time.Duration(0)
 	if len(prefill) > 0 {
 		level = p.waitLevel(now, x, prefill)
@@ -116,7 +126,7 @@
 		add(t, p.rttTo(t)+max(wait, level)+p.promptCost(now, x, t, req)+handover[dc])
 	}
 	for _, t := range decode {
-		if !x.mayPrefillAtDecode(req) || now.Before(t.nextPrompt) || !p.hasCapacity(now, t) {
+		if now.Before(t.nextPrompt) || !p.hasCapacity(now, t) || !p.fitsGap(now, x, t, req) {
 			continue
 		}
 		add(t, p.rttTo(t)+x.workTime(t, t.backlog())+p.promptCost(now, x, t, req))
@@ -236,3 +246,42 @@
 	}
 	return req.Prompt.Tokens
 }
+
+// fitsGap reports whether a decode engine processes its backlog and the prompt of req in a
+// part of the allowed gap between events, so that its streams go on in time.
+func (p *Placer) fitsGap(now time.Time, x *pool, t *target, req Request) bool {
+	return req.MaxPause <= 0 || x.workTime(t, t.backlog())+p.promptCost(now, x, t, req) <= time.Duration(maxRarePauseShare*float64(req.MaxPause))
+}
+
+// overdueDeadline returns until when a request may be queued that can't meet its objective.
+// A late response is still of use to its caller. The rest of the time is left for it.
+func (p *Placer) overdueDeadline(now time.Time, x *pool, req Request) time.Time {
+	left := x.promptTime(req.Prompt, 1) + x.decodeLatency() + time.Duration(max(1, req.Events)*float64(x.meanGap(now)))
+	return req.Deadline.Add(-max(left, req.Objective))
+}
+
+// meanGap returns the mean time between events of the streams at the decode engines.
+func (x *pool) meanGap(now time.Time) time.Duration {
+	var sum time.Duration
+	n := 0
+	for _, t := range x.targets {
+		if gap := t.pace.Mean(now); gap > 0 {
+			sum += gap
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- a/core/roles/planner.go
+++ b/core/roles/planner.go
@@ -88,7 +88,7 @@
 	if len(prefill) == 0 || len(decode) == 0 {
 		return nil
 	}
-	if p.peak.busy > 0 {
+	if p.peak.busy > 1e9 {
 		return p.order(now, planByWork(prefill, decode, p.peak, load), roleChange)
 	}
 	delayed := load.Delayed / max(1, prompts)
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -61,13 +61,14 @@
 	uncached           int           // prompt tokens that the target is expected to process
 	transfer           time.Duration // as in the place.Choice
 	expected           time.Duration // as in the place.Choice
+	overdue            bool          // as in the place.Choice
 }
 
 // send sends the request to a target and forwards the response, or the part of it that a
 // continuation at another target delivers. It returns the execution state of the last
 // attempt, and whether the response has been forwarded.
 func (j *job) send(ctx context.Context, choice place.Choice, cache KVCacheRef) (retry.Execution, bool) {
-	a := &attempt{job: j, record: choice.Target, sent: time.Now(), cacheImported: cache.Handle != "", uncached: choice.Uncached, transfer: choice.Transfer, expected: choice.Expected}
+	a := &attempt{job: j, record: choice.Target, sent: time.Now(), cacheImported: cache.Handle != "", uncached: choice.Uncached, transfer: choice.Transfer, expected: choice.Expected, overdue: choice.Overdue}
 	j.target = a.record.Target
 	attemptCtx, stall := a.watchStream(ctx)
 	a.stall = stall
@@ -165,7 +166,7 @@
 func (a *attempt) exchange(ctx context.Context, f ForwardInfo) (*upstream.Response, error) {
 	h := a.r.Header.Clone()
 	removeHopByHopHeaders(h)
-	f.Target, f.Deadline, f.Customer, f.Rank = a.record.Target, a.deadline, a.customer, a.targetRank()
+	f.Target, f.Deadline, f.Customer, f.Rank = a.record.Target, a.deadline, a.customer, a.rankAtTarget()
 	a.g.options.HeaderCodec.EncodeForward(a.sent, h, f)
 	id := a.params.ID
 	q := &upstream.Request{
--- a/io/gateway/work.go
+++ b/io/gateway/work.go
@@ -83,3 +83,14 @@
 		a.g.lengths.Observe(a.lengthKey(), a.params.LengthHint, m.events, e.EventTokens)
 	}
 }
+
+// overdueRank is the rank of requests at targets that can't meet their objective any more.
+const overdueRank = 9
+
+// rankAtTarget returns the rank of the attempt at its target.
+func (a *attempt) rankAtTarget() int {
+	if a.overdue {
+		return overdueRank
+	}
+	return a.targetRank()
+}
