--- a/io/gateway/work.go
+++ b/io/gateway/work.go
@@ -42,7 +42,8 @@
 	if !j.g.placer.PlacesByWork(j.pool) {
 		return 0
 	}
-	return j.g.lengths.Estimate(j.lengthKey(), j.params.LengthHint, j.params.MaxOutputTokens, e.EventTokens).High
+	j.estimate = j.g.lengths.Estimate(j.lengthKey(), j.params.LengthHint, j.params.MaxOutputTokens, e.EventTokens).High
+	return j.estimate
 }
 
 // gapMeter collects the time between the events of a stream. The placer is told of several
@@ -59,8 +60,11 @@
 // observeEvent records the time of an event of a stream.
 func (a *attempt) observeEvent(m *gapMeter, now time.Time) {
 	m.events++
+	a.events++
 	if !m.last.IsZero() {
-		m.gaps = append(m.gaps, now.Sub(m.last))
+		gap := now.Sub(m.last)
+		m.gaps = append(m.gaps, gap)
+		a.longestGap = max(a.longestGap, gap)
 	}
 	m.last = now
 	if len(m.gaps) >= maxGaps {
