--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -351,7 +351,7 @@
 		if x.placesByWork() {
 			c.Expected = x.workTime(t, t.backlog().with(c.Uncached))
 			if t.record.Role != fleet.Prefill && req.Split {
-				p.takePromptShare(now, x, t, c.Uncached)
+				p.takePromptShare(now, x, t, c.Uncached, req.MaxPause)
 			}
 		}
 		t.own = t.own.with(c.Uncached)
--- a/core/place/work.go
+++ b/core/place/work.go
@@ -23,9 +23,11 @@
 	memoryBoundOff = 0.8
 	// minSizedRequests is the number of requests after which the average size is known.
 	minSizedRequests = 20
-	// decodePromptShare is the share of the time for which a decode engine may process
-	// prompts. Its streams make no event in that time.
-	decodePromptShare = 0.4
+	// steadyPromptShare and unsteadyPromptShare are the shares of the time for which a
+	// decode engine may process prompts. Its streams make no event in that time. Long
+	// streams avoid unsteady engines.
+	steadyPromptShare   = 0.15
+	unsteadyPromptShare = 0.7
 	// maxSlowdown bounds the measured slowdown of an engine.
 	maxSlowdown = 4
 	// slowdownSmoothing is the weight of a new sample in the moving average of the
@@ -35,7 +37,7 @@
 	poolSmoothing = 0.05
 	// gapMargin is the share of the objective for gaps between events above which the
 	// longest usual gap of an engine makes it unsuitable for streams of several events.
-	gapMargin = 0.9
+	gapMargin = 0.5
 )
 
 // Batch describes the batch of an engine.
@@ -175,10 +177,14 @@
 }
 
 // takePromptShare accounts for a prompt that a decode engine processes. All gateways
-// together use at most decodePromptShare of its time.
-func (p *Placer) takePromptShare(now time.Time, x *pool, t *target, tokens int) {
+// together use at most a share of its time.
+func (p *Placer) takePromptShare(now time.Time, x *pool, t *target, tokens int, maxPause time.Duration) {
 	took := x.workTime(t, Backlog{1, tokens})
-	interval := time.Duration(float64(took) * float64(p.gateways) / decodePromptShare)
+	share := steadyPromptShare
+	if t.unsteady(now, maxPause) {
+		share = unsteadyPromptShare
+	}
+	interval := time.Duration(float64(took) * float64(p.gateways) / share)
 	if oldest := now.Add(-interval); t.nextPrompt.Before(oldest) {
 		t.nextPrompt = oldest
 	}
@@ -200,12 +206,12 @@
 // are too long and for an end after the deadline.
 func (p *Placer) decodeCost(now time.Time, x *pool, t *target, req Request) time.Duration {
 	cost := p.cost(t, req) + x.workTime(t, t.backlog())
-	mean, high := t.pace.Mean(now), t.pace.High(now)
+	mean := t.pace.Mean(now)
 	if mean == 0 {
 		return cost
 	}
 	events := max(1, req.Events)
-	if high > time.Duration(gapMargin*float64(req.MaxPause)) && req.MaxPause > 0 {
+	if t.unsteady(now, req.MaxPause) {
 		cost += time.Duration(min(1, (events-1)/4) * float64(req.Objective))
 	}
 	if end := now.Add(cost + time.Duration(events*float64(mean))); end.After(req.Deadline) {
@@ -250,6 +256,9 @@
 // fitsGap reports whether a decode engine processes its backlog and the prompt of req in a
 // part of the allowed gap between events, so that its streams go on in time.
 func (p *Placer) fitsGap(now time.Time, x *pool, t *target, req Request) bool {
+	if t.unsteady(now, req.MaxPause) {
+		return true // long streams go to other engines
+	}
 	return req.MaxPause <= 0 || x.workTime(t, t.backlog())+p.promptCost(now, x, t, req) <= time.Duration(maxRarePauseShare*float64(req.MaxPause))
 }
 
@@ -285,3 +294,9 @@
 	}
 	return 1
 }
+
+// unsteady reports whether the gaps of t are so long that a stream of several events is
+// likely to have one above the objective.
+func (t *target) unsteady(now time.Time, maxPause time.Duration) bool {
+	return maxPause > 0 && t.pace.High(now) > time.Duration(gapMargin*float64(maxPause))
+}
--- a/io/gateway/prefill.go
+++ b/io/gateway/prefill.go
@@ -52,7 +52,7 @@
 func (j *job) prefill(ctx context.Context, choice place.Choice) (KVCacheRef, retry.Execution) {
 	to := choice.Target
 	a := &attempt{job: j, record: to, sent: time.Now(), prefillOnly: true, uncached: choice.Uncached, expected: choice.Expected, overdue: choice.Overdue}
-	j.target = to.Target
+	j.target, j.prefillTarget = to.Target, to.Target
 	ctx, stall := a.watchStream(ctx)
 	a.stall = stall
 	defer stall.stop()
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -87,6 +87,7 @@
 	timeToFirstEvent time.Duration    // time to the first event of the last attempt that had one, from the start of that attempt
 	events           int              // of the stream, received so far
 	longestGap       time.Duration    // between two events of the stream
+	prefillTarget    fleet.TargetName
 	estimate         float64          // expected number of events
 	usageCounted     bool             // the request has been counted for usage
 }
@@ -555,7 +556,7 @@
 		left = time.Until(j.deadline)
 	}
 	j.g.log.Info("request ended", "id", j.params.ID, "reason", reason, "status", status, "route", route, "customer", j.customer,
-		"rank", j.rank, "target", j.target, "attempts", j.failedAttempts, "waited", j.queueTime, "read", j.prefillTime, "first", j.timeToFirstEvent, "events", j.events, "estimate", j.estimate, "longest-gap", j.longestGap, "hint", j.params.LengthHint, "limit", j.params.MaxOutputTokens, "took", took, "left", left, "no-retry", j.noRetry,
+		"rank", j.rank, "target", j.target, "attempts", j.failedAttempts, "waited", j.queueTime, "read", j.prefillTime, "read-at", j.prefillTarget, "first", j.timeToFirstEvent, "events", j.events, "estimate", j.estimate, "longest-gap", j.longestGap, "hint", j.params.LengthHint, "limit", j.params.MaxOutputTokens, "took", took, "left", left, "no-retry", j.noRetry,
 		"retry-after", j.retryAfter, "catalog", j.version(), "replicas", j.g.replicas())
 }
 
