--- a/core/place/place.go
+++ b/core/place/place.go
@@ -141,6 +141,7 @@
 	backlogsUntil time.Time
 	reportAge     reportAge // of the backlogs
 	holders       holders
+	lastGap       time.Time  // when the gaps of a stream were last recorded
 	sightings     []Sighting // to be told to the other gateways
 }
 
@@ -155,11 +156,12 @@
 	overhead    baseLatency  // time of a prefill engine for one prompt, besides its tokens
 	meanUnique  float64      // moving average of the unique tokens of long prompts
 	counters    roles.Counters
-	inflow      inflow  // to prefill engines
-	sized       int     // requests whose size is known
-	meanTokens  float64 // moving average of the tokens of all prompts
-	memoryBound bool    // requests are placed by work
-	slowdown    float64 // as in target, of all engines
+	inflow      inflow        // to prefill engines
+	sized       int           // requests whose size is known
+	meanTokens  float64       // moving average of the tokens of all prompts
+	memoryBound bool          // requests are placed by work
+	slowdown    float64       // as in target, of all engines
+	maxPause    time.Duration // of the last request with a known size
 }
 
 // New returns a Placer for a gateway in data centre self. regions holds the region of
@@ -376,6 +378,7 @@
 		c.Streams = 0
 		if x.placesByWork() {
 			c.PrefillSpeed = x.speed.perSecond
+			c.Paces = x.paces(p.lastGap)
 		}
 		for _, t := range x.targets {
 			switch t.record.Role {
--- a/core/place/work.go
+++ b/core/place/work.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"papayarock/core/fleet"
+	"papayarock/core/roles"
 	"papayarock/core/roster"
 )
 
@@ -52,6 +53,7 @@
 	if req.Batch.CacheTokens <= 0 || req.Prompt.Tokens <= 0 {
 		return
 	}
+	x.maxPause = req.MaxPause
 	x.sized++
 	x.meanTokens += max(promptSmoothing, 1/float64(x.sized)) * (float64(req.Prompt.Tokens) - x.meanTokens)
 	if x.sized < minSizedRequests {
@@ -233,9 +235,13 @@
 	if t == nil || !p.PlacesByWork(r.Pool) {
 		return
 	}
+	p.lastGap = now
 	for _, gap := range gaps {
 		t.pace.Observe(now, gap)
 	}
+	if len(gaps) > 0 {
+		t.pacedAt = now
+	}
 }
 
 // uncachedTokens returns the number of tokens of a prompt that no engine has cached, as
@@ -300,3 +306,17 @@
 func (t *target) unsteady(now time.Time, maxPause time.Duration) bool {
 	return maxPause > 0 && t.pace.High(now) > time.Duration(gapMargin*float64(maxPause))
 }
+
+// paceTTL is how long after its last event the pace of an engine is told to the registry.
+const paceTTL = 10 * time.Second
+
+// paces returns the paces of the decode engines that had streams lately.
+func (x *pool) paces(now time.Time) map[fleet.TargetName]roles.Pace {
+	out := make(map[fleet.TargetName]roles.Pace)
+	for _, t := range x.targets {
+		if mean := t.pace.Mean(now); mean > 0 && now.Sub(t.pacedAt) < paceTTL {
+			out[t.record.Target] = roles.Pace{Mean: mean, Unsteady: t.unsteady(now, x.maxPause)}
+		}
+	}
+	return out
+}
--- a/core/roles/meter.go
+++ b/core/roles/meter.go
@@ -1,6 +1,10 @@
 package roles
 
-import "time"
+import (
+	"time"
+
+	"papayarock/core/fleet"
+)
 
 const (
 	// meterWindow is the span of the load that a Meter returns. It contains four
@@ -32,6 +36,13 @@
 	// of one engine, are zero unless requests are placed by work.
 	PromptTokens uint64
 	PrefillSpeed float64
+	Paces        map[fleet.TargetName]Pace // of decode engines with recent streams
+}
+
+// Pace describes the time between the events of the streams of a decode engine.
+type Pace struct {
+	Mean     time.Duration
+	Unsteady bool // long streams are likely to have a gap above the objective
 }
 
 // Load is the load of all gateways over the last seconds.
@@ -49,6 +60,8 @@
 	// PrefillBusy is the number of prefill engines that the offered prompts keep busy, or
 	// zero unless requests are placed by work.
 	PrefillBusy float64
+	// Paces are those of decode engines. An engine is unsteady if most gateways say so.
+	Paces map[fleet.TargetName]Pace
 }
 
 // Meter computes the load of one pool from the reports of gateways. G identifies a run
@@ -82,6 +95,7 @@
 	var out Load
 	var paced, paceSum, tokensPerSecond, speed float64
 	speeds := 0
+	paces := make(paceSums)
 	for gateway, list := range m.reports {
 		first, last := list[0], list[len(list)-1]
 		if now.Sub(last.at) > reportTimeout {
@@ -94,6 +108,7 @@
 		out.Imports += float64(last.counters.Imports - first.counters.Imports)
 		out.RefusedImports += float64(last.counters.RefusedImports - first.counters.RefusedImports)
 		if last.counters.PrefillSpeed > 0 {
+			paces.add(last.counters.Paces)
 			speed += last.counters.PrefillSpeed
 			speeds++
 		}
@@ -114,8 +129,38 @@
 	}
 	if speeds > 0 {
 		out.PrefillBusy = tokensPerSecond / (speed / float64(speeds))
+		out.Paces = paces.mean()
 	}
 	return out
 }
 
 const thousandths = 1000
+
+// paceSums adds up the paces that several gateways report.
+type paceSums map[fleet.TargetName]paceSum
+
+type paceSum struct {
+	sum      time.Duration
+	n        int
+	unsteady int // gateways that say so
+}
+
+func (s paceSums) add(paces map[fleet.TargetName]Pace) {
+	for target, p := range paces {
+		x := s[target]
+		x.sum += p.Mean
+		x.n++
+		if p.Unsteady {
+			x.unsteady++
+		}
+		s[target] = x
+	}
+}
+
+func (s paceSums) mean() map[fleet.TargetName]Pace {
+	out := make(map[fleet.TargetName]Pace, len(s))
+	for target, x := range s {
+		out[target] = Pace{x.sum / time.Duration(x.n), 2*x.unsteady > x.n}
+	}
+	return out
+}
--- a/core/roles/planner.go
+++ b/core/roles/planner.go
@@ -55,6 +55,7 @@
 	Region  fleet.Region
 	Role    fleet.Role
 	Slots   int
+	pace    Pace // zero if unknown
 }
 
 // Change orders a run of an engine to take a role.
@@ -88,8 +89,8 @@
 	if len(prefill) == 0 || len(decode) == 0 {
 		return nil
 	}
-	if p.peak.busy > 1e9 {
-		return p.order(now, planByWork(prefill, decode, p.peak, load), roleChange)
+	if p.peak.busy > 0 {
+		return p.order(now, planByWork(prefill, withPaces(decode, load), p.peak), roleChange)
 	}
 	delayed := load.Delayed / max(1, prompts)
 	occupancy := load.Streams / float64(totalSlots(decode))
@@ -220,7 +221,7 @@
 			break
 		}
 		e := slices.MaxFunc(candidates, func(a, b Engine) int {
-			return cmp.Or(cmp.Compare(surplus[a.Region], surplus[b.Region]), cmp.Compare(b.Target, a.Target))
+			return cmp.Or(compareForRole(a, b, role), cmp.Compare(surplus[a.Region], surplus[b.Region]), cmp.Compare(b.Target, a.Target))
 		})
 		taken[e.Target] = true
 		left[e.Region]--
--- a/core/roles/work.go
+++ b/core/roles/work.go
@@ -11,6 +11,8 @@
 // engines that the prompts keep busy and the decode engines that the streams need with
 // those that there are. The mix of prompts and responses changes within seconds, faster
 // than a role change takes, so it plans for the peaks of both in the last half minute.
+// Engines with long gaps between events are the first to prefill: the speed of a prompt
+// adds up over all engines, but a stream depends on its engine alone.
 
 const (
 	// peakHalfLife is the time in which the remembered peak of a load falls by half.
@@ -21,16 +23,23 @@
 	// streamOccupancy is the share of the slots of decode engines that streams may use at
 	// the peak.
 	streamOccupancy = 0.6
+	// decodeReserve is the number of decode engines, as a multiple of those that the peak
+	// needs, up to which unsteady ones keep their role.
+	decodeReserve = 1.5
 	// minRoleGain is the number of engines, as a share of all, by which the split must be
 	// wrong for a change.
 	minRoleGain = 0.08
+	// minPrefillUse is the share of the prefill engines that must be busy at the peak for
+	// unsteady decode engines to join them.
+	minPrefillUse = 0.2
 )
 
 // peakLoad is the peak of the load on both roles. The zero value is ready to use.
 type peakLoad struct {
-	busy    float64 // prefill engines
-	streams float64
-	at      time.Time
+	busy      float64 // prefill engines
+	streams   float64
+	transfers float64
+	at        time.Time
 }
 
 // observe adds a sample of the load.
@@ -41,24 +50,84 @@
 	}
 	p.busy = max(p.busy*decay, load.PrefillBusy)
 	p.streams = max(p.streams*decay, load.Streams)
+	p.transfers = max(p.transfers*decay, load.Transfers)
 	p.at = now
 }
 
+// withPaces returns the engines with their paces.
+func withPaces(decode []Engine, load Load) []Engine {
+	for i := range decode {
+		decode[i].pace = load.Paces[decode[i].Target]
+	}
+	return decode
+}
+
 // planByWork returns the changes after which both roles have the engines that they need at
 // the peak, or, if there are too few, equal shares of that.
-func planByWork(prefill, decode []Engine, peak peakLoad, load Load) []Change {
+func planByWork(prefill, decode []Engine, peak peakLoad) []Change {
 	all := len(prefill) + len(decode)
 	slots := float64(totalSlots(prefill)+totalSlots(decode)) / float64(all)
-	needPrefill := peak.busy / prefillOccupancy
-	needDecode := max(1, peak.streams/(streamOccupancy*slots), float64(linksNeeded(load)))
+	needPrefill := peak.busy / meanSpeed(decode) / prefillOccupancy
+	needDecode := max(1, peak.streams/(streamOccupancy*slots), peak.transfers/linkOccupancy)
+	gain := max(1, int(math.Round(minRoleGain*float64(all))))
 	wanted := int(math.Round(float64(all) * needPrefill / (needPrefill + needDecode)))
 	wanted = min(max(wanted, 1), all-1)
-	gain := max(1, int(math.Round(minRoleGain*float64(all))))
+	if spare := min(unsteady(decode), len(decode)-int(math.Ceil(decodeReserve*needDecode))); spare > 0 &&
+		peak.busy > minPrefillUse*float64(len(prefill)) {
+		wanted = max(wanted, len(prefill)+spare)
+	}
 	switch more := wanted - len(prefill); {
-	case more >= gain && needPrefill > float64(len(prefill)):
+	case more >= gain && (needPrefill > float64(len(prefill)) || unsteady(decode) >= more):
 		return pick(decode, prefill, more, fleet.Prefill)
 	case -more >= gain && needDecode > float64(len(decode)):
 		return pick(prefill, decode, -more, fleet.Decode)
 	}
 	return nil
 }
+
+// unsteady returns the number of engines that are unsteady.
+func unsteady(list []Engine) int {
+	n := 0
+	for _, e := range list {
+		if e.pace.Unsteady {
+			n++
+		}
+	}
+	return n
+}
+
+// meanSpeed returns the mean speed of the engines relative to the fastest one, or 1 if it
+// is unknown.
+func meanSpeed(list []Engine) float64 {
+	var fastest time.Duration
+	for _, e := range list {
+		if e.pace.Mean > 0 && (fastest == 0 || e.pace.Mean < fastest) {
+			fastest = e.pace.Mean
+		}
+	}
+	sum, n := 0.0, 0
+	for _, e := range list {
+		if e.pace.Mean > 0 {
+			sum += float64(fastest) / float64(e.pace.Mean)
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / float64(n)
+}
+
+// compareForRole returns a positive number if a is the better choice for a change to role.
+func compareForRole(a, b Engine, role fleet.Role) int {
+	if role != fleet.Prefill {
+		return 0
+	}
+	switch {
+	case a.pace.Unsteady == b.pace.Unsteady:
+		return 0
+	case a.pace.Unsteady:
+		return 1
+	}
+	return -1
+}
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -88,8 +88,8 @@
 	events           int              // of the stream, received so far
 	longestGap       time.Duration    // between two events of the stream
 	prefillTarget    fleet.TargetName
-	estimate         float64          // expected number of events
-	usageCounted     bool             // the request has been counted for usage
+	estimate         float64 // expected number of events
+	usageCounted     bool    // the request has been counted for usage
 }
 
 // ServeHTTP handles one request from a caller.
--- a/io/wire/codec_feed.go
+++ b/io/wire/codec_feed.go
@@ -75,7 +75,7 @@
 		out = append(out, &FeedLoad{
 			Pool: pool, Prefills: c.Prefills, Delayed: c.Delayed, Paced: c.Paced, PaceSum: c.PaceSum, Streams: c.Streams,
 			Refused: c.Refused, Imports: c.Imports, RefusedImports: c.RefusedImports, TransferMicros: c.TransferMicros,
-			PromptTokens: c.PromptTokens, PrefillSpeed: c.PrefillSpeed,
+			PromptTokens: c.PromptTokens, PrefillSpeed: c.PrefillSpeed, Paces: encodePaces(c.Paces),
 		})
 	}
 	return out
@@ -86,7 +86,7 @@
 	return m.GetPool(), roles.Counters{
 		Prefills: m.GetPrefills(), Delayed: m.GetDelayed(), Paced: m.GetPaced(), PaceSum: m.GetPaceSum(), Streams: m.GetStreams(),
 		Refused: m.GetRefused(), Imports: m.GetImports(), RefusedImports: m.GetRefusedImports(), TransferMicros: m.GetTransferMicros(),
-		PromptTokens: m.GetPromptTokens(), PrefillSpeed: finite(m.GetPrefillSpeed()),
+		PromptTokens: m.GetPromptTokens(), PrefillSpeed: finite(m.GetPrefillSpeed()), Paces: decodePaces(m.GetPaces()),
 	}
 }
 
@@ -176,3 +176,26 @@
 	}
 	return 0
 }
+
+func encodePaces(paces map[fleet.TargetName]roles.Pace) []*FeedPace {
+	var out []*FeedPace
+	for target, p := range paces {
+		out = append(out, &FeedPace{Target: string(target), MeanMicros: uint64(p.Mean.Microseconds()), Unsteady: p.Unsteady})
+	}
+	return out
+}
+
+// maxPaceMicros bounds a pace, so that sums cannot overflow.
+const maxPaceMicros = 1 << 32
+
+func decodePaces(list []*FeedPace) map[fleet.TargetName]roles.Pace {
+	if len(list) == 0 {
+		return nil
+	}
+	out := make(map[fleet.TargetName]roles.Pace, len(list))
+	for _, m := range list {
+		mean := time.Duration(min(m.GetMeanMicros(), maxPaceMicros)) * time.Microsecond
+		out[fleet.TargetName(m.GetTarget())] = roles.Pace{Mean: mean, Unsteady: m.GetUnsteady()}
+	}
+	return out
+}
