--- a/core/place/work.go
+++ b/core/place/work.go
@@ -39,6 +39,9 @@
 	// gapMargin is the share of the objective for gaps between events above which the
 	// longest usual gap of an engine makes it unsuitable for streams of several events.
 	gapMargin = 0.5
+	// transferWeight is the weight of the time of a KV cache transfer. The link of an engine
+	// carries one transfer after the other, so that long ones delay those of others.
+	transferWeight = 3
 )
 
 // Batch describes the batch of an engine.
@@ -171,7 +174,7 @@
 	var shortest time.Duration
 	req.CacheFrom = from
 	for i, t := range decode {
-		if took := p.rttTo(t) + p.transferTime(req, t); i == 0 || took < shortest {
+		if took := p.rttTo(t) + transferWeight*p.transferTime(req, t); i == 0 || took < shortest {
 			shortest = took
 		}
 	}
@@ -208,6 +211,9 @@
 // are too long and for an end after the deadline.
 func (p *Placer) decodeCost(now time.Time, x *pool, t *target, req Request) time.Duration {
 	cost := p.cost(t, req) + x.workTime(t, t.backlog())
+	if req.CacheFrom != "" {
+		cost += (transferWeight - 1) * p.transferTime(req, t)
+	}
 	mean := t.pace.Mean(now)
 	if mean == 0 {
 		return cost
--- a/core/roles/roles_test.go
+++ b/core/roles/roles_test.go
@@ -128,5 +128,5 @@
 	m.Add(start.Add(time.Second), "gateway-1", roles.Counters{Prefills: 130, Delayed: 16, Streams: 6, Paced: 10, PaceSum: 2500})
 	m.Add(start.Add(time.Second), "gateway-2", roles.Counters{Prefills: 900, Streams: 1})
 	fmt.Printf("%+v\n", m.Load(start.Add(time.Second)))
-	// Output: {Prefills:30 Delayed:6 Refused:0 Streams:6 Pace:0.25 Imports:0 RefusedImports:0 Transfers:0 PrefillBusy:0}
+	// Output: {Prefills:30 Delayed:6 Refused:0 Streams:6 Pace:0.25 Imports:0 RefusedImports:0 Transfers:0 PrefillBusy:0 Paces:map[]}
 }
