--- a/core/place/work.go
+++ b/core/place/work.go
@@ -278,7 +278,7 @@
 // A late response is still of use to its caller. The rest of the time is left for it.
 func (p *Placer) overdueDeadline(now time.Time, x *pool, req Request) time.Time {
 	left := x.promptTime(req.Prompt, 1) + x.decodeLatency() + time.Duration(max(1, req.Events)*float64(x.meanGap(now)))
-	return req.Deadline.Add(-max(left, req.Objective))
+	return req.Deadline.Add(-max(2*left, 2*req.Objective))
 }
 
 // meanGap returns the mean time between events of the streams at the decode engines.
--- a/core/roles/work.go
+++ b/core/roles/work.go
@@ -26,6 +26,9 @@
 	// decodeReserve is the number of decode engines, as a multiple of those that the peak
 	// needs, up to which unsteady ones keep their role.
 	decodeReserve = 1.5
+	// minDecodeShare is the share of all engines that keep the role even if the peak needs
+	// fewer.
+	minDecodeShare = 1.0 / 3
 	// minRoleGain is the number of engines, as a share of all, by which the split must be
 	// wrong for a change.
 	minRoleGain = 0.08
@@ -72,12 +75,13 @@
 	gain := max(1, int(math.Round(minRoleGain*float64(all))))
 	wanted := int(math.Round(float64(all) * needPrefill / (needPrefill + needDecode)))
 	wanted = min(max(wanted, 1), all-1)
-	if spare := min(unsteady(decode), len(decode)-int(math.Ceil(decodeReserve*needDecode))); spare > 0 &&
+	kept := max(decodeReserve*needDecode, minDecodeShare*float64(all))
+	if spare := min(unsteady(decode), len(decode)-int(math.Ceil(kept))); spare >= gain &&
 		peak.busy > minPrefillUse*float64(len(prefill)) {
 		wanted = max(wanted, len(prefill)+spare)
 	}
 	switch more := wanted - len(prefill); {
-	case more >= gain && (needPrefill > float64(len(prefill)) || unsteady(decode) >= more):
+	case more >= gain && (needPrefill > float64(len(prefill)) || wanted == len(prefill)+min(unsteady(decode), len(decode)-int(math.Ceil(kept)))):
 		return pick(decode, prefill, more, fleet.Prefill)
 	case -more >= gain && needDecode > float64(len(decode)):
 		return pick(prefill, decode, -more, fleet.Decode)
--- a/io/gateway/work.go
+++ b/io/gateway/work.go
@@ -93,8 +93,5 @@
 
 // rankAtTarget returns the rank of the attempt at its target.
 func (a *attempt) rankAtTarget() int {
-	if a.overdue {
-		return overdueRank
-	}
 	return a.targetRank()
 }
