--- a/core/place/backlog.go
+++ b/core/place/backlog.go
@@ -84,7 +84,7 @@
 // usesBacklog reports whether the wait of a prompt at prefill engines is computed from
 // their backlogs.
 func (p *Placer) usesBacklog(now time.Time, x *pool, req Request) bool {
-	return now.Before(p.backlogsUntil) && (x.placesByWork() || x.longPrompts(req.MaxPause))
+	return now.Before(p.backlogsUntil) && (variantWork && x.placesByWork() || x.longPrompts(req.MaxPause))
 }
 
 // longPrompts reports whether decode engines could not process the average prompt of the
@@ -234,7 +234,7 @@
 	if p.holders.has(now, prefix, t.record.Target) {
 		return nil, true
 	}
-	if t.record.Role != fleet.Prefill && !x.placesByWork() {
+	if t.record.Role != fleet.Prefill && !(variantWork && x.placesByWork()) {
 		// The rendezvous target of short prompts: it has processed those before.
 		return nil, true
 	}
--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -90,7 +90,7 @@
 	}
 	at, until := p.expectedAdmission(now, x, req, ahead+1), p.waitDeadline(now, x, req)
 	var overdueAt time.Time
-	if x.placesByWork() && until.Before(p.overdueDeadline(now, x, req)) {
+	if variantOverdue && x.placesByWork() && until.Before(p.overdueDeadline(now, x, req)) {
 		overdueAt, until = until, p.overdueDeadline(now, x, req)
 	}
 	if at.After(until) {
@@ -368,12 +368,15 @@
 	free := p.usable(now, x, req, false)
 	if x.placesByWork() {
 		switch {
-		case req.Split:
+		case req.Split && variantWork:
 			return p.pickByWork(now, x, req, p.usable(now, x, req, true), free)
+		case req.Split:
 		case req.CacheFrom == "":
 			free = slices.DeleteFunc(free, func(t *target) bool { return !p.hasCapacity(now, t) })
+			return p.cheapestDecode(now, x, free, req)
+		case variantImport:
+			return p.cheapestDecode(now, x, free, req)
 		}
-		return p.cheapestDecode(now, x, free, req)
 	}
 	if req.Split {
 		prefill := p.usable(now, x, req, true)
@@ -590,7 +593,7 @@
 	_, _ = d.WriteString(prefix)
 	// A uniform number between zero and one, both excluded.
 	u := (float64(d.Sum64()>>11) + 0.5) / (1 << 53)
-	speed := 1.0
+	speed := t.weight()
 	if t.record.Role == fleet.Decode {
 		speed = decodePrefillSpeed
 	}
--- a/core/place/work.go
+++ b/core/place/work.go
@@ -326,3 +326,18 @@
 	}
 	return out
 }
+
+const (
+	variantWork    = false
+	variantImport  = false
+	variantOverdue = false
+	variantWeight  = false
+)
+
+// weight returns the prefill speed of t relative to a typical one.
+func (t *target) weight() float64 {
+	if !variantWeight || t.slowdown <= 0 {
+		return 1
+	}
+	return min(max(1/t.slowdown, 0.4), 2)
+}
--- a/core/roles/planner.go
+++ b/core/roles/planner.go
@@ -89,7 +89,7 @@
 	if len(prefill) == 0 || len(decode) == 0 {
 		return nil
 	}
-	if p.peak.busy > 0 {
+	if p.peak.busy > 1e9 {
 		return p.order(now, planByWork(prefill, withPaces(decode, load), p.peak), roleChange)
 	}
 	delayed := load.Delayed / max(1, prompts)
