--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -372,7 +372,9 @@
 			return p.pickByWork(now, x, req, p.usable(now, x, req, true), free)
 		case req.Split:
 		case req.CacheFrom == "":
-			free = slices.DeleteFunc(free, func(t *target) bool { return !p.hasCapacity(now, t) })
+			free = slices.DeleteFunc(free, func(t *target) bool {
+				return !p.hasCapacity(now, t) && !(variantUncap && t.inFlight < 2*p.slotShare(t))
+			})
 			return p.cheapestDecode(now, x, free, req)
 		case variantImport:
 			return p.cheapestDecode(now, x, free, req)
@@ -595,7 +597,7 @@
 	u := (float64(d.Sum64()>>11) + 0.5) / (1 << 53)
 	speed := t.weight()
 	if t.record.Role == fleet.Decode {
-		speed = decodePrefillSpeed
+		speed *= decodePrefillSpeed
 	}
 	return -speed / math.Log(u)
 }
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -98,6 +98,7 @@
 	slowdown   float64   // moving average of the time to first event relative to the expected one
 	nextPrompt time.Time // when a decode engine may process the next prompt of this gateway
 	pace       work.Pace // of the streams
+	maxPause   time.Duration
 	pacedAt    time.Time // when a gap was last recorded
 }
 
--- a/core/place/work.go
+++ b/core/place/work.go
@@ -247,6 +247,7 @@
 	}
 	if len(gaps) > 0 {
 		t.pacedAt = now
+		t.maxPause = p.pool(r.Pool).maxPause
 	}
 }
 
@@ -329,13 +330,18 @@
 
 const (
 	variantWork    = false
-	variantImport  = false
+	variantImport  = true
 	variantOverdue = false
 	variantWeight  = false
+	variantSteady  = false
+	variantUncap   = false
 )
 
 // weight returns the prefill speed of t relative to a typical one.
 func (t *target) weight() float64 {
+	if variantSteady && t.record.Role == fleet.Decode && t.pace.Mean(t.pacedAt) > 0 && !t.unsteady(t.pacedAt, t.maxPause) {
+		return 0.25
+	}
 	if !variantWeight || t.slowdown <= 0 {
 		return 1
 	}
