--- a/core/roles/planner.go
+++ b/core/roles/planner.go
@@ -89,8 +89,8 @@
 	if len(prefill) == 0 || len(decode) == 0 {
 		return nil
 	}
-	if p.peak.busy > 1e9 {
-		return p.order(now, planByWork(prefill, withPaces(decode, load), p.peak), roleChange)
+	if p.peak.busy > 0 {
+		return p.order(now, planByWork(prefill, withPaces(decode, load), p.peak, load), roleChange)
 	}
 	delayed := load.Delayed / max(1, prompts)
 	occupancy := load.Streams / float64(totalSlots(decode))
--- a/core/roles/work.go
+++ b/core/roles/work.go
@@ -17,9 +17,6 @@
 const (
 	// peakHalfLife is the time in which the remembered peak of a load falls by half.
 	peakHalfLife = 30 * time.Second
-	// prefillOccupancy is the share of the time for which prefill engines may be busy at the
-	// peak. Prompts queue at higher shares.
-	prefillOccupancy = 0.75
 	// streamOccupancy is the share of the slots of decode engines that streams may use at
 	// the peak.
 	streamOccupancy = 0.6
@@ -28,7 +25,7 @@
 	decodeReserve = 1.5
 	// minDecodeShare is the share of all engines that keep the role even if the peak needs
 	// fewer.
-	minDecodeShare = 1.0 / 3
+	minDecodeShare = 0.5
 	// minRoleGain is the number of engines, as a share of all, by which the split must be
 	// wrong for a change.
 	minRoleGain = 0.08
@@ -65,26 +62,21 @@
 	return decode
 }
 
-// planByWork returns the changes after which both roles have the engines that they need at
-// the peak, or, if there are too few, equal shares of that.
-func planByWork(prefill, decode []Engine, peak peakLoad) []Change {
+// planByWork returns the changes to order now. Unsteady decode engines prefill once the
+// others suffice for the streams at the peak. If streams fill the slots later, engines
+// return one at a time.
+func planByWork(prefill, decode []Engine, peak peakLoad, load Load) []Change {
 	all := len(prefill) + len(decode)
 	slots := float64(totalSlots(prefill)+totalSlots(decode)) / float64(all)
-	needPrefill := peak.busy / meanSpeed(decode) / prefillOccupancy
-	needDecode := max(1, peak.streams/(streamOccupancy*slots), peak.transfers/linkOccupancy)
+	needed := max(1, peak.streams/(streamOccupancy*slots), peak.transfers/linkOccupancy)
+	kept := int(math.Ceil(max(decodeReserve*needed, minDecodeShare*float64(all))))
+	spare := min(unsteady(decode), len(decode)-kept)
 	gain := max(1, int(math.Round(minRoleGain*float64(all))))
-	wanted := int(math.Round(float64(all) * needPrefill / (needPrefill + needDecode)))
-	wanted = min(max(wanted, 1), all-1)
-	kept := max(decodeReserve*needDecode, minDecodeShare*float64(all))
-	if spare := min(unsteady(decode), len(decode)-int(math.Ceil(kept))); spare >= gain &&
-		peak.busy > minPrefillUse*float64(len(prefill)) {
-		wanted = max(wanted, len(prefill)+spare)
-	}
-	switch more := wanted - len(prefill); {
-	case more >= gain && (needPrefill > float64(len(prefill)) || wanted == len(prefill)+min(unsteady(decode), len(decode)-int(math.Ceil(kept)))):
-		return pick(decode, prefill, more, fleet.Prefill)
-	case -more >= gain && needDecode > float64(len(decode)):
-		return pick(prefill, decode, -more, fleet.Decode)
+	switch {
+	case spare >= gain && peak.busy > minPrefillUse*float64(len(prefill)):
+		return pick(decode, prefill, spare, fleet.Prefill)
+	case load.Streams > fullOccupancy*slots*float64(len(decode)):
+		return pick(prefill, decode, 1, fleet.Decode)
 	}
 	return nil
 }
@@ -100,28 +92,6 @@
 	return n
 }
 
-// meanSpeed returns the mean speed of the engines relative to the fastest one, or 1 if it
-// is unknown.
-func meanSpeed(list []Engine) float64 {
-	var fastest time.Duration
-	for _, e := range list {
-		if e.pace.Mean > 0 && (fastest == 0 || e.pace.Mean < fastest) {
-			fastest = e.pace.Mean
-		}
-	}
-	sum, n := 0.0, 0
-	for _, e := range list {
-		if e.pace.Mean > 0 {
-			sum += float64(fastest) / float64(e.pace.Mean)
-			n++
-		}
-	}
-	if n == 0 {
-		return 1
-	}
-	return sum / float64(n)
-}
-
 // compareForRole returns a positive number if a is the better choice for a change to role.
 func compareForRole(a, b Engine, role fleet.Role) int {
 	if role != fleet.Prefill {
