--- a/core/catalog/index.go
+++ b/core/catalog/index.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"papayarock/core/quota"
 )
 
 // Index provides lookups in a document. It is immutable.
@@ -61,6 +63,9 @@
 	return c, ok
 }
 
+// Limits returns the limits of the customers that have one.
+func (x *Index) Limits() []quota.Limit { return x.Document.QuotaLimits() }
+
 // Pool returns the pool with the given name.
 func (x *Index) Pool(name string) (*Pool, bool) {
 	p, ok := x.pools[name]
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -13,9 +13,10 @@
 // Request describes a request to be scheduled.
 type Request struct {
 	Pool     string
-	Rank     int    // zero is the most urgent
-	Affinity string // shared prompt prefix; empty for none
-	Split    bool   // a separate prefill engine may process the prompt
+	Customer fleet.Customer // among which requests of one rank are shared fairly; empty if there is none
+	Rank     int            // zero is the most urgent
+	Affinity string         // shared prompt prefix; empty for none
+	Split    bool           // a separate prefill engine may process the prompt
 	Exclude  []fleet.TargetName
 	// Resumes says that the request is the rest of a stream whose target has failed. TakeSpare
 	// lets it go ahead of queued requests, and to targets that have refused the last request
@@ -24,10 +25,12 @@
 	Objective time.Duration // for the time to first event; zero means none
 	MaxPause  time.Duration // objective for the longest pause between events; zero means none
 	Prompt    Prompt
-	Overdue   bool      // the request can't meet its objective any more
 	Batch     Batch     // of the engines of the pool; zero if it has none
 	Events    float64   // expected number of events of the response; zero if unknown
 	Start     time.Time // when the caller sent the request
+	// FirstSent is when the caller first sent the request, if it has repeated it after a
+	// refusal. Zero means Start.
+	FirstSent time.Time
 	Deadline  time.Time // after which a response is useless
 	// CacheFrom is the data centre that holds the KV cache to transfer, or empty
 	// if there is none. TransferTime is the time to transfer the KV cache of the whole
@@ -96,7 +99,6 @@
 	// Expected is the expected time from the arrival of the request at the target to its
 	// first event, or zero if it is not known.
 	Expected time.Duration
-	Overdue  bool // the request can't meet its objective any more
 }
 
 // Outcome is how a request to a target ended.
@@ -148,7 +150,8 @@
 // pool is a set of interchangeable targets and the queue of requests for them.
 type pool struct {
 	targets []*target
-	waiting []waiter // in order of service
+	waiting []waiter // by rank and expiry
+	fair    fairness // the order of service where customers compete
 	// lastRetryAt is the retry time given to the last refused caller. Retry
 	// times are spaced so that refused callers do not return all at once.
 	lastRetryAt time.Time
@@ -250,9 +253,6 @@
 	}
 	x := p.pool(r.Pool)
 	x.recordSlowdown(t, e)
-	if x.placesByWork() && r.Role != fleet.Prefill && e.Uncached > 0 {
-		p.recordSighting(now, r, e.Affinity)
-	}
 	if r.Role == fleet.Prefill {
 		x.speed.add(now, p.processedTokens(r, e), e.Took-t.rtt)
 		if read, ok := x.speed.time(e.Prompt.Unique); ok {
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -95,11 +95,9 @@
 	change  RoleChange // in progress; zero if there is none
 
 	// The fields below are used where requests are placed by work.
-	slowdown   float64   // moving average of the time to first event relative to the expected one
-	nextPrompt time.Time // when a decode engine may process the next prompt of this gateway
-	pace       work.Pace // of the streams
-	maxPause   time.Duration
-	pacedAt    time.Time // when a gap was last recorded
+	slowdown float64   // moving average of the time to first event relative to the expected one
+	pace     work.Pace // of the streams
+	pacedAt  time.Time // when a gap between events was last recorded
 }
 
 // changingRole reports whether t is changing its role.
--- a/io/gateway/prefill.go
+++ b/io/gateway/prefill.go
@@ -51,7 +51,7 @@
 // execution state never exceeds Barred.
 func (j *job) prefill(ctx context.Context, choice place.Choice) (KVCacheRef, retry.Execution) {
 	to := choice.Target
-	a := &attempt{job: j, record: to, sent: time.Now(), prefillOnly: true, uncached: choice.Uncached, expected: choice.Expected, overdue: choice.Overdue}
+	a := &attempt{job: j, record: to, sent: time.Now(), prefillOnly: true, uncached: choice.Uncached, expected: choice.Expected}
 	j.target, j.prefillTarget = to.Target, to.Target
 	ctx, stall := a.watchStream(ctx)
 	a.stall = stall
@@ -104,7 +104,7 @@
 		defer cancel()
 		r, err := j.g.options.Upstream.Do(ctx, endpoint(source), &upstream.Request{Method: method, URI: uri, Host: source.Address.String()})
 		if err != nil {
-			j.g.log.Debug("releasing KV cache failed", "id", id, "target", source.Target, "error", err)
+			j.g.log.Info("releasing KV cache failed", "id", id, "target", source.Target, "error", err)
 			return
 		}
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxPrefillResponseBytes))
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -15,6 +15,7 @@
 	"papayarock/core/fleet"
 	"papayarock/core/place"
 	"papayarock/core/quarantine"
+	"papayarock/core/quota"
 	"papayarock/core/retry"
 	"papayarock/core/roster"
 )
@@ -63,6 +64,7 @@
 	index    *catalog.Index
 	route    *catalog.Route
 	customer fleet.Customer
+	limited  *catalog.Customer // with the limit that applies to the request; nil if there is none
 	rank     int
 	pool     string
 	segments []quarantine.Segment // of the prompt, without the last one
@@ -74,6 +76,7 @@
 	retryAfter time.Duration // sent with a 503 response
 
 	failedAttempts   int
+	standing         place.Standing  // when the request was refused for lack of capacity
 	noRetry          string          // why there was no further attempt after the last one; empty if it was answered
 	rejections       int             // failed attempts, since the stream has begun, that did not run the request
 	execution        retry.Execution // combined over all attempts
@@ -87,9 +90,11 @@
 	timeToFirstEvent time.Duration    // time to the first event of the last attempt that had one, from the start of that attempt
 	events           int              // of the stream, received so far
 	longestGap       time.Duration    // between two events of the stream
-	prefillTarget    fleet.TargetName
-	estimate         float64 // expected number of events
-	usageCounted     bool    // the request has been counted for usage
+	expected         float64          // number of events
+	prefillTarget    fleet.TargetName // target that processed the prompt
+	charged          quota.Charge     // to the limit of the customer
+	quotaWait        time.Duration    // time spent waiting for the charge
+	usageCounted     bool             // the request has been counted for usage
 }
 
 // ServeHTTP handles one request from a caller.
@@ -223,6 +228,9 @@
 		return j.route.Open
 	}
 	j.customer = c.Name
+	if c.Limit.Limited() {
+		j.limited = c
+	}
 	if c.HasRank {
 		j.rank = c.Rank
 	}
@@ -233,6 +241,9 @@
 // has failed.
 func (j *job) serve(ctx context.Context) {
 	g := j.g
+	if !j.charge(ctx) {
+		return
+	}
 	g.mu.Lock()
 	g.budget(time.Now(), j.pool).CountFirstAttempt()
 	g.mu.Unlock()
@@ -299,12 +310,15 @@
 // placementRequest describes the request to the placer.
 func (j *job) placementRequest(split bool) place.Request {
 	request := place.Request{
-		Pool: j.pool, Rank: j.targetRank(), Split: split, Exclude: j.tried, Objective: j.objective(), Start: j.started,
+		Pool: j.pool, Customer: j.competitor(), Rank: j.targetRank(), Split: split, Exclude: j.tried, Objective: j.objective(), Start: j.started,
 		Deadline: j.deadline.Add(-minSendTime), MaxPause: j.route.MaxPause, Prompt: j.prompt(), TransferTime: j.kvCacheTransferTime(),
 	}
 	request.Batch, request.Events = j.batch(), j.expectedEvents()
 	if !j.headerSent {
 		request.Affinity = j.affinity()
+		// A caller that repeats a request after a refusal states the deadline that the request
+		// has had from the start.
+		request.FirstSent = j.deadline.Add(-j.route.Timeout)
 		return request
 	}
 	// The objective for the first event does not apply to the rest of a stream. The caller
@@ -313,6 +327,15 @@
 	return request
 }
 
+// competitor returns the customer by which the placer orders queued requests fairly, or none
+// if the deployment does not ask for that.
+func (j *job) competitor() fleet.Customer {
+	if !j.g.options.FairOrder {
+		return ""
+	}
+	return j.customer
+}
+
 // stream describes the pauses that the request may have if its response is a stream.
 func (j *job) stream() retry.Stream {
 	return retry.Stream{Objective: j.route.Objective, MaxPause: j.route.MaxPause, Resumable: j.route.Resumable}
@@ -368,6 +391,7 @@
 	choice, reason, retryAt := acquire(ctx, request)
 	j.queueTime += time.Since(start)
 	if reason != "" {
+		j.noteStanding(reason, request)
 		j.fail(string(reason), retryAt)
 		return choice, false
 	}
@@ -492,6 +516,9 @@
 func (j *job) fail(reason string, retryAt time.Time) {
 	switch {
 	case j.r.Context().Err() != nil:
+		if j.execution <= retry.Barred && !j.headerSent {
+			j.credit()
+		}
 		j.recordEnd(reasonCallerLeft, 0)
 	case j.headerSent:
 		j.abort()
@@ -504,19 +531,11 @@
 	}
 }
 
-// abort records a truncated response and panics. This closes the connection, so that the
-// caller does not take the response for complete.
-func (j *job) abort() {
-	j.g.truncated.Add(1)
-	j.recordEnd(reasonAnswerCut, http.StatusOK)
-	panic(http.ErrAbortHandler)
-}
-
 // reject responds with a status of the gateway itself. It always returns false, which
 // admit returns in turn.
 func (j *job) reject(status int, reason string, retryAt time.Time) bool {
 	h := j.w.Header()
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		limit := maxRetryAfter
 		if reason == reasonQuarantined {
 			limit = time.Until(retryAt) // earlier retries are rejected, too
@@ -526,6 +545,7 @@
 		// Seconds, rounded up to 10 ms.
 		h.Set("Retry-After", strconv.FormatFloat(math.Ceil(wait.Seconds()*100)/100, 'f', -1, 64))
 		j.g.refused.Add(1)
+		j.credit()
 	} else if status >= http.StatusInternalServerError {
 		j.g.failed.Add(1)
 	}
@@ -555,9 +575,10 @@
 	if !j.deadline.IsZero() {
 		left = time.Until(j.deadline)
 	}
-	j.g.log.Info("request ended", "id", j.params.ID, "reason", reason, "status", status, "route", route, "customer", j.customer,
-		"rank", j.rank, "target", j.target, "attempts", j.failedAttempts, "waited", j.queueTime, "read", j.prefillTime, "read-at", j.prefillTarget, "first", j.timeToFirstEvent, "events", j.events, "estimate", j.estimate, "longest-gap", j.longestGap, "hint", j.params.LengthHint, "limit", j.params.MaxOutputTokens, "took", took, "left", left, "no-retry", j.noRetry,
-		"retry-after", j.retryAfter, "catalog", j.version(), "replicas", j.g.replicas())
+	fields := []any{"id", j.params.ID, "reason", reason, "status", status, "route", route, "customer", j.customer,
+		"rank", j.rank, "target", j.target, "attempts", j.failedAttempts, "waited", j.queueTime, "read", j.prefillTime, "read-at", j.prefillTarget, "first", j.timeToFirstEvent, "events", j.events, "expected-events", j.expected, "longest-gap", j.longestGap, "took", took, "left", left, "no-retry", j.noRetry,
+		"retry-after", j.retryAfter, "charged", j.charged.Amount, "catalog", j.version(), "replicas", j.g.replicas()}
+	j.g.log.Info("request ended", append(fields, j.standingFields()...)...)
 }
 
 func (j *job) version() uint64 {
--- a/io/gateway/work.go
+++ b/io/gateway/work.go
@@ -42,8 +42,8 @@
 	if !j.g.placer.PlacesByWork(j.pool) {
 		return 0
 	}
-	j.estimate = j.g.lengths.Estimate(j.lengthKey(), j.params.LengthHint, j.params.MaxOutputTokens, e.EventTokens).High
-	return j.estimate
+	j.expected = j.g.lengths.Estimate(j.lengthKey(), j.params.LengthHint, j.params.MaxOutputTokens, e.EventTokens).High
+	return j.expected
 }
 
 // gapMeter collects the time between the events of a stream. The placer is told of several
@@ -87,11 +87,3 @@
 		a.g.lengths.Observe(a.lengthKey(), a.params.LengthHint, m.events, e.EventTokens)
 	}
 }
-
-// overdueRank is the rank of requests at targets that can't meet their objective any more.
-const overdueRank = 9
-
-// rankAtTarget returns the rank of the attempt at its target.
-func (a *attempt) rankAtTarget() int {
-	return a.targetRank()
-}
--- a/io/upstream/do.go
+++ b/io/upstream/do.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -85,13 +84,13 @@
 		_ = c.Close()
 		return nil, &Error{MaybeSent: true, Err: contextCause(ctx, err)}
 	}
-	r, err := c.readResponse(q) //nolint:bodyclose // body owns the connection and closes it
+	r, err := c.readResponse(ctx, q) //nolint:bodyclose // body owns the connection and closes it
 	if err != nil {
 		stop()
 		_ = c.Close()
-		return nil, &Error{MaybeSent: true, Err: contextCause(ctx, err)}
+		return nil, &Error{MaybeSent: true, Err: err}
 	}
-	b := &body{ctx: ctx, pool: p, endpoint: endpoint, conn: c, response: r, written: written, stop: stop}
+	b := &body{ctx: ctx, pool: p, endpoint: endpoint, conn: c, response: r, upload: len(q.Body), written: written, stop: stop}
 	return &Response{
 		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, Delimited: delimited(r) || r.Body == http.NoBody, Body: b, DialTime: dialTime,
 	}, nil
@@ -147,86 +146,51 @@
 }
 
 // readResponse returns the first final response that belongs to q. It reads at most
-// maxResponses responses.
-func (c *conn) readResponse(q *Request) (*http.Response, error) {
+// maxResponses responses. Errors name the status of the interim response before them, which
+// the target may have meant as the final one.
+func (c *conn) readResponse(ctx context.Context, q *Request) (*http.Response, error) {
+	interim := 0
 	for range maxResponses {
-		c.limit.left = maxHeadBytes
-		r, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
-		c.limit.left = -1
-		if err != nil {
-			return nil, errors.Wrap(err, "read answer")
-		}
-		if r.StatusCode >= 100 && r.StatusCode < 200 {
+		r, err := c.readOne(q)
+		switch {
+		case err != nil && interim > 0:
+			return nil, shortError{errors.Wrapf(contextCause(ctx, err), "read answer after interim status %d", interim)}
+		case err != nil:
+			return nil, shortError{errors.Wrap(contextCause(ctx, err), "read answer")}
+		case isInterim(r.StatusCode):
+			interim = r.StatusCode
 			continue
-		}
-		if q.Matches == nil || q.Matches(c.kept, r.StatusCode, r.Header) {
+		case q.Matches == nil || q.Matches(c.kept, r.StatusCode, r.Header):
+			if err := CheckStatus(r.StatusCode); err != nil {
+				return nil, errors.Wrap(err, "read answer")
+			}
 			return r, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxSkippedBytes))
 		if err != nil || n == maxSkippedBytes || r.Close {
-			return nil, errors.Errorf("skip response to another request: status %d, %d body bytes read, limit %d", r.StatusCode, n, maxSkippedBytes)
+			return nil, errors.Errorf("skip response to another request: status %03d, %d body bytes read, limit %d", r.StatusCode, n, maxSkippedBytes)
 		}
 	}
+	if interim > 0 {
+		return nil, errors.Errorf("none of %d responses is the final response to the request, last interim status %d", maxResponses, interim)
+	}
 	return nil, errors.Errorf("none of %d responses is the final response to the request", maxResponses)
 }
 
-// body is the body of a response. It owns the connection.
-type body struct {
-	ctx       context.Context
-	pool      *Pool
-	endpoint  Endpoint
-	conn      *conn
-	response  *http.Response
-	written   <-chan error // as returned by writeRequest
-	stop      func() bool  // as returned by closeOnDone
-	readToEnd bool
-	once      sync.Once
-}
+func isInterim(status int) bool { return status >= http.StatusContinue && status < minFinalStatus }
 
-// Read reads from the body. For a body with a length or chunked coding, it returns
-// io.EOF only if the body is complete. Other bodies end when the target closes the
-// connection, so a truncated one looks complete.
-func (b *body) Read(p []byte) (int, error) {
-	n, err := b.response.Body.Read(p)
-	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-		b.readToEnd = true
-		return n, io.EOF
-	}
+// readOne reads the header of the next response and checks what it says of its body.
+func (c *conn) readOne(q *Request) (*http.Response, error) {
+	c.startHead()
+	r, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
+	head := c.endHead()
 	if err != nil {
-		err = errors.Wrap(contextCause(b.ctx, err), "read answer")
-	}
-	return n, err
-}
-
-// Close returns the connection to the pool if ctx has not ended, the body has been
-// read to io.EOF and the connection is reusable. Otherwise it closes the connection.
-func (b *body) Close() error {
-	b.once.Do(func() {
-		open := b.stop()
-		if open && b.readToEnd && b.reusable() {
-			b.pool.putIdle(b.endpoint, b.conn, idleDeadline(time.Now(), b.response.Header))
-			return
-		}
-		_ = b.conn.Close()
-	})
-	return nil
-}
-
-// delimited reports whether a length or chunks mark the end of the body.
-func delimited(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
-
-// reusable reports whether the connection can carry another request: the response
-// delimits its body, no further data follows, and the request was written completely.
-func (b *body) reusable() bool {
-	if b.response.Close || !delimited(b.response) || b.conn.reader.Buffered() > 0 {
-		return false
+		return nil, err
 	}
-	select {
-	case err := <-b.written:
-		return err == nil
-	default:
-		return false // the target responded before it had read the whole request
+	if isInterim(r.StatusCode) {
+		return r, checkInterim(r.StatusCode, head)
 	}
+	return r, checkFraming(r, head)
 }
 
 // idleDeadline returns the time after which an idle connection is no longer used. It
