--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -75,6 +75,10 @@
 	if req.Split {
 		x.observePrompt(req.Prompt)
 	}
+	x.observeSize(req)
+	if req.Split && x.placesByWork() {
+		x.counters.PromptTokens += uint64(p.uncachedTokens(now, req))
+	}
 	c, position := x.fair.flow(now, req), x.positionOf(req)
 	ahead := position.ahead
 	if ahead == 0 || req.CacheFrom != "" {
@@ -332,6 +336,9 @@
 			took, _ := x.speed.time(c.Uncached)
 			x.inflow.add(now, took+x.overhead.minimum())
 		}
+		if x.placesByWork() {
+			c.Expected = x.workTime(t, t.backlog().with(c.Uncached))
+		}
 		t.own = t.own.with(c.Uncached)
 	} else {
 		c.Transfer = p.transferTime(req, t)
@@ -344,6 +351,12 @@
 // prefill engine while there is one.
 func (p *Placer) pick(now time.Time, x *pool, req Request) *target {
 	free := p.usable(now, x, req, false)
+	if x.placesByWork() && !req.Split {
+		if req.CacheFrom == "" {
+			free = slices.DeleteFunc(free, func(t *target) bool { return !p.hasCapacity(now, t) })
+		}
+		return p.cheapestDecode(now, x, free, req)
+	}
 	if req.Split {
 		prefill := p.usable(now, x, req, true)
 		atDecode := len(prefill) == 0 || x.mayPrefillAtDecode(req)
@@ -560,9 +573,9 @@
 	_, _ = d.WriteString(prefix)
 	// A uniform number between zero and one, both excluded.
 	u := (float64(d.Sum64()>>11) + 0.5) / (1 << 53)
-	speed := 1.0
+	speed := t.promptWeight()
 	if t.record.Role == fleet.Decode {
-		speed = decodePrefillSpeed
+		speed *= decodePrefillSpeed
 	}
 	return -speed / math.Log(u)
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -25,6 +25,8 @@
 	Objective time.Duration // for the time to first event; zero means none
 	MaxPause  time.Duration // objective for the longest pause between events; zero means none
 	Prompt    Prompt
+	Batch     Batch     // of the engines of the pool; zero if it has none
+	Events    float64   // expected number of events of the response; zero if unknown
 	Start     time.Time // when the caller sent the request
 	// FirstSent is when the caller first sent the request, if it has repeated it after a
 	// refusal. Zero means Start.
@@ -52,6 +54,7 @@
 	Uncached  int    // as in the Choice
 	Affinity  string // as in the Request
 	MaxPause  time.Duration
+	Expected  time.Duration // as in the Choice
 }
 
 // Action is the kind of a Decision.
@@ -93,6 +96,9 @@
 	// Transfer is the expected time to import the KV cache of the prompt, or zero if the
 	// target does not import one.
 	Transfer time.Duration
+	// Expected is the expected time from the arrival of the request at the target to its
+	// first event, or zero if it is not known.
+	Expected time.Duration
 }
 
 // Outcome is how a request to a target ended.
@@ -137,6 +143,7 @@
 	backlogsUntil time.Time
 	reportAge     reportAge // of the backlogs
 	holders       holders
+	lastGap       time.Time  // when the gaps of a stream were last recorded
 	sightings     []Sighting // to be told to the other gateways
 }
 
@@ -152,7 +159,12 @@
 	overhead    baseLatency  // time of a prefill engine for one prompt, besides its tokens
 	meanUnique  float64      // moving average of the unique tokens of long prompts
 	counters    roles.Counters
-	inflow      inflow // to prefill engines
+	inflow      inflow        // to prefill engines
+	sized       int           // requests whose size is known
+	meanTokens  float64       // moving average of the tokens of all prompts
+	memoryBound bool          // requests are placed by work
+	slowdown    float64       // as in target, of all engines
+	maxPause    time.Duration // of the last request with a known size
 }
 
 // New returns a Placer for a gateway in data centre self. regions holds the region of
@@ -240,6 +252,7 @@
 		t.rtt = e.Connect
 	}
 	x := p.pool(r.Pool)
+	x.recordSlowdown(t, e)
 	if r.Role == fleet.Prefill {
 		x.speed.add(now, p.processedTokens(r, e), e.Took-t.rtt)
 		if read, ok := x.speed.time(e.Prompt.Unique); ok {
@@ -363,6 +376,10 @@
 	for name, x := range p.pools {
 		c, prefill := x.counters, false
 		c.Streams = 0
+		if x.placesByWork() {
+			c.PrefillSpeed = x.speed.perSecond
+			c.Paces = x.paces(p.lastGap)
+		}
 		for _, t := range x.targets {
 			switch t.record.Role {
 			case fleet.Prefill:
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"papayarock/core/roster"
+	"papayarock/core/work"
 )
 
 const (
@@ -92,6 +93,11 @@
 	// response.
 	leaving bool
 	change  RoleChange // in progress; zero if there is none
+
+	// The fields below are used where requests are placed by work.
+	slowdown float64   // moving average of the time to first event relative to the expected one
+	pace     work.Pace // of the streams
+	pacedAt  time.Time // when a gap between events was last recorded
 }
 
 // changingRole reports whether t is changing its role.
--- a/core/roles/meter.go
+++ b/core/roles/meter.go
@@ -1,6 +1,10 @@
 package roles
 
-import "time"
+import (
+	"time"
+
+	"papayarock/core/fleet"
+)
 
 const (
 	// meterWindow is the span of the load that a Meter returns. It contains four
@@ -27,6 +31,18 @@
 	Imports        uint64
 	RefusedImports uint64
 	TransferMicros uint64
+	// PromptTokens is the number of tokens of the prompts that prefill engines should
+	// process, without those that they have cached. It and PrefillSpeed, in tokens per second
+	// of one engine, are zero unless requests are placed by work.
+	PromptTokens uint64
+	PrefillSpeed float64
+	Paces        map[fleet.TargetName]Pace // of decode engines with recent streams
+}
+
+// Pace describes the time between the events of the streams of a decode engine.
+type Pace struct {
+	Mean     time.Duration
+	Unsteady bool // long streams are likely to have a gap above the objective
 }
 
 // Load is the load of all gateways over the last seconds.
@@ -40,6 +56,12 @@
 	Imports        float64 // KV caches offered to decode engines
 	RefusedImports float64
 	Transfers      float64 // KV caches in transfer at the same time, if none waits for another
+
+	// PrefillBusy is the number of prefill engines that the offered prompts keep busy, or
+	// zero unless requests are placed by work.
+	PrefillBusy float64
+	// Paces are those of decode engines. An engine is unsteady if most gateways say so.
+	Paces map[fleet.TargetName]Pace
 }
 
 // Meter computes the load of one pool from the reports of gateways. G identifies a run
@@ -71,7 +93,9 @@
 // forgotten.
 func (m *Meter[G]) Load(now time.Time) Load {
 	var out Load
-	var paced, paceSum float64
+	var paced, paceSum, tokensPerSecond, speed float64
+	speeds := 0
+	paces := make(paceSums)
 	for gateway, list := range m.reports {
 		first, last := list[0], list[len(list)-1]
 		if now.Sub(last.at) > reportTimeout {
@@ -83,7 +107,13 @@
 		out.Refused += float64(last.counters.Refused - first.counters.Refused)
 		out.Imports += float64(last.counters.Imports - first.counters.Imports)
 		out.RefusedImports += float64(last.counters.RefusedImports - first.counters.RefusedImports)
+		if last.counters.PrefillSpeed > 0 {
+			paces.add(last.counters.Paces)
+			speed += last.counters.PrefillSpeed
+			speeds++
+		}
 		if span := last.at.Sub(first.at); span > 0 {
+			tokensPerSecond += float64(last.counters.PromptTokens-first.counters.PromptTokens) / span.Seconds()
 			out.Transfers += float64(last.counters.TransferMicros-first.counters.TransferMicros) / float64(span.Microseconds())
 		}
 		paced += float64(last.counters.Paced - first.counters.Paced)
@@ -97,7 +127,40 @@
 	if paced > 0 {
 		out.Pace = paceSum / paced / thousandths
 	}
+	if speeds > 0 {
+		out.PrefillBusy = tokensPerSecond / (speed / float64(speeds))
+		out.Paces = paces.mean()
+	}
 	return out
 }
 
 const thousandths = 1000
+
+// paceSums adds up the paces that several gateways report.
+type paceSums map[fleet.TargetName]paceSum
+
+type paceSum struct {
+	sum      time.Duration
+	n        int
+	unsteady int // gateways that say so
+}
+
+func (s paceSums) add(paces map[fleet.TargetName]Pace) {
+	for target, p := range paces {
+		x := s[target]
+		x.sum += p.Mean
+		x.n++
+		if p.Unsteady {
+			x.unsteady++
+		}
+		s[target] = x
+	}
+}
+
+func (s paceSums) mean() map[fleet.TargetName]Pace {
+	out := make(map[fleet.TargetName]Pace, len(s))
+	for target, x := range s {
+		out[target] = Pace{x.sum / time.Duration(x.n), 2*x.unsteady > x.n}
+	}
+	return out
+}
--- a/core/roles/planner.go
+++ b/core/roles/planner.go
@@ -55,6 +55,7 @@
 	Region  fleet.Region
 	Role    fleet.Role
 	Slots   int
+	pace    Pace // zero if unknown
 }
 
 // Change orders a run of an engine to take a role.
@@ -70,12 +71,14 @@
 	pending  []Change
 	deadline time.Time // until which the pending changes are waited for
 	settled  time.Time // when the load shows the effect of the last change
+	peak     peakLoad
 }
 
 // Plan returns the changes to order now. engines are the engines that are ready, and
 // roleChange is how long a change makes an engine unavailable.
 func (p *Planner) Plan(now time.Time, engines []Engine, load Load, roleChange time.Duration) []Change {
 	prompts := load.Prefills + load.Delayed
+	p.peak.observe(now, load)
 	if p.settled.IsZero() && prompts > 0 {
 		p.settled = now.Add(meterWindow) // caches are empty at first
 	}
@@ -86,6 +89,9 @@
 	if len(prefill) == 0 || len(decode) == 0 {
 		return nil
 	}
+	if p.peak.busy > 0 {
+		return p.order(now, planByWork(prefill, withPaces(decode, load), p.peak, load), roleChange)
+	}
 	delayed := load.Delayed / max(1, prompts)
 	occupancy := load.Streams / float64(totalSlots(decode))
 	refused := load.RefusedImports / max(1, load.Imports)
@@ -102,10 +108,15 @@
 	case delayed <= idleDelayedShare && max(occupancy, load.Pace) > fullOccupancy:
 		out = pick(prefill, decode, 1, fleet.Decode)
 	}
-	if len(out) > 0 {
-		p.pending, p.deadline = slices.Clone(out), now.Add(roleChange+changeTimeout)
+	return p.order(now, out, roleChange)
+}
+
+// order records the changes as pending and returns them.
+func (p *Planner) order(now time.Time, changes []Change, roleChange time.Duration) []Change {
+	if len(changes) > 0 {
+		p.pending, p.deadline = slices.Clone(changes), now.Add(roleChange+changeTimeout)
 	}
-	return out
+	return changes
 }
 
 // Pending returns the changes that have been ordered and not announced yet.
@@ -210,7 +221,7 @@
 			break
 		}
 		e := slices.MaxFunc(candidates, func(a, b Engine) int {
-			return cmp.Or(cmp.Compare(surplus[a.Region], surplus[b.Region]), cmp.Compare(b.Target, a.Target))
+			return cmp.Or(compareForRole(a, b, role), cmp.Compare(surplus[a.Region], surplus[b.Region]), cmp.Compare(b.Target, a.Target))
 		})
 		taken[e.Target] = true
 		left[e.Region]--
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -88,6 +88,10 @@
 	queueTime        time.Duration    // time spent queued for a target
 	prefillTime      time.Duration    // time taken by the prefill engine
 	timeToFirstEvent time.Duration    // time to the first event of the last attempt that had one, from the start of that attempt
+	events           int              // of the stream, received so far
+	longestGap       time.Duration    // between two events of the stream
+	expected         float64          // number of events
+	prefillTarget    fleet.TargetName // target that processed the prompt
 	charged          quota.Charge     // to the limit of the customer
 	quotaWait        time.Duration    // time spent waiting for the charge
 	usageCounted     bool             // the request has been counted for usage
@@ -309,6 +313,7 @@
 		Pool: j.pool, Customer: j.competitor(), Rank: j.targetRank(), Split: split, Exclude: j.tried, Objective: j.objective(), Start: j.started,
 		Deadline: j.deadline.Add(-minSendTime), MaxPause: j.route.MaxPause, Prompt: j.prompt(), TransferTime: j.kvCacheTransferTime(),
 	}
+	request.Batch, request.Events = j.batch(), j.expectedEvents()
 	if !j.headerSent {
 		request.Affinity = j.affinity()
 		// A caller that repeats a request after a refusal states the deadline that the request
@@ -571,7 +576,7 @@
 		left = time.Until(j.deadline)
 	}
 	fields := []any{"id", j.params.ID, "reason", reason, "status", status, "route", route, "customer", j.customer,
-		"rank", j.rank, "target", j.target, "attempts", j.failedAttempts, "waited", j.queueTime, "read", j.prefillTime, "first", j.timeToFirstEvent, "took", took, "left", left, "no-retry", j.noRetry,
+		"rank", j.rank, "target", j.target, "attempts", j.failedAttempts, "waited", j.queueTime, "read", j.prefillTime, "read-at", j.prefillTarget, "first", j.timeToFirstEvent, "events", j.events, "expected-events", j.expected, "longest-gap", j.longestGap, "took", took, "left", left, "no-retry", j.noRetry,
 		"retry-after", j.retryAfter, "charged", j.charged.Amount, "catalog", j.version(), "replicas", j.g.replicas()}
 	j.g.log.Info("request ended", append(fields, j.standingFields()...)...)
 }
