core/place, io/gateway: place by work where callers compete for too little capacity

Where the platform's contracts say so, requests are placed by work also if the KV cache holds a batch of average prompts.

--- a/core/place/work.go
+++ b/core/place/work.go
@@ -54,10 +54,13 @@
 type Batch struct {
 	Slots       int // requests
 	CacheTokens int // capacity of the KV cache in tokens
+	// ByWork says that requests are placed by work also if the KV cache holds a full batch of
+	// average prompts.
+	ByWork bool
 }
 
-// observeSize updates the average size of the prompts of the pool, and whether the memory
-// of its engines limits them.
+// observeSize updates the average size of the prompts of the pool, and whether they are
+// placed by work.
 func (x *pool) observeSize(req Request) {
 	if req.Batch.CacheTokens <= 0 || req.Prompt.Tokens <= 0 {
 		return
@@ -69,14 +72,14 @@
 		return
 	}
 	ratio := x.meanTokens * float64(req.Batch.Slots) / float64(req.Batch.CacheTokens)
-	x.memoryBound = ratio > memoryBoundOn || x.memoryBound && ratio > memoryBoundOff
+	x.byWork = req.Batch.ByWork || ratio > memoryBoundOn || x.byWork && ratio > memoryBoundOff
 }
 
 // placesByWork reports whether the requests of the pool are placed by work. Pools with long
 // prompts are placed by the backlogs that gateways report.
 func (x *pool) placesByWork() bool {
 	_, known := x.speed.time(1)
-	return x.memoryBound && known && !x.longPrompts(x.maxPause)
+	return x.byWork && known && !x.longPrompts(x.maxPause)
 }
 
 // PlacesByWork reports whether the requests of a pool are placed by work.
--- a/io/daemon/adapter_roles.go
+++ b/io/daemon/adapter_roles.go
@@ -55,9 +55,9 @@
 	gateway.HeaderCodec
 	// Decode decodes and validates an operator's catalog document.
 	Decode(document []byte) (catalog.Document, error)
-	// FairOrder reports whether the contracts in force ask for a fair order of the requests
-	// of customers that compete for too little capacity.
-	FairOrder(contracts []string) bool
+	// ScarceCapacity reports whether the contracts in force say that callers compete for too
+	// little capacity. Requests are then ordered fairly and placed by work.
+	ScarceCapacity(contracts []string) bool
 	// ControlHandler returns the HTTP handler for operators and targets. All replicas serve
 	// it on the same port.
 	ControlHandler(r *registry.Registry, port uint16, log hclog.Logger) http.Handler
@@ -116,7 +116,7 @@
 	g := gateway.New(gateway.Options{
 		DataCentre: p.settings.DataCentre, Regions: s.Regions, HeaderCodec: p.adapter, DecodeCatalog: p.adapter.Decode, Upstream: conns,
 		Log: p.log.Named("gateway"), Now: clock.Now, RetryRatio: s.RetryRatio, RetryBurst: s.RetryBurst, RetryWindow: s.RetryWindow,
-		UsageWindow: s.UsageWindow, MemoryBytes: s.MemoryBytes, Quota: s.Quota, FairOrder: p.adapter.FairOrder(s.Contracts), ConnectedReplicas: func() int { return f.Connected() },
+		UsageWindow: s.UsageWindow, MemoryBytes: s.MemoryBytes, Quota: s.Quota, ScarceCapacity: p.adapter.ScarceCapacity(s.Contracts), ConnectedReplicas: func() int { return f.Connected() },
 	})
 	f = feed.New(feed.Options{
 		Host: string(p.settings.Host), DataCentre: p.settings.DataCentre, Region: p.settings.Region, Run: rand.Uint64(), Seeds: linkAddresses(p.settings.Peers), Log: p.log.Named("feed"),
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -55,9 +55,11 @@
 	RetryBurst  float64       // retries allowed in a burst, across all gateways
 	RetryWindow time.Duration // to which RetryRatio and RetryBurst apply
 	UsageWindow time.Duration // length of a usage window; no usage is counted if zero
-	FairOrder   bool          // queued requests of one rank are ordered fairly between customers
-	MemoryBytes int64         // memory limit of the process; none if zero
-	Quota       quota.Bounds  // within which the limits of customers are enforced
+	// ScarceCapacity says that callers compete for too little capacity: queued requests of one
+	// rank are ordered fairly between customers, and requests are placed by work.
+	ScarceCapacity bool
+	MemoryBytes    int64        // memory limit of the process; none if zero
+	Quota          quota.Bounds // within which the limits of customers are enforced
 }
 
 // Gateway is an http.Handler that forwards requests from callers to targets. Create
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -330,7 +330,7 @@
 // competitor returns the customer by which the placer orders queued requests fairly, or none
 // if the deployment does not ask for that.
 func (j *job) competitor() fleet.Customer {
-	if !j.g.options.FairOrder {
+	if !j.g.options.ScarceCapacity {
 		return ""
 	}
 	return j.customer
--- a/io/gateway/standing_test.go
+++ b/io/gateway/standing_test.go
@@ -26,7 +26,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			j := &job{
-				g:     &Gateway{options: Options{FairOrder: test.fairOrder}},
+				g:     &Gateway{options: Options{ScarceCapacity: test.fairOrder}},
 				index: &catalog.Index{}, route: &catalog.Route{Timeout: 20 * time.Second}, customer: "klang", started: started,
 				deadline: started.Add(test.left),
 			}
--- a/io/gateway/work.go
+++ b/io/gateway/work.go
@@ -22,7 +22,7 @@
 	if e == nil || j.route.Kind != catalog.Stream {
 		return place.Batch{}
 	}
-	return place.Batch{Slots: e.Slots, CacheTokens: e.CacheTokens}
+	return place.Batch{Slots: e.Slots, CacheTokens: e.CacheTokens, ByWork: j.g.options.ScarceCapacity}
 }
 
 // lengthKey selects the responses that are like the one of this request.
