--- a/core/place/place.go
+++ b/core/place/place.go
@@ -162,7 +162,7 @@
 	inflow      inflow        // to prefill engines
 	sized       int           // requests whose size is known
 	meanTokens  float64       // moving average of the tokens of all prompts
-	memoryBound bool          // requests are placed by work
+	byWork      bool          // requests are placed by work once the speed of the engines is known
 	slowdown    float64       // as in target, of all engines
 	maxPause    time.Duration // of the last request with a known size
 }
