io/httpconn, io/daemon: bounds on what clients hold at each HTTP port

Incomplete heads took 0.2 MB each in the HTTP server, which copies them, with no bound below the limit of descriptors. A connection now keeps an incomplete head itself, in chunks that are charged before they are read into, and the HTTP server gets complete heads only. Connections are bounded by memory and descriptors (setting max-descriptors), empty lines before a head by 64 bytes, heads by 36 KiB or the document's limit. The servers for operators, targets, probes and metrics had no time limit for bodies, responses and idle connections, and no bound on all bodies; they get 60 s, 60 s, 2 min, and a sixteenth of the memory. The parser of the framing moves here from io/gateway. It keeps a part of one line instead of the whole head, and no longer reads a trickling head again from its start.

--- a/io/daemon/adapter_roles.go
+++ b/io/daemon/adapter_roles.go
@@ -21,6 +21,7 @@
 	"papayarock/core/roster"
 	"papayarock/io/feed"
 	"papayarock/io/gateway"
+	"papayarock/io/httpconn"
 	"papayarock/io/identity"
 	"papayarock/io/link"
 	"papayarock/io/registry"
@@ -38,12 +39,13 @@
 	// the memory limit of the process. Near the soft limit, garbage collections are more
 	// frequent. The rest is for kernel buffers, which also count as memory of the process.
 	heapMemoryFraction = 0.6
-	// apiHeaderTimeout bounds reading a request header in the servers that
-	// newHTTPServer returns.
-	apiHeaderTimeout = 5 * time.Second
-	// apiHeaderBytes limits a request header there. The default is 1 MiB, of which many
-	// connections could use up the memory of a process.
-	apiHeaderBytes = 64 << 10
+	// apiReadTimeout and apiWriteTimeout bound a whole request and a whole response in the
+	// servers that newHTTPServer returns. Documents have at most 500 KiB. Without them, a
+	// client that sends or reads nothing keeps its connection and its request forever.
+	apiReadTimeout  = time.Minute
+	apiWriteTimeout = time.Minute
+	// apiIdleTimeout closes connections that clients have abandoned.
+	apiIdleTimeout = 2 * time.Minute
 	// exitMargin is subtracted from the shutdown deadline, at which the platform kills
 	// the process. It covers the time from the end of the last request to the exit.
 	exitMargin = 400 * time.Millisecond
@@ -137,19 +139,23 @@
 	if err != nil {
 		return errors.Wrapf(ErrStart, "gateway: %v", err)
 	}
-	p.servers = append(p.servers, newHTTPServer(ready, s.ReadyListen, http.HandlerFunc(g.ServeReady)), p.newGatewayServer(l, s, g))
+	p.servers = append(p.servers, p.newHTTPServer(ready, "ready", p.sideLimits(s.MemoryBytes), http.HandlerFunc(g.ServeReady)),
+		p.newGatewayServer(l, s, g))
 	return nil
 }
 
 // newGatewayServer returns the HTTP server for callers. It stops exitMargin before the
 // shutdown deadline.
 func (p *process) newGatewayServer(l net.Listener, s *settings.Gateway, g *gateway.Gateway) server {
-	h := khttp.NewServer(khttp.Listener(gateway.NewFramingListener(l)), khttp.Timeout(0), endpointOption(s.Listen))
+	limited := httpconn.NewListener(l, httpconn.Options{
+		Port: "callers", Limits: p.mainLimits(s.MemoryBytes), HeaderTimeout: gatewayHeaderTimeout, HeadBytes: g.HeaderBytes,
+		Log: p.log.Named("clients"), Metrics: p.clientMetrics,
+	})
+	h := khttp.NewServer(khttp.Listener(limited), khttp.Timeout(0), endpointOption(s.Listen))
 	h.Handler = g
 	h.ReadHeaderTimeout = gatewayHeaderTimeout
 	h.IdleTimeout = gatewayIdleTimeout
-	h.MaxHeaderBytes = gateway.MaxHeaderBytes
-	h.ConnContext = gateway.ConnContext
+	httpconn.Configure(h.Server)
 	return gatewayServer{h, g.Drain, p.settings.ShutdownTimeout - exitMargin, p.log}
 }
 
@@ -176,16 +182,6 @@
 	return nil
 }
 
-// newHTTPServer returns a server for short requests: readiness probes, metrics scrapes
-// and calls of operators and targets.
-func newHTTPServer(l net.Listener, a netip.AddrPort, h http.Handler) server {
-	s := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0), endpointOption(a))
-	s.Handler = h
-	s.ReadHeaderTimeout = apiHeaderTimeout
-	s.MaxHeaderBytes = apiHeaderBytes
-	return s
-}
-
 func (p *process) addRegistry(ctx context.Context) error {
 	s := p.settings.Registry
 	if p.adapter == nil {
@@ -221,7 +217,8 @@
 		return errors.Wrapf(ErrStart, "registry: %v", err)
 	}
 	p.servers = append(p.servers,
-		newHTTPServer(operatorListener, s.Operator, p.adapter.ControlHandler(r, s.Operator.Port(), p.log.Named("platform"))))
+		p.newHTTPServer(operatorListener, "operator", p.mainLimits(s.MemoryBytes),
+			limitBodies(s.MemoryBytes/bodyMemoryDivisor, p.adapter.ControlHandler(r, s.Operator.Port(), p.log.Named("platform")))))
 	return nil
 }
 
@@ -251,6 +248,6 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(p.promRegistry, promhttp.HandlerOpts{}))
-	p.servers = append(p.servers, newHTTPServer(l, p.settings.Metrics, mux))
+	p.servers = append(p.servers, p.newHTTPServer(l, "metrics", p.sideLimits(p.memoryBytes()), mux))
 	return nil
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"papayarock/core/config"
+	"papayarock/io/httpconn"
 	"papayarock/io/identity"
 	"papayarock/io/link"
 	"papayarock/io/settings"
@@ -40,6 +41,7 @@
 	configIndexes []func() *config.Index
 	reloads       <-chan settings.Settings // changed settings; nil if they are never reloaded
 	promRegistry  *prometheus.Registry
+	clientMetrics *httpconn.Metrics
 	seedSetters   []func([]netip.AddrPort) // pass changed registry seeds to the roles
 }
 
@@ -55,6 +57,7 @@
 func RunWithAdapter(ctx context.Context, s settings.Settings, log hclog.Logger, a Adapter, changed <-chan settings.Settings) error {
 	p := &process{settings: s, log: log, adapter: a, reloads: changed, dumps: make(map[string]func() any), expvars: newExpvars()}
 	p.promRegistry = prometheus.NewRegistry()
+	p.clientMetrics = httpconn.NewMetrics(p.promRegistry)
 	p.tree = suture.New("papayarock", suture.Spec{
 		EventHook: func(e suture.Event) { log.Warn("supervisor event", "event", e.String()) },
 		Timeout:   s.ShutdownTimeout,
--- a/io/daemon/header_test.go
+++ b/io/daemon/header_test.go
@@ -9,7 +9,11 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"papayarock/io/httpconn"
 )
 
 // Guards against callers of the registry whose request headers, of up to 1 MiB each, use up
@@ -19,7 +23,8 @@
 	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	a := l.Addr().(*net.TCPAddr).AddrPort()
-	s := newHTTPServer(l, a, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	p := process{log: hclog.NewNullLogger(), clientMetrics: httpconn.NewMetrics(prometheus.NewRegistry())}
+	s := p.newHTTPServer(l, "operator", p.mainLimits(defaultMemoryBytes), http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	go func() { _ = s.Start(context.WithoutCancel(t.Context())) }()
 	defer func() { is.NoErr(s.Stop(context.WithoutCancel(t.Context()))) }()
 	for size, status := range map[int]string{32 << 10: "200", 256 << 10: "431"} {
--- a/io/daemon/roles.go
+++ b/io/daemon/roles.go
@@ -81,7 +81,7 @@
 const controlStopTimeout = time.Second
 
 // readHeaderTimeout bounds reading a request header on the operator address of a
-// control replica and on the status address of any process.
+// control replica and in the servers that newHTTPServer returns.
 const readHeaderTimeout = 10 * time.Second
 
 func (p *process) addAgent(ctx context.Context) error {
--- a/io/daemon/status.go
+++ b/io/daemon/status.go
@@ -7,8 +7,8 @@
 	"net/http"
 	"slices"
 
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 )
 
 // maxDumpBytes bounds the size of a response to GET /dump.
@@ -16,16 +16,17 @@
 
 // addStatus serves state dumps, expvar variables and liveness probes on the status
 // address, and sets the log level there.
-func (p *process) addStatus(context.Context) error {
+func (p *process) addStatus(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /dump", p.serveDump)
 	mux.Handle("GET /vars", p.expvars)
 	mux.HandleFunc("GET /live", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("PUT /log-level", p.serveLogLevel)
-	h := khttp.NewServer(khttp.Address(p.settings.Status.String()), khttp.Timeout(0))
-	h.Handler = mux
-	h.ReadHeaderTimeout = readHeaderTimeout
-	p.servers = append(p.servers, h)
+	l, err := p.listen(ctx, p.settings.Status.String())
+	if err != nil {
+		return errors.Wrapf(ErrStart, "status: %v", err)
+	}
+	p.servers = append(p.servers, p.newHTTPServer(l, "status", p.sideLimits(p.memoryBytes()), mux))
 	return nil
 }
 
--- a/io/gateway/fixture_test.go
+++ b/io/gateway/fixture_test.go
@@ -17,11 +17,14 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"papayarock/core/catalog"
+	"papayarock/core/connlimit"
 	"papayarock/core/fleet"
 	"papayarock/core/roster"
 	"papayarock/io/gateway"
+	"papayarock/io/httpconn"
 	"papayarock/io/upstream"
 )
 
@@ -111,8 +114,11 @@
 		UsageWindow: time.Hour, MemoryBytes: 64 << 20,
 	})
 	x.front = httptest.NewUnstartedServer(x.gateway)
-	x.front.Listener = gateway.NewFramingListener(x.front.Listener)
-	x.front.Config.ConnContext = gateway.ConnContext
+	x.front.Listener = httpconn.NewListener(x.front.Listener, httpconn.Options{
+		Port: "callers", Limits: connlimit.Limits{Connections: 1000, HeadBytes: 16 << 20, IdleTime: time.Minute, SilentTime: time.Minute},
+		HeaderTimeout: 10 * time.Second, HeadBytes: x.gateway.HeaderBytes, Log: hclog.NewNullLogger(), Metrics: httpconn.NewMetrics(prometheus.NewRegistry()),
+	})
+	httpconn.Configure(x.front.Config)
 	x.front.Config.ErrorLog = nil
 	x.front.Start()
 	t.Cleanup(x.front.Close)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -107,6 +107,15 @@
 	return 0
 }
 
+// HeaderBytes returns the limit of a request head in the active catalog, or zero if there
+// is none.
+func (g *Gateway) HeaderBytes() int {
+	if x := g.index.Load(); x != nil {
+		return x.Document.Limits.HeaderBytes
+	}
+	return 0
+}
+
 // UpdateCatalog activates a document unless the active one is as new or newer. The
 // registry has already validated it.
 func (g *Gateway) UpdateCatalog(version uint64, document []byte) {
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -17,6 +17,7 @@
 	"papayarock/core/quarantine"
 	"papayarock/core/retry"
 	"papayarock/core/roster"
+	"papayarock/io/httpconn"
 )
 
 const (
@@ -98,13 +99,11 @@
 	now := time.Now()
 	j := &job{bodyBuffer: buffer{share: &g.bodies}, g: g, w: w, r: r, started: now, params: g.options.HeaderCodec.DecodeRequest(now, r), index: g.index.Load()}
 	j.lastEventID = j.params.LastEventID
-	if c := framingConnOf(r); c != nil {
-		if err := c.takeHeadResult(); err != nil {
-			g.log.Info("request framing rejected", "id", j.params.ID, "error", err)
-			w.Header().Set("Connection", "close")
-			j.reject(http.StatusBadRequest, reasonLengthAmbiguous, time.Time{})
-			return
-		}
+	if err := httpconn.CheckHead(r); err != nil {
+		g.log.Info("request framing rejected", "id", j.params.ID, "error", err)
+		w.Header().Set("Connection", "close")
+		j.reject(http.StatusBadRequest, reasonLengthAmbiguous, time.Time{})
+		return
 	}
 	defer j.bodyBuffer.free()
 	if !j.admit() {
--- a/io/gateway/framing_test.go
+++ b/io/httpconn/parser_test.go
@@ -1,4 +1,4 @@
-package gateway
+package httpconn
 
 import (
 	"bufio"
--- a/io/settings/check.go
+++ b/io/settings/check.go
@@ -34,6 +34,8 @@
 	minDuration    = 10 * time.Millisecond
 	maxDuration    = time.Hour
 	maxUsageWindow = 24 * time.Hour
+	minDescriptors = 256 // a process of a small deployment needs about 100 beside its clients
+	maxDescriptors = 1 << 20
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9.-]{0,62}$`)
@@ -91,6 +93,9 @@
 	s.LogLevel = tomlfile.Choice(t, "log-level", hclog.Info, map[string]hclog.Level{
 		"trace": hclog.Trace, "debug": hclog.Debug, "info": hclog.Info, "warn": hclog.Warn, "error": hclog.Error,
 	})
+	if t.Has("max-descriptors") {
+		s.MaxDescriptors = int(t.Int("max-descriptors", minDescriptors, maxDescriptors, 0))
+	}
 	s.ShutdownTimeout = t.Duration("shutdown-deadline", minDuration, maxDuration, defaultShutdownTimeout)
 }
 
--- a/io/settings/discovery_test.go
+++ b/io/settings/discovery_test.go
@@ -31,6 +31,8 @@
 		"no data directory":    {common + peers + strings.Replace(registry, "data = \"/d\"\n", "", 1), "data", ""},
 		"retry window":         {common + peers + gateway + "retry-window = \"5s\"\n", "", ""},
 		"no retry window":      {common + peers + gateway + "retry-window = \"0s\"\n", "retry-window", ""},
+		"descriptors":          {"max-descriptors = 4100\n" + common + peers + gateway, "", ""},
+		"too few descriptors":  {"max-descriptors = 200\n" + common + peers + gateway, "max-descriptors", ""},
 		"share above one":      {common + peers + gateway + "retry-share = 1.5\n", "retry-share", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -31,6 +31,7 @@
 	Links           Links
 	LogLevel        hclog.Level
 	ShutdownTimeout time.Duration // deadline of a graceful shutdown
+	MaxDescriptors  int           // limit of open descriptors; zero if only that of the operating system applies
 	Entry           *Entry
 	Agent           *Agent
 	Control         *Control
