--- a/internal/hostile/process_test.go
+++ b/internal/hostile/process_test.go
@@ -67,20 +67,20 @@
 func newDeployment(t *testing.T, binary string) deployment {
 	dir := t.TempDir()
 	link, operator, usage := reserve(t), reserve(t), reserve(t)
-	common := func(name string, metrics netip.AddrPort) string {
-		return fmt.Sprintf("host = %q\naddresses = [\"127.0.0.1\"]\nregion = \"r\"\ndata-centre = \"z\"\nmetrics = %q\n[links]\nplain = true\n"+
-			"[peers]\nseeds = [%q]\nlink-port = %d\n", name, metrics, operator, link.Port())
+	common := func(name string, metrics, status netip.AddrPort) string {
+		return fmt.Sprintf("host = %q\naddresses = [\"127.0.0.1\"]\nregion = \"r\"\ndata-centre = \"z\"\nmetrics = %q\nstatus = %q\n[links]\nplain = true\n"+
+			"[peers]\nseeds = [%q]\nlink-port = %d\n", name, metrics, status, operator, link.Port())
 	}
 	d := deployment{}
 	metrics := reserve(t)
-	d.registry = start(t, binary, filepath.Join(dir, "registry"), common("registry", metrics)+
+	d.registry = start(t, binary, filepath.Join(dir, "registry"), common("registry", metrics, reserve(t))+
 		fmt.Sprintf("[registry]\nlink = %q\noperator = %q\ndata = \"data\"\nform = true\nlosses = 0\nusage = %q\nmemory-mb = %d\n", link, operator, usage, memoryMB))
 	d.registry.ports = map[string]netip.AddrPort{"operator": operator, "metrics": metrics}
 	metrics = reserve(t)
-	callers, ready := reserve(t), reserve(t)
-	d.gateway = start(t, binary, filepath.Join(dir, "gateway"), common("gateway", metrics)+
+	callers, ready, status := reserve(t), reserve(t), reserve(t)
+	d.gateway = start(t, binary, filepath.Join(dir, "gateway"), common("gateway", metrics, status)+
 		fmt.Sprintf("[gateway]\nlisten = %q\nready = %q\nmemory-mb = %d\n[[gateway.data-centres]]\nname = \"z\"\nregion = \"r\"\n", callers, ready, memoryMB))
-	d.gateway.ports = map[string]netip.AddrPort{"callers": callers, "ready": ready, "metrics": metrics}
+	d.gateway.ports = map[string]netip.AddrPort{"callers": callers, "ready": ready, "metrics": metrics, "status": status}
 
 	ctx, cancel := context.WithTimeout(t.Context(), readyTimeout)
 	defer cancel()
@@ -165,6 +165,7 @@
 		"gateway-callers":   {d.gateway, d.gateway.ports["callers"], http.MethodGet, "/read/a", caller},
 		"gateway-ready":     {d.gateway, d.gateway.ports["ready"], http.MethodGet, "/readyz", ""},
 		"gateway-metrics":   {d.gateway, d.gateway.ports["metrics"], http.MethodGet, "/metrics", ""},
+		"gateway-status":    {d.gateway, d.gateway.ports["status"], http.MethodGet, "/live", ""},
 		"registry-operator": {d.registry, d.registry.ports["operator"], http.MethodGet, standin.ShowPath, ""},
 		"registry-metrics":  {d.registry, d.registry.ports["metrics"], http.MethodGet, "/metrics", ""},
 	}
