--- a/io/gateway/fixture_test.go
+++ b/io/gateway/fixture_test.go
@@ -17,12 +17,15 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"papayarock/core/catalog"
+	"papayarock/core/connlimit"
 	"papayarock/core/fleet"
 	"papayarock/core/quota"
 	"papayarock/core/roster"
 	"papayarock/io/gateway"
+	"papayarock/io/httpconn"
 	"papayarock/io/upstream"
 )
 
@@ -114,8 +117,11 @@
 		Quota: quota.Bounds{Window: 8 * time.Second, Overage: 0.1},
 	})
 	x.front = httptest.NewUnstartedServer(x.gateway)
-	x.front.Listener = gateway.NewFramingListener(x.front.Listener)
-	x.front.Config.ConnContext = gateway.ConnContext
+	x.front.Listener = httpconn.NewListener(x.front.Listener, httpconn.Options{
+		Port: "callers", Limits: connlimit.Limits{Connections: 1000, HeadBytes: 16 << 20, IdleTime: time.Minute, SilentTime: time.Minute},
+		HeaderTimeout: 10 * time.Second, HeadBytes: x.gateway.HeaderBytes, Log: hclog.NewNullLogger(), Metrics: httpconn.NewMetrics(prometheus.NewRegistry()),
+	})
+	httpconn.Configure(x.front.Config)
 	x.front.Config.ErrorLog = nil
 	x.front.Start()
 	t.Cleanup(x.front.Close)
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -14,6 +14,7 @@
 	"papayarock/core/place"
 	"papayarock/core/quarantine"
 	"papayarock/core/retry"
+	"papayarock/io/httpconn"
 	"papayarock/io/upstream"
 )
 
@@ -234,8 +235,8 @@
 // with the connection, it resets the connection.
 func (j *job) abort() {
 	j.g.truncated.Add(1)
-	if c := framingConnOf(j.r); c != nil && !j.r.ProtoAtLeast(1, 1) {
-		if err := c.resetOnClose(); err != nil {
+	if !j.r.ProtoAtLeast(1, 1) {
+		if err := httpconn.ResetOnClose(j.r); err != nil {
 			j.g.log.Warn("truncated response may look complete", "id", j.params.ID, "error", err)
 		}
 	}
--- a/io/settings/discovery_test.go
+++ b/io/settings/discovery_test.go
@@ -34,6 +34,8 @@
 		"quota bounds":         {common + peers + gateway + "quota-window = \"8s\"\nquota-overage = 0.1\nquota-slack = 73000\n", "", ""},
 		"no quota window":      {common + peers + gateway + "quota-window = \"0s\"\n", "quota-window", ""},
 		"quota slack below 0":  {common + peers + registry + "quota-slack = -1\n", "quota-slack", ""},
+		"descriptors":          {"max-descriptors = 4100\n" + common + peers + gateway, "", ""},
+		"too few descriptors":  {"max-descriptors = 200\n" + common + peers + gateway, "max-descriptors", ""},
 		"share above one":      {common + peers + gateway + "retry-share = 1.5\n", "retry-share", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
