--- a/core/catalog/check.go
+++ b/core/catalog/check.go
@@ -12,68 +12,83 @@
 // Validate returns nil if d is consistent, and otherwise an error that wraps
 // ErrInvalid and describes the first fault.
 func Validate(d Document) error {
+	if f := faults(d); len(f) > 0 {
+		return errors.Wrap(ErrInvalid, f[0].Text)
+	}
+	return nil
+}
+
+// faults returns the findings of the class Invalid.
+func faults(d Document) findings {
+	var f findings
 	pools := make(map[string]bool, len(d.Pools))
-	for _, p := range d.Pools {
+	for i, p := range d.Pools {
 		if p.Name == "" || pools[p.Name] {
-			return errors.Wrapf(ErrInvalid, "pool name %q is empty or not unique", p.Name)
+			f.add(Invalid, Place{SectionPools, i, FieldName, 0}, "pool name %q is empty or not unique", p.Name)
 		}
 		pools[p.Name] = true
 	}
 	type routeKey struct{ host, prefix string }
 	routes := make(map[routeKey]string, len(d.Routes))
-	for _, r := range d.Routes {
-		if err := validateRoute(r, pools); err != nil {
-			return err
-		}
+	for i, r := range d.Routes {
+		f.checkRoute(i, r, pools)
 		key := routeKey{r.Host, r.Prefix}
 		if other, ok := routes[key]; ok {
-			return errors.Wrapf(ErrInvalid, "routes %q and %q have the same host %q and prefix %q", other, r.Name, r.Host, r.Prefix)
+			f.add(Invalid, Place{SectionRoutes, i, FieldPrefix, 0}, "routes %q and %q have the same host %q and prefix %q", other, r.Name, r.Host, r.Prefix)
+			continue
 		}
 		routes[key] = r.Name
 	}
-	return validateCustomers(d.Customers)
+	f.checkCustomers(d.Customers)
+	return f
 }
 
-func validateRoute(r Route, pools map[string]bool) error {
+func (f *findings) checkRoute(i int, r Route, pools map[string]bool) {
+	at := func(field Field, item int) Place { return Place{SectionRoutes, i, field, item} }
 	if r.Timeout <= 0 {
-		return errors.Wrapf(ErrInvalid, "route %q has no timeout", r.Name)
+		f.add(Invalid, at(FieldTimeout, 0), "route %q has no timeout", r.Name)
 	}
 	if n := len(r.Prefix); n == 0 || r.Prefix[0] != '/' || r.Prefix[n-1] != '/' {
-		return errors.Wrapf(ErrInvalid, "route %q: prefix %q does not begin and end with a slash", r.Name, r.Prefix)
+		f.add(Invalid, at(FieldPrefix, 0), "route %q: prefix %q does not begin and end with a slash", r.Name, r.Prefix)
 	}
 	total := 0
-	for _, s := range r.Shares {
+	for k, s := range r.Shares {
 		if !pools[s.Pool] {
-			return errors.Wrapf(ErrInvalid, "route %q refers to unknown pool %q", r.Name, s.Pool)
+			f.add(Invalid, at(FieldSharePool, k), "route %q refers to unknown pool %q", r.Name, s.Pool)
 		}
 		if s.Weight < 0 {
-			return errors.Wrapf(ErrInvalid, "route %q: weight %d of pool %q is negative", r.Name, s.Weight, s.Pool)
+			f.add(Invalid, at(FieldShareWeight, k), "route %q: weight %d of pool %q is negative", r.Name, s.Weight, s.Pool)
 		}
 		total += s.Weight
 	}
 	if total == 0 {
-		return errors.Wrapf(ErrInvalid, "route %q: sum of weights is 0", r.Name)
+		f.add(Invalid, at(FieldShares, 0), "route %q: sum of weights is 0", r.Name)
 	}
-	return nil
 }
 
-func validateCustomers(list []Customer) error {
+func (f *findings) checkCustomers(list []Customer) {
 	owners := make(map[string]fleet.Customer)
 	names := make(map[fleet.Customer]bool, len(list))
-	for _, c := range list {
+	for i, c := range list {
 		if c.Name == "" || names[c.Name] {
-			return errors.Wrapf(ErrInvalid, "customer name %q is empty or not unique", c.Name)
+			f.add(Invalid, Place{SectionCustomers, i, FieldName, 0}, "customer name %q is empty or not unique", c.Name)
 		}
 		names[c.Name] = true
-		if l := c.Limit; l.Rate < 0 || l.Burst < 0 || l.PlainTokens < 0 {
-			return errors.Wrapf(ErrInvalid, "customer %q: rate %v, burst %v or tokens of a plain request %v is negative", c.Name, l.Rate, l.Burst, l.PlainTokens)
+		l := c.Limit
+		for _, n := range []struct {
+			field Field
+			value float64
+		}{{FieldRate, l.Rate}, {FieldBurst, l.Burst}, {FieldPlainTokens, l.PlainTokens}} {
+			if n.value < 0 {
+				f.add(Invalid, Place{SectionCustomers, i, n.field, 0},
+					"customer %q: rate %v, burst %v or tokens of a plain request %v is negative", c.Name, l.Rate, l.Burst, l.PlainTokens)
+			}
 		}
-		for _, k := range c.Keys {
-			if other, ok := owners[k]; ok && other != c.Name {
-				return errors.Wrapf(ErrInvalid, "customers %q and %q have a key in common", other, c.Name)
+		for k, key := range c.Keys {
+			if other, ok := owners[key]; ok && other != c.Name {
+				f.add(Invalid, Place{SectionCustomers, i, FieldKey, k}, "customers %q and %q have a key in common", other, c.Name)
 			}
-			owners[k] = c.Name
+			owners[key] = c.Name
 		}
 	}
-	return nil
 }
