cmd/papayarock: config check

Lists the findings in a document and its differences from a file or from the document in force at a registry. Exit codes: 0 clean, 1 findings, 2 the check could not run.

go test -race ./internal/command ok; in ./cmd/papayarock the tests of the command, its help and its script: ok.

--- a/cmd/papayarock/main.go
+++ b/cmd/papayarock/main.go
@@ -22,8 +22,9 @@
 
 Exit codes:
   0  done
-  1  failed, or used with wrong arguments
-  2  settings, answers or a value have faults, or cannot be read
+  1  failed, or used with wrong arguments; config check: the document has findings
+  2  settings, answers or a value have faults, or cannot be read; config check:
+     the check could not run
   3  a revision has changes that an operator must confirm
   4  not accepted: another change was accepted first; the message names it
   5  not committed, or uncertain; the message says how to repeat it
@@ -69,7 +70,7 @@
 
 func commands() []*cli.Command {
 	return []*cli.Command{
-		runCommand(), settingsCommand(), answersCommand(), identityCommand(), keysCommand(), targetsCommand(),
+		runCommand(), settingsCommand(), configCommand(), answersCommand(), identityCommand(), keysCommand(), targetsCommand(),
 		hostsCommand(), usageCommand(), ordersCommand(), planCommand(), statusCommand(), dumpCommand(), watchCommand(),
 		auditCommand(), measureCommand(), demoCommand(),
 	}
--- a/internal/command/exit.go
+++ b/internal/command/exit.go
@@ -25,8 +25,8 @@
 // Exit codes of the program.
 const (
 	ExitDone                 = 0
-	ExitFailure              = 1
-	ExitInvalidInput         = 2 // a file or value has faults
+	ExitFailure              = 1 // also a document with findings
+	ExitInvalidInput         = 2 // a file or value has faults, or a document could not be checked
 	ExitConfirmationRequired = 3 // a change must be confirmed
 	ExitConflict             = 4 // another change was accepted first
 	ExitNotCommitted         = 5 // not committed, or uncertain
@@ -56,7 +56,7 @@
 }
 
 func isInputError(err error) bool {
-	for _, kind := range []error{ErrInvalidInput, settings.ErrSettings, answers.ErrAnswers, operator.ErrInvalid, operator.ErrOptions} {
+	for _, kind := range []error{ErrInvalidInput, ErrNotChecked, settings.ErrSettings, answers.ErrAnswers, operator.ErrInvalid, operator.ErrOptions} {
 		if errors.Is(err, kind) {
 			return true
 		}
--- a/internal/command/names_test.go
+++ b/internal/command/names_test.go
@@ -209,6 +209,7 @@
 		"internal/command.Result":        {AcceptedChange{}},
 		"internal/command.IssuedKey":     {IssuedKey{}},
 		"internal/command.Applied":       {AppliedAnswers{}},
+		"internal/command.DocumentCheck": {DocumentCheck{}},
 		"internal/command.Issued":        {IssuedCertificate{}},
 		"internal/command.ReplicaStatus": {[]ReplicaStatus{}},
 		"internal/command.pending":       {pending{}},
