--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"papayarock/core/quota"
 	"papayarock/core/retry"
 	"papayarock/core/roster"
+	"papayarock/core/work"
 	"papayarock/io/upstream"
 )
 
@@ -54,6 +55,7 @@
 	RetryBurst  float64       // retries allowed in a burst, across all gateways
 	RetryWindow time.Duration // to which RetryRatio and RetryBurst apply
 	UsageWindow time.Duration // length of a usage window; no usage is counted if zero
+	FairOrder   bool          // queued requests of one rank are ordered fairly between customers
 	MemoryBytes int64         // memory limit of the process; none if zero
 	Quota       quota.Bounds  // within which the limits of customers are enforced
 }
@@ -83,7 +85,8 @@
 	roster        roster.Roster
 	placer        *place.Placer
 	observer      quarantine.Observer
-	gateways      int // number of gateways, as reported by the registry
+	lengths       work.Lengths // of the responses of pools where requests are placed by work
+	gateways      int          // number of gateways, as reported by the registry
 	nextID        uint64
 	waiting       map[uint64]chan place.Choice // queued requests, by placer id
 	wakeScheduled bool                         // a timer is set to check the queue
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -76,6 +76,7 @@
 	retryAfter time.Duration // sent with a 503 response
 
 	failedAttempts   int
+	standing         place.Standing  // when the request was refused for lack of capacity
 	noRetry          string          // why there was no further attempt after the last one; empty if it was answered
 	rejections       int             // failed attempts, since the stream has begun, that did not run the request
 	execution        retry.Execution // combined over all attempts
@@ -87,6 +88,10 @@
 	queueTime        time.Duration    // time spent queued for a target
 	prefillTime      time.Duration    // time taken by the prefill engine
 	timeToFirstEvent time.Duration    // time to the first event of the last attempt that had one, from the start of that attempt
+	events           int              // of the stream, received so far
+	longestGap       time.Duration    // between two events of the stream
+	expected         float64          // number of events
+	prefillTarget    fleet.TargetName // target that processed the prompt
 	charged          quota.Charge     // to the limit of the customer
 	quotaWait        time.Duration    // time spent waiting for the charge
 	usageCounted     bool             // the request has been counted for usage
@@ -305,11 +310,15 @@
 // placementRequest describes the request to the placer.
 func (j *job) placementRequest(split bool) place.Request {
 	request := place.Request{
-		Pool: j.pool, Rank: j.targetRank(), Split: split, Exclude: j.tried, Objective: j.objective(), Start: j.started,
+		Pool: j.pool, Customer: j.competitor(), Rank: j.targetRank(), Split: split, Exclude: j.tried, Objective: j.objective(), Start: j.started,
 		Deadline: j.deadline.Add(-minSendTime), MaxPause: j.route.MaxPause, Prompt: j.prompt(), TransferTime: j.kvCacheTransferTime(),
 	}
+	request.Batch, request.Events = j.batch(), j.expectedEvents()
 	if !j.headerSent {
 		request.Affinity = j.affinity()
+		// A caller that repeats a request after a refusal states the deadline that the request
+		// has had from the start.
+		request.FirstSent = j.deadline.Add(-j.route.Timeout)
 		return request
 	}
 	// The objective for the first event does not apply to the rest of a stream. The caller
@@ -318,6 +327,15 @@
 	return request
 }
 
+// competitor returns the customer by which the placer orders queued requests fairly, or none
+// if the deployment does not ask for that.
+func (j *job) competitor() fleet.Customer {
+	if !j.g.options.FairOrder {
+		return ""
+	}
+	return j.customer
+}
+
 // stream describes the pauses that the request may have if its response is a stream.
 func (j *job) stream() retry.Stream {
 	return retry.Stream{Objective: j.route.Objective, MaxPause: j.route.MaxPause, Resumable: j.route.Resumable}
@@ -373,6 +391,7 @@
 	choice, reason, retryAt := acquire(ctx, request)
 	j.queueTime += time.Since(start)
 	if reason != "" {
+		j.noteStanding(reason, request)
 		j.fail(string(reason), retryAt)
 		return choice, false
 	}
@@ -556,9 +575,10 @@
 	if !j.deadline.IsZero() {
 		left = time.Until(j.deadline)
 	}
-	j.g.log.Info("request ended", "id", j.params.ID, "reason", reason, "status", status, "route", route, "customer", j.customer,
-		"rank", j.rank, "target", j.target, "attempts", j.failedAttempts, "waited", j.queueTime, "read", j.prefillTime, "first", j.timeToFirstEvent, "took", took, "left", left, "no-retry", j.noRetry,
-		"retry-after", j.retryAfter, "charged", j.charged.Amount, "catalog", j.version(), "replicas", j.g.replicas())
+	fields := []any{"id", j.params.ID, "reason", reason, "status", status, "route", route, "customer", j.customer,
+		"rank", j.rank, "target", j.target, "attempts", j.failedAttempts, "waited", j.queueTime, "read", j.prefillTime, "read-at", j.prefillTarget, "first", j.timeToFirstEvent, "events", j.events, "expected-events", j.expected, "longest-gap", j.longestGap, "took", took, "left", left, "no-retry", j.noRetry,
+		"retry-after", j.retryAfter, "charged", j.charged.Amount, "catalog", j.version(), "replicas", j.g.replicas()}
+	j.g.log.Info("request ended", append(fields, j.standingFields()...)...)
 }
 
 func (j *job) version() uint64 {
