--- a/core/catalog/compare.go
+++ b/core/catalog/compare.go
@@ -79,6 +79,7 @@
 	show(FieldEngine, func(p Pool) bool { return p.Engine != nil }),
 },
 	engineValue(FieldSlots, func(e Engine) any { return e.Slots }),
+	engineValue(FieldEventTokens, func(e Engine) any { return e.EventTokens }),
 	engineValue(FieldCacheTokens, func(e Engine) any { return e.CacheTokens }),
 	engineValue(FieldBytesPerToken, func(e Engine) any { return e.BytesPerToken }),
 	engineValue(FieldLinkMbps, func(e Engine) any { return e.LinkMbps }),
--- a/core/catalog/examine.go
+++ b/core/catalog/examine.go
@@ -95,6 +95,9 @@
 	if e.CacheTokens <= 0 {
 		f.add(Conflict, at(FieldCacheTokens), "pool %q: its engines have no capacity for tokens", p.Name)
 	}
+	if e.CacheTokens > 0 && e.EventTokens > e.CacheTokens {
+		f.add(Conflict, at(FieldEventTokens), "pool %q: one event has up to %d tokens, more than the %d that an engine takes", p.Name, e.EventTokens, e.CacheTokens)
+	}
 	if n := p.MaxConnections; n > 0 && n < e.Slots {
 		f.add(Conflict, at(FieldMaxConnections), "pool %q: maximum of connections %d is below the %d slots of an engine", p.Name, n, e.Slots)
 	}
--- a/core/catalog/examine_test.go
+++ b/core/catalog/examine_test.go
@@ -21,7 +21,7 @@
 		r.Open, r.Affinity, r.Resumable = true, true, true
 	}
 	d.Pools[0].HealthPath, d.Pools[0].MaxConnections = "/healthz", 8
-	d.Pools[0].Engine = &catalog.Engine{Slots: 8, CacheTokens: 500, BytesPerToken: 100, LinkMbps: 10, Retention: time.Second, RoleChange: time.Second}
+	d.Pools[0].Engine = &catalog.Engine{Slots: 8, EventTokens: 4, CacheTokens: 500, BytesPerToken: 100, LinkMbps: 10, Retention: time.Second, RoleChange: time.Second}
 	d.Customers[0].Rank, d.Customers[0].HasRank = 1, true
 	d.Customers[0].Limit = catalog.Limit{Rate: 100, Burst: 500, Tokens: true, PlainTokens: 500}
 	d.Customers[1].Limit = catalog.Limit{Rate: 10, Burst: 1}
@@ -69,6 +69,7 @@
 		"negative connections":      {func(d *catalog.Document) { d.Pools[0].MaxConnections = -1 }, "contradiction 2[0].max-connections[0]"},
 		"no slots":                  {func(d *catalog.Document) { d.Pools[0].Engine.Slots = 0 }, "contradiction 2[0].slots[0]"},
 		"no capacity":               {func(d *catalog.Document) { d.Pools[0].Engine.CacheTokens = 0 }, "contradiction 2[0].cache-tokens[0]"},
+		"event above capacity":      {func(d *catalog.Document) { d.Pools[0].Engine.EventTokens = 501 }, "contradiction 2[0].event-tokens[0]"},
 		"negative bandwidth":        {func(d *catalog.Document) { d.Pools[0].Engine.LinkMbps = -1 }, "contradiction 2[0].link-mbps[0]"},
 		"customer without key":      {func(d *catalog.Document) { d.Customers[0].Keys = nil }, "never-matches 3[0].keys[0]"},
 		"key without customer":      {func(d *catalog.Document) { d.Customers[1].Name = "" }, "error 3[1].name[0]"},
--- a/core/catalog/finding.go
+++ b/core/catalog/finding.go
@@ -55,6 +55,7 @@
 	FieldMaxConnections Field = "max-connections"
 	FieldEngine         Field = "engine"
 	FieldSlots          Field = "slots"
+	FieldEventTokens    Field = "event-tokens"
 	FieldCacheTokens    Field = "cache-tokens"
 	FieldBytesPerToken  Field = "bytes-per-token"
 	FieldLinkMbps       Field = "link-mbps"
