io/agent, io/entry: refuse responses with an invalid status

An agent passed on 000, 099, 101 and 600 to 999, billed those below 400, and took an order that was answered with 000, 099 or 101 as carried out. An entry forwarded 600 to 999, and answered 504 instead of 502 to the others. The agent now checks the status of each response of its target, and the entry that of each header before it accepts a part of the body. The outcome is unknown, an idempotent request goes to another target, and the log names the value.

--- a/io/agent/agent_test.go
+++ b/io/agent/agent_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -34,8 +35,10 @@
 	address link.Address
 	runs    atomic.Int32  // requests that the target has received
 	release chan struct{} // closed to let the target respond to /held
-	stop    func()
-	issue   func(fleet.Host, identity.Role) *identity.Credentials
+	// orderStatus is the status, a string, with which the target responds to an order.
+	orderStatus atomic.Value
+	stop        func()
+	issue       func(fleet.Host, identity.Role) *identity.Credentials
 }
 
 const incarnation = 42
@@ -45,6 +48,14 @@
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		f.runs.Add(1)
 		body, _ := io.ReadAll(req.Body)
+		if status, ok := strings.CutPrefix(req.URL.Path, "/status/"); ok {
+			writeStatus(w, status)
+			return
+		}
+		if status, ok := f.orderStatus.Load().(string); ok && req.URL.Path == "/order" {
+			writeStatus(w, status)
+			return
+		}
 		switch req.URL.Path {
 		case "/held":
 			<-f.release
--- a/io/agent/calls.go
+++ b/io/agent/calls.go
@@ -195,7 +195,7 @@
 }
 
 // outcomeOf returns the outcome of a request that has ended. It is unknown if the
-// target closed the connection before it sent a response header.
+// target closed the connection before it sent a response header, or sent an invalid one.
 func outcomeOf(ran wire.Ran) wire.Outcome_State {
 	switch ran {
 	case wire.Ran_RAN_NO:
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -17,6 +17,7 @@
 	"papayarock/core/state"
 	"papayarock/io/identity"
 	"papayarock/io/link"
+	"papayarock/io/upstream"
 	"papayarock/io/wire"
 )
 
@@ -236,6 +237,9 @@
 		return 0, errors.Wrap(ErrTarget, err.Error())
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := upstream.CheckStatus(resp.StatusCode); err != nil {
+		return 0, errors.Wrap(ErrTarget, err.Error())
+	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxStateBytes))
 	if err != nil {
 		return 0, errors.Wrap(ErrTarget, err.Error())
--- a/io/agent/target.go
+++ b/io/agent/target.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"papayarock/io/upstream"
 	"papayarock/io/wire"
 )
 
@@ -53,7 +54,7 @@
 
 // forward sends the request of j to the target and receives the response into j. It
 // returns whether the request has run, which is unknown if the target was connected
-// but sent no response header.
+// but sent no valid response header.
 func (a *Agent) forward(ctx context.Context, j *job) (wire.Ran, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -75,6 +76,10 @@
 		}
 		return wire.Ran_RAN_UNKNOWN, errors.Wrap(ErrIncomplete, err.Error())
 	}
+	if err := upstream.CheckStatus(resp.StatusCode); err != nil {
+		_ = resp.Body.Close()
+		return wire.Ran_RAN_UNKNOWN, err
+	}
 	err = j.receiveResponse(ctx, resp)
 	_ = resp.Body.Close()
 	for range maxStreamResumes {
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -13,6 +13,7 @@
 	"papayarock/core/fleet"
 	"papayarock/core/state"
 	"papayarock/io/link"
+	"papayarock/io/upstream"
 	"papayarock/io/wire"
 )
 
@@ -339,6 +340,10 @@
 	switch f := f.GetFrame().(type) {
 	case *wire.Frame_Head:
 		if c.assembly.Matches(f.Head.GetRequestId()) && c.sink.head == nil {
+			// Checked before any part of the body, so that another target may be tried.
+			if err := upstream.CheckStatus(int(f.Head.GetStatus())); err != nil {
+				return true, Failed, wire.Ran_RAN_UNKNOWN, errors.Wrap(ErrInvalidResponse, err.Error())
+			}
 			c.sink.head = f.Head
 		}
 	case *wire.Frame_Part:
--- a/io/entry/frames_test.go
+++ b/io/entry/frames_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
@@ -90,6 +91,55 @@
 	})
 }
 
+// Guards against an entry that forwards a status that can't be the status of a final
+// response, and against one that takes such a response for a deadline that has passed.
+func TestInvalidStatus(t *testing.T) {
+	for name, status := range map[string]uint32{"000": 0, "099": 99, "101": 101, "199": 199, "600": 600, "999": 999, "1000": 1000} {
+		for _, path := range []string{"/reads", "/orders"} {
+			t.Run(name+path, func(t *testing.T) {
+				memlink.RunInBubble(t, func(t *testing.T) {
+					r := newRig(t, &countingTarget{}, 0)
+					defer r.stop()
+					defer r.startScriptedAgent(func(id []byte) []*wire.Frame {
+						return []*wire.Frame{headFrame(id, status), partFrame(id, 0, "one"), endFrame(id, "one")}
+					})()
+					got := r.do(http.MethodPost, path, "")
+					r.is.Equal(got.status, http.StatusBadGateway)
+					r.is.True(strings.Contains(got.body, `"type":"target-failed"`))
+					r.is.True(strings.Contains(got.body, `"not-run":"unknown"`))
+					r.is.True(strings.Contains(r.log.text(), fmt.Sprintf("status %03d", status))) // the log line names the value
+				})
+			})
+		}
+	}
+}
+
+// Guards against an idempotent request that is not sent to another target, and against
+// bytes of the invalid response in the one that the caller gets.
+func TestInvalidStatusIsRepeated(t *testing.T) {
+	memlink.RunInBubble(t, func(t *testing.T) {
+		r := newRig(t, &countingTarget{}, 0)
+		defer r.stop()
+		var attempts atomic.Int32
+		defer r.startScriptedAgent(func(id []byte) []*wire.Frame {
+			if attempts.Add(1) == 1 {
+				return []*wire.Frame{headFrame(id, 600), partFrame(id, 0, "one"), endFrame(id, "one")}
+			}
+			return []*wire.Frame{headFrame(id, 200), partFrame(id, 0, "second"), endFrame(id, "second")}
+		})()
+		snapshot := r.snapshot(3, key())
+		for _, name := range []fleet.TargetName{"t1", "t2"} {
+			snapshot.Targets = append(snapshot.Targets, fleet.Target{Name: name, Pool: "app", Phase: fleet.Ready, Agent: netip.MustParseAddrPort("127.0.0.1:1")})
+		}
+		r.index.Store(config.NewIndex(snapshot))
+		got := r.do(http.MethodPost, "/reads", "")
+		r.is.NoErr(got.err)
+		r.is.Equal(got.status, http.StatusOK)
+		r.is.Equal(got.body, "second")
+		r.is.Equal(attempts.Load(), int32(2))
+	})
+}
+
 // A response of which the last frames are missing, or of which one byte is changed,
 // must not look complete to the caller.
 func TestTruncatedAfterEachFrame(t *testing.T) {
--- a/io/entry/sink.go
+++ b/io/entry/sink.go
@@ -23,7 +23,7 @@
 type sink struct {
 	w       http.ResponseWriter
 	rc      *http.ResponseController
-	head    *wire.Head // nil until received
+	head    *wire.Head // nil until received; its status is valid
 	started bool       // the header has been written
 	length  int64      // Content-Length, -1 if absent
 	written int64      // bytes of the body written to the caller
@@ -58,9 +58,6 @@
 		return errors.Wrap(ErrInvalidResponse, err.Error())
 	}
 	status := int(s.head.GetStatus())
-	if status < 200 || status > 999 {
-		return errors.Wrapf(ErrInvalidResponse, "status %d", status)
-	}
 	s.started = true
 	s.firstByte = time.Now()
 	s.onFirstByte()
