core/place: forget paces and slowdowns that are out of date

Reported paces were those at the last gap that the gateway had seen, so a gateway without streams reported them for good. Counters takes the time now. A pool that is no longer placed by work gives all engines equal shares of prompts again. Routes without an objective for gaps do not change whether a pool is placed by work. A request without a deadline has no late end, whose excess overflowed. Gateways count the pools placed by work.

--- a/core/place/offer.go
+++ b/core/place/offer.go
@@ -77,7 +77,7 @@
 	}
 	x.observeSize(req)
 	if req.Split && x.placesByWork() {
-		x.counters.PromptTokens += uint64(p.uncachedTokens(now, req))
+		x.counters.PromptTokens += uint64(max(0, p.uncachedTokens(now, req)))
 	}
 	c, position := x.fair.flow(now, req), x.positionOf(req)
 	ahead := position.ahead
@@ -352,10 +352,7 @@
 func (p *Placer) pick(now time.Time, x *pool, req Request) *target {
 	free := p.usable(now, x, req, false)
 	if x.placesByWork() && !req.Split {
-		if req.CacheFrom == "" {
-			free = slices.DeleteFunc(free, func(t *target) bool { return !p.hasCapacity(now, t) })
-		}
-		return p.cheapestDecode(now, x, free, req)
+		return p.pickByWork(now, x, free, req)
 	}
 	if req.Split {
 		prefill := p.usable(now, x, req, true)
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -143,7 +143,6 @@
 	backlogsUntil time.Time
 	reportAge     reportAge // of the backlogs
 	holders       holders
-	lastGap       time.Time  // when the gaps of a stream were last recorded
 	sightings     []Sighting // to be told to the other gateways
 }
 
@@ -163,8 +162,8 @@
 	sized       int           // requests whose size is known
 	meanTokens  float64       // moving average of the tokens of all prompts
 	memoryBound bool          // requests are placed by work
-	slowdown    float64       // as in target, of all engines
-	maxPause    time.Duration // of the last request with a known size
+	slowdown    float64       // of all engines relative to speed; zero if unknown
+	maxPause    time.Duration // the objective of the last request with a known size that has one
 }
 
 // New returns a Placer for a gateway in data centre self. regions holds the region of
@@ -369,16 +368,16 @@
 	c.PaceSum += uint64(1000 * mean / maxPause)
 }
 
-// Counters returns the load on the engines by pool. Pools without prefill engines are
+// Counters returns the load on the engines by pool at now. Pools without prefill engines are
 // left out.
-func (p *Placer) Counters() map[string]roles.Counters {
+func (p *Placer) Counters(now time.Time) map[string]roles.Counters {
 	out := make(map[string]roles.Counters)
 	for name, x := range p.pools {
 		c, prefill := x.counters, false
 		c.Streams = 0
 		if x.placesByWork() {
 			c.PrefillSpeed = x.speed.perSecond
-			c.Paces = x.paces(p.lastGap)
+			c.Paces = x.paces(now)
 		}
 		for _, t := range x.targets {
 			switch t.record.Role {
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -95,7 +95,7 @@
 	change  RoleChange // in progress; zero if there is none
 
 	// The fields below are used where requests are placed by work.
-	slowdown float64   // moving average of the time to first event relative to the expected one
+	slowdown float64   // time to first event relative to other engines of the pool; zero if unknown
 	pace     work.Pace // of the streams
 	pacedAt  time.Time // when a gap between events was last recorded
 }
--- a/core/place/work.go
+++ b/core/place/work.go
@@ -48,6 +48,9 @@
 	transferWeight = 3
 	// paceTTL is how long after its last event the pace of an engine is reported.
 	paceTTL = 10 * time.Second
+	// minReportedGaps is the number of gaps from which the pace of an engine is reported. A
+	// prompt that the engine reads makes a single gap several times as long as others.
+	minReportedGaps = 4
 )
 
 // Batch describes the batch of an engine.
@@ -62,17 +65,33 @@
 	if req.Batch.CacheTokens <= 0 || req.Prompt.Tokens <= 0 {
 		return
 	}
-	x.maxPause = req.MaxPause
+	if req.MaxPause > 0 {
+		x.maxPause = req.MaxPause
+	}
 	x.sized++
 	x.meanTokens += max(promptSmoothing, 1/float64(x.sized)) * (float64(req.Prompt.Tokens) - x.meanTokens)
 	if x.sized < minSizedRequests {
 		return
 	}
 	ratio := x.meanTokens * float64(req.Batch.Slots) / float64(req.Batch.CacheTokens)
-	x.memoryBound = ratio > memoryBoundOn || x.memoryBound && ratio > memoryBoundOff
+	bound := ratio > memoryBoundOn || x.memoryBound && ratio > memoryBoundOff
+	if x.memoryBound && !bound {
+		x.forgetSlowdowns()
+	}
+	x.memoryBound = bound
+}
+
+// forgetSlowdowns restores equal shares of prompts. Where requests are not placed by work,
+// the slowdowns are not measured any more.
+func (x *pool) forgetSlowdowns() {
+	x.slowdown = 0
+	for _, t := range x.targets {
+		t.slowdown = 0
+	}
 }
 
-// placesByWork reports whether the requests of the pool are placed by work. Pools with long
+// placesByWork reports whether the requests of the pool are placed by work. The speed of
+// prefill engines must be known. Pools with long
 // prompts are placed by the backlogs that gateways report.
 func (x *pool) placesByWork() bool {
 	_, known := x.speed.time(1)
@@ -85,7 +104,19 @@
 	return x != nil && x.placesByWork()
 }
 
-// recordSlowdown compares the time to the first event with the one that was expected.
+// PoolsByWork returns the number of pools whose requests are placed by work.
+func (p *Placer) PoolsByWork() int {
+	n := 0
+	for _, x := range p.pools {
+		if x.placesByWork() {
+			n++
+		}
+	}
+	return n
+}
+
+// recordSlowdown compares the time to the first event with the one that was expected, which
+// contains both slowdowns: they change until it is right on average.
 func (x *pool) recordSlowdown(t *target, e FirstEvent) {
 	if e.Expected <= 0 {
 		return
@@ -95,7 +126,7 @@
 	t.slowdown = smoothedRatio(t.slowdown, sample, slowdownSmoothing)
 }
 
-// smoothedRatio returns the moving geometric mean of ratios, which begins at 1.
+// smoothedRatio corrects a ratio, which begins at 1, by a sample of its relative error.
 func smoothedRatio(mean, sample, weight float64) float64 {
 	if mean == 0 {
 		mean = 1
@@ -126,12 +157,16 @@
 	return min(max(1/t.slowdown, minPromptWeight), maxPromptWeight)
 }
 
-// cheapestDecode returns the decode engine with the lowest cost for a request whose prompt
-// is short or has been processed, or nil if the list is empty.
-func (p *Placer) cheapestDecode(now time.Time, x *pool, list []*target, req Request) *target {
+// pickByWork returns the engine with the lowest cost for a request whose prompt is short or
+// has been processed, or nil if there is none with free capacity. As in pick, the capacity
+// does not matter for a prompt that has been processed.
+func (p *Placer) pickByWork(now time.Time, x *pool, list []*target, req Request) *target {
 	var best *target
 	var lowest time.Duration
 	for _, t := range list {
+		if req.CacheFrom == "" && !p.hasCapacity(now, t) {
+			continue
+		}
 		if cost := p.decodeCost(now, x, t, req); best == nil || cost < lowest {
 			best, lowest = t, cost
 		}
@@ -151,9 +186,9 @@
 		return cost
 	}
 	events := max(1, req.Events)
-	latest := now.Add(time.Duration(endShare * float64(req.Deadline.Sub(now))))
-	if end := work.End(now, cost, events, mean); end.After(latest) {
-		cost += end.Sub(latest)
+	if !req.Deadline.IsZero() {
+		latest := now.Add(time.Duration(endShare * float64(req.Deadline.Sub(now))))
+		cost += max(0, work.End(now, cost, events, mean).Sub(latest))
 	}
 	if t.unsteady(now, req.MaxPause) {
 		cost += time.Duration(min(1, (events-1)/unsteadyEvents) * float64(req.Objective))
@@ -178,14 +213,16 @@
 		t.pace.Observe(now, gap)
 	}
 	t.pacedAt = now
-	p.lastGap = now
 }
 
-// paces returns the paces of the decode engines that had streams lately.
+// paces returns the paces of the engines that decode and had streams lately.
 func (x *pool) paces(now time.Time) map[fleet.TargetName]roles.Pace {
 	out := make(map[fleet.TargetName]roles.Pace)
 	for _, t := range x.targets {
-		if mean := t.pace.Mean(now); mean > 0 && now.Sub(t.pacedAt) < paceTTL {
+		if t.record.Role == fleet.Prefill || now.Sub(t.pacedAt) >= paceTTL || t.pace.Samples() < minReportedGaps {
+			continue
+		}
+		if mean := t.pace.Mean(now); mean > 0 {
 			out[t.record.Target] = roles.Pace{Mean: mean, Unsteady: t.unsteady(now, x.maxPause)}
 		}
 	}
--- a/core/work/pace.go
+++ b/core/work/pace.go
@@ -65,6 +65,9 @@
 	return gapTime(h.quantile(highQuantile))
 }
 
+// Samples returns the weight of the gaps that Mean is based on, at most their number.
+func (p *Pace) Samples() float64 { return p.usual.total }
+
 // decay returns the factor by which weights have decreased since the last gap.
 func (p *Pace) decay(now time.Time, constant time.Duration) float64 {
 	return math.Exp(-max(now.Sub(p.updated), 0).Seconds() / constant.Seconds())
--- a/io/gateway/usage.go
+++ b/io/gateway/usage.go
@@ -58,5 +58,5 @@
 func (g *Gateway) Loads() map[string]roles.Counters {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.placer.Counters()
+	return g.placer.Counters(time.Now())
 }
