core/roles: order only unsteady engines to prefill, and only while a gateway places by work

pick took steady engines where an unsteady one was the last of its region. A pool stayed planned by work for hours after its gateways had stopped placing by work, as the peak of the load never became zero. Engines without announced slots were ordered to decode. The registry logs the pace of the engine with each order.

--- a/core/roles/meter.go
+++ b/core/roles/meter.go
@@ -31,9 +31,9 @@
 	Imports        uint64
 	RefusedImports uint64
 	TransferMicros uint64
-	// PromptTokens is the number of tokens of the prompts that prefill engines should
-	// process, without those that they have cached. It and PrefillSpeed, in tokens per second
-	// of one engine, are zero unless requests are placed by work.
+	// PromptTokens is the number of tokens of the prompts that were offered to prefill
+	// engines, without those that they have cached. It grows only while requests are placed
+	// by work. PrefillSpeed, in tokens per second of one engine, is zero otherwise.
 	PromptTokens uint64
 	PrefillSpeed float64
 	Paces        map[fleet.TargetName]Pace // of decode engines with recent streams
@@ -60,7 +60,8 @@
 	// PrefillBusy is the number of prefill engines that the offered prompts keep busy, or
 	// zero unless requests are placed by work.
 	PrefillBusy float64
-	// Paces are those of decode engines. An engine is unsteady if most gateways say so.
+	// Paces are those of decode engines. An engine is unsteady if most gateways that have
+	// streams there say so. It is nil unless a gateway places requests by work.
 	Paces map[fleet.TargetName]Pace
 }
 
--- a/core/roles/planner.go
+++ b/core/roles/planner.go
@@ -89,7 +89,7 @@
 	if len(prefill) == 0 || len(decode) == 0 {
 		return nil
 	}
-	if p.peak.busy > 0 {
+	if load.Paces != nil && p.peak.busy > 0 {
 		return p.order(now, planByWork(prefill, withPaces(decode, load), p.peak, load), roleChange)
 	}
 	delayed := load.Delayed / max(1, prompts)
--- a/core/roles/work.go
+++ b/core/roles/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"papayarock/core/fleet"
@@ -46,7 +47,7 @@
 func (p *peakLoad) observe(now time.Time, load Load) {
 	decay := 1.0
 	if !p.at.IsZero() {
-		decay = math.Exp2(-now.Sub(p.at).Seconds() / peakHalfLife.Seconds())
+		decay = math.Exp2(-max(0, now.Sub(p.at)).Seconds() / peakHalfLife.Seconds())
 	}
 	p.busy = max(p.busy*decay, load.PrefillBusy)
 	p.streams = max(p.streams*decay, load.Streams)
@@ -68,19 +69,30 @@
 func planByWork(prefill, decode []Engine, peak peakLoad, load Load) []Change {
 	all := len(prefill) + len(decode)
 	slots := float64(totalSlots(prefill)+totalSlots(decode)) / float64(all)
+	if slots < 1 {
+		return nil // the engines do not announce them
+	}
 	needed := max(1, peak.streams/(streamOccupancy*slots), peak.transfers/linkOccupancy)
 	kept := int(math.Ceil(max(decodeReserve*needed, minDecodeShare*float64(all))))
 	spare := min(unsteady(decode), len(decode)-kept)
 	gain := max(1, int(math.Round(minRoleGain*float64(all))))
 	switch {
 	case spare >= gain && peak.busy > minPrefillUse*float64(len(prefill)):
-		return pick(decode, prefill, spare, fleet.Prefill)
+		return pickUnsteady(decode, prefill, spare)
 	case load.Streams > fullOccupancy*slots*float64(len(decode)):
 		return pick(prefill, decode, 1, fleet.Decode)
 	}
 	return nil
 }
 
+// pickUnsteady is like pick, but takes no steady engine where an unsteady one is the last of
+// its region.
+func pickUnsteady(decode, prefill []Engine, n int) []Change {
+	return slices.DeleteFunc(pick(decode, prefill, n, fleet.Prefill), func(c Change) bool {
+		return !slices.ContainsFunc(decode, func(e Engine) bool { return e.Target == c.Target && e.pace.Unsteady })
+	})
+}
+
 // unsteady returns the number of engines that are unsteady.
 func unsteady(list []Engine) int {
 	n := 0
--- a/io/registry/roles.go
+++ b/io/registry/roles.go
@@ -214,7 +214,8 @@
 	err := r.options.Engines.ChangeRole(ctx, r.options.HostName, term, target, role)
 	r.log.Info("role change ordered", "target", target.Target, "started", target.Started.UnixMilli(), "role", role, "term", term,
 		"prompts", load.Prefills, "delayed", load.Delayed, "streams", load.Streams, "pace", load.Pace,
-		"imports", load.Imports, "refused-imports", load.RefusedImports, "transfers", load.Transfers, "prefill-busy", load.PrefillBusy, "error", err)
+		"imports", load.Imports, "refused-imports", load.RefusedImports, "transfers", load.Transfers, "prefill-busy", load.PrefillBusy,
+		"engine-pace", load.Paces[target.Target].Mean, "unsteady", load.Paces[target.Target].Unsteady, "error", err)
 	if errors.Is(err, ErrSuperseded) {
 		r.mu.Lock()
 		r.supersededTerms[term] = true
