io/gateway: leave out gaps and lengths that say nothing about the target

A caller that reads slowly lengthened the gaps of its target, and the rest of a stream that a caller resumed counted as a whole response. The gauge papayarock_gateway_pools_by_work counts the pools that are placed by work. The field expected of attempt hid that of job.

--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -88,6 +88,11 @@
 		defer g.mu.Unlock()
 		return float64(g.placer.Competing())
 	})
+	gauge("pools_by_work", "Pools whose requests are placed by pace and expected length.", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.placer.PoolsByWork())
+	})
 	gauge("waiting_requests", "Requests that wait for a place.", func() float64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/io/gateway/prefill.go
+++ b/io/gateway/prefill.go
@@ -51,7 +51,7 @@
 // execution state never exceeds Barred.
 func (j *job) prefill(ctx context.Context, choice place.Choice) (KVCacheRef, retry.Execution) {
 	to := choice.Target
-	a := &attempt{job: j, record: to, sent: time.Now(), prefillOnly: true, uncached: choice.Uncached, expected: choice.Expected}
+	a := &attempt{job: j, record: to, sent: time.Now(), prefillOnly: true, uncached: choice.Uncached, expectedFirst: choice.Expected}
 	j.target, j.prefillTarget = to.Target, to.Target
 	ctx, stall := a.watchStream(ctx)
 	a.stall = stall
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -60,14 +60,14 @@
 	cacheImported      bool          // the target imports the KV cache of the prompt
 	uncached           int           // prompt tokens that the target is expected to process
 	transfer           time.Duration // as in the place.Choice
-	expected           time.Duration // as in the place.Choice
+	expectedFirst      time.Duration // Expected of the place.Choice
 }
 
 // send sends the request to a target and forwards the response, or the part of it that a
 // continuation at another target delivers. It returns the execution state of the last
 // attempt, and whether the response has been forwarded.
 func (j *job) send(ctx context.Context, choice place.Choice, cache KVCacheRef) (retry.Execution, bool) {
-	a := &attempt{job: j, record: choice.Target, sent: time.Now(), cacheImported: cache.Handle != "", uncached: choice.Uncached, transfer: choice.Transfer, expected: choice.Expected}
+	a := &attempt{job: j, record: choice.Target, sent: time.Now(), cacheImported: cache.Handle != "", uncached: choice.Uncached, transfer: choice.Transfer, expectedFirst: choice.Expected}
 	j.target = a.record.Target
 	attemptCtx, stall := a.watchStream(ctx)
 	a.stall = stall
@@ -234,7 +234,7 @@
 		} else {
 			a.timeToFirstEvent = took
 		}
-		e := place.FirstEvent{Took: took, Connect: a.dialTime, Objective: a.objective(), Uncached: a.uncached, MaxPause: a.route.MaxPause, Expected: a.expected}
+		e := place.FirstEvent{Took: took, Connect: a.dialTime, Objective: a.objective(), Uncached: a.uncached, MaxPause: a.route.MaxPause, Expected: a.expectedFirst}
 		if !a.cacheImported {
 			e.Prompt, e.Affinity = a.prompt(), a.affinity()
 		}
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -88,9 +88,9 @@
 	queueTime        time.Duration    // time spent queued for a target
 	prefillTime      time.Duration    // time taken by the prefill engine
 	timeToFirstEvent time.Duration    // time to the first event of the last attempt that had one, from the start of that attempt
-	events           int              // of the stream, received so far
-	longestGap       time.Duration    // between two events of the stream
-	expected         float64          // number of events
+	events           int              // of the stream, received so far from all targets
+	longestGap       time.Duration    // of the target, between two events of the stream
+	expectedLength   float64          // number of events; zero if it was not estimated
 	prefillTarget    fleet.TargetName // target that processed the prompt
 	charged          quota.Charge     // to the limit of the customer
 	quotaWait        time.Duration    // time spent waiting for the charge
@@ -576,7 +576,7 @@
 		left = time.Until(j.deadline)
 	}
 	fields := []any{"id", j.params.ID, "reason", reason, "status", status, "route", route, "customer", j.customer,
-		"rank", j.rank, "target", j.target, "attempts", j.failedAttempts, "waited", j.queueTime, "read", j.prefillTime, "read-at", j.prefillTarget, "first", j.timeToFirstEvent, "events", j.events, "expected-events", j.expected, "longest-gap", j.longestGap, "took", took, "left", left, "no-retry", j.noRetry,
+		"rank", j.rank, "target", j.target, "attempts", j.failedAttempts, "waited", j.queueTime, "read", j.prefillTime, "read-at", j.prefillTarget, "first", j.timeToFirstEvent, "events", j.events, "expected-events", j.expectedLength, "longest-gap", j.longestGap, "took", took, "left", left, "no-retry", j.noRetry,
 		"retry-after", j.retryAfter, "charged", j.charged.Amount, "catalog", j.version(), "replicas", j.g.replicas()}
 	j.g.log.Info("request ended", append(fields, j.standingFields()...)...)
 }
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -160,6 +160,7 @@
 		if e.lastID != "" {
 			a.lastEventID, a.lastEventAt = e.lastID, time.Now()
 		}
+		gaps.forwarded = time.Now()
 		a.stall.progress(a.lastEventID)
 	}
 	if !a.headerSent {
--- a/io/gateway/work.go
+++ b/io/gateway/work.go
@@ -42,18 +42,34 @@
 	if !j.g.placer.PlacesByWork(j.pool) {
 		return 0
 	}
-	j.expected = j.g.lengths.Estimate(j.lengthKey(), j.params.LengthHint, j.params.MaxOutputTokens, e.EventTokens).High
-	return j.expected
+	j.expectedLength = j.g.lengths.Estimate(j.lengthKey(), j.params.LengthHint, j.params.MaxOutputTokens, e.EventTokens).High
+	return j.expectedLength
 }
 
 // gapMeter collects the time between the events of a stream. The placer is told of several
 // at once, to keep the lock of the gateway free.
 type gapMeter struct {
-	last   time.Time
-	gaps   []time.Duration
-	events int
+	last      time.Time // arrival of the last event
+	forwarded time.Time // when the caller had been sent it
+	gaps      []time.Duration
+	events    int
 }
 
+// gap returns the time since the last event, or zero if a good part of it was spent on
+// sending that event to a caller that reads slowly: the gap then says nothing about the
+// target.
+func (m *gapMeter) gap(now time.Time) time.Duration {
+	gap := now.Sub(m.last)
+	if m.last.IsZero() || m.forwarded.Sub(m.last) > time.Duration(maxForwardShare*float64(gap)) {
+		return 0
+	}
+	return gap
+}
+
+// maxForwardShare is the part of the time between two events that forwarding the first one
+// may take for the gap to be one of the target.
+const maxForwardShare = 0.25
+
 // maxGaps is the number of gaps that are reported at once.
 const maxGaps = 4
 
@@ -61,8 +77,7 @@
 func (a *attempt) observeEvent(m *gapMeter, now time.Time) {
 	m.events++
 	a.events++
-	if !m.last.IsZero() {
-		gap := now.Sub(m.last)
+	if gap := m.gap(now); gap > 0 {
 		m.gaps = append(m.gaps, gap)
 		a.longestGap = max(a.longestGap, gap)
 	}
@@ -73,7 +88,8 @@
 }
 
 // reportGaps tells the placer of the gaps that have been collected, and at the end of a
-// complete response of its length.
+// complete response the estimator of its length. The rest of a stream that the caller
+// resumes says nothing about the length.
 func (a *attempt) reportGaps(m *gapMeter, complete bool) {
 	e := a.engine()
 	if e == nil || e.EventTokens == 0 {
@@ -83,7 +99,7 @@
 	defer a.g.mu.Unlock()
 	a.g.placer.RecordGaps(m.last, a.record, m.gaps)
 	m.gaps = m.gaps[:0]
-	if complete && a.g.placer.PlacesByWork(a.pool) {
+	if complete && a.params.LastEventID == "" && a.g.placer.PlacesByWork(a.pool) {
 		a.g.lengths.Observe(a.lengthKey(), a.params.LengthHint, m.events, e.EventTokens)
 	}
 }
