--- a/core/roles/work.go
+++ b/core/roles/work.go
@@ -73,7 +73,7 @@
 		return nil // the engines do not announce them
 	}
 	needed := max(1, peak.streams/(streamOccupancy*slots), peak.transfers/linkOccupancy)
-	kept := int(math.Ceil(max(decodeReserve*needed, minDecodeShare*float64(all))))
+	kept := int(math.Ceil(min(max(decodeReserve*needed, minDecodeShare*float64(all)), float64(all))))
 	spare := min(unsteady(decode), len(decode)-kept)
 	gain := max(1, int(math.Round(minRoleGain*float64(all))))
 	switch {
