--- a/io/gateway/fixture_test.go
+++ b/io/gateway/fixture_test.go
@@ -27,8 +27,8 @@
 )
 
 // testCodec is a minimal HeaderCodec for tests. Requests have Id, Key, After (last event
-// id), Wait (milliseconds to the deadline), Prompt (tokens) and Segments (ids of prompt
-// segments). To targets it adds Target,
+// id), Wait (milliseconds to the deadline), Prompt (tokens), Hint (tokens of the response)
+// and Segments (ids of prompt segments). To targets it adds Target,
 // Left (milliseconds to the deadline), Customer, Prefill and Cache. Responses have Id,
 // Not-Run (not executed) and Mark (proof of origin).
 type testCodec struct{}
@@ -39,6 +39,7 @@
 		info.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
 	}
 	info.PromptTokens, _ = strconv.Atoi(r.Header.Get("Prompt"))
+	info.LengthHint, _ = strconv.Atoi(r.Header.Get("Hint"))
 	for _, id := range strings.Fields(r.Header.Get("Segments")) {
 		info.Segments = append(info.Segments, gateway.PromptSegment{ID: id, Tokens: 1})
 	}
@@ -96,6 +97,7 @@
 	gateway *gateway.Gateway
 	front   *httptest.Server
 	limit   catalog.Limit // of the customer klang, for catalog
+	engine  catalog.Engine
 
 	mu       sync.Mutex
 	received []receivedRequest
@@ -106,7 +108,7 @@
 func newFixture(t *testing.T) *fixture { return newFixtureWithLogger(t, hclog.NewNullLogger()) }
 
 func newFixtureWithLogger(t testing.TB, log hclog.Logger) *fixture {
-	x := &fixture{t: t}
+	x := &fixture{t: t, engine: catalog.Engine{CacheTokens: cacheTokens}}
 	x.gateway = gateway.New(gateway.Options{
 		DataCentre: "kt", Regions: map[fleet.DataCentre]fleet.Region{"kt": "east"}, HeaderCodec: testCodec{}, DecodeCatalog: decode,
 		Upstream: &upstream.Pool{}, Log: log, Now: time.Now, RetryRatio: 0.2, RetryBurst: 50,
@@ -134,7 +136,7 @@
 
 func (x *fixture) catalog(version uint64, routes ...catalog.Route) {
 	d := catalog.Document{
-		Version: version, Routes: routes, Pools: []catalog.Pool{{Name: "pool", Engine: &catalog.Engine{CacheTokens: cacheTokens}}},
+		Version: version, Routes: routes, Pools: []catalog.Pool{{Name: "pool", Engine: &x.engine}},
 		Customers: []catalog.Customer{{Name: "klang", Keys: []string{"secret"}, Limit: x.limit}},
 		Limits:    catalog.Limits{BodyBytes: 1 << 20},
 	}
