--- a/core/place/work_test.go
+++ b/core/place/work_test.go
@@ -201,29 +201,39 @@
 	}
 }
 
-// Guards against prompts that queue at slow prefill engines while fast ones are idle, and
-// against an engine that gets none and therefore never shows that it has become faster.
-func TestSlowPrefillEnginesGetFewerPrompts(t *testing.T) {
-	is := is.New(t)
-	const engines, prompts = 6, 3000
+// promptPlay sends prompts one after the other to three slow prefill engines, p0 to p2, three
+// fast ones, and a decode engine.
+type promptPlay struct {
+	placer  *place.Placer
+	records []roster.Record
+	now     time.Time
+	id      uint64
+}
+
+func newPromptPlay(t *testing.T) *promptPlay {
+	t.Helper()
 	list := []roster.Record{newRecord("d", fleet.Decode, "kt")}
-	for i := range engines {
+	for i := range 6 {
 		list = append(list, newRecord(fmt.Sprint("p", i), fleet.Prefill, "kt"))
 	}
-	p := workPlacer(t, list...)
-	now := start
+	return &promptPlay{placer: workPlacer(t, list...), records: list, now: start, id: 1000}
+}
+
+// send sends n prompts and returns how many each engine has processed.
+func (x *promptPlay) send(t *testing.T, n int, prompt place.Prompt) map[fleet.TargetName]int {
+	t.Helper()
 	got := make(map[fleet.TargetName]int)
-	for i := range uint64(prompts) {
-		now = now.Add(20 * time.Millisecond)
-		q := workStream(fmt.Sprint("s", i), 2)
-		q.Split, q.Start, q.Deadline = true, now, now.Add(callerWait)
-		q.Prompt = place.Prompt{Tokens: 2000, Unique: 1000}
-		d := p.Offer(now, 1000+i, q)
-		is.Equal(d.Action, place.Send)
-		target := d.Choice.Target
-		if i >= prompts/2 {
-			got[target.Target]++
+	for range n {
+		x.id++
+		x.now = x.now.Add(20 * time.Millisecond)
+		q := workStream(fmt.Sprint("s", x.id), 2)
+		q.Split, q.Prompt, q.Start, q.Deadline = true, prompt, x.now, x.now.Add(callerWait)
+		d := x.placer.Offer(x.now, x.id, q)
+		if d.Action != place.Send {
+			t.Fatalf("prompt %d: %+v", x.id, d)
 		}
+		target := d.Choice.Target
+		got[target.Target]++
 		speed := 1.2
 		switch {
 		case target.Role == fleet.Decode:
@@ -232,20 +242,58 @@
 			speed = 0.55
 		}
 		took := time.Duration(float64(d.Choice.Uncached) / workTokensPerMS / speed * float64(time.Millisecond))
-		p.RecordFirstEvent(now, target, place.FirstEvent{
+		x.placer.RecordFirstEvent(x.now, target, place.FirstEvent{
 			Took: took, Objective: workObjective, Prompt: q.Prompt, Uncached: d.Choice.Uncached, Affinity: q.Affinity, MaxPause: workMaxPause, Expected: d.Choice.Expected,
 		})
-		p.Finish(now, target, place.End{Outcome: place.Served, Answered: true, Uncached: d.Choice.Uncached})
-		for j := range list {
-			list[j].Heard = now
+		x.placer.Finish(x.now, target, place.End{Outcome: place.Served, Answered: true, Uncached: d.Choice.Uncached})
+		for j := range x.records {
+			x.records[j].Heard = x.now
 		}
-		p.Update(now, list)
+		x.placer.Update(x.now, x.records)
 	}
-	is.True(p.PlacesByWork("language"))
 	t.Log(got)
-	slow, fast := got["p0"]+got["p1"]+got["p2"], got["p3"]+got["p4"]+got["p5"]
-	is.True(float64(slow) < 0.75*float64(fast))
-	for i := range engines {
-		is.True(got[fleet.TargetName(fmt.Sprint("p", i))] >= prompts/2/engines/5) // a fifth of an equal share
+	return got
+}
+
+// slowAndFast returns the numbers of prompts of slow and of fast prefill engines.
+func slowAndFast(got map[fleet.TargetName]int) (slow, fast float64) {
+	return float64(got["p0"] + got["p1"] + got["p2"]), float64(got["p3"] + got["p4"] + got["p5"])
+}
+
+// Guards against prompts that queue at slow prefill engines while fast ones are idle, and
+// against an engine that gets none and therefore never shows that it has become faster.
+func TestSlowPrefillEnginesGetFewerPrompts(t *testing.T) {
+	is := is.New(t)
+	const prompts = 1500
+	x := newPromptPlay(t)
+	x.send(t, prompts, place.Prompt{Tokens: 2000, Unique: 1000})
+	got := x.send(t, prompts, place.Prompt{Tokens: 2000, Unique: 1000})
+	is.True(x.placer.PlacesByWork("language"))
+	slow, fast := slowAndFast(got)
+	is.True(slow < 0.75*fast)
+	for i := range 6 {
+		is.True(got[fleet.TargetName(fmt.Sprint("p", i))] >= prompts/6/5) // a fifth of an equal share
 	}
 }
+
+// Guards against a pool that is placed by what was measured before its prompts became short,
+// and against a route without an objective for gaps that changes whether it is.
+func TestPoolLeavesPlacementByWork(t *testing.T) {
+	is := is.New(t)
+	x := newPromptPlay(t)
+	x.send(t, 1500, place.Prompt{Tokens: 2000, Unique: 1000})
+	is.True(x.placer.PlacesByWork("language"))
+	x.send(t, 200, place.Prompt{Tokens: 800, Unique: 400})
+	is.True(!x.placer.PlacesByWork("language"))
+	is.Equal(x.placer.Counters(x.now)["language"].PrefillSpeed, 0.0)
+	slow, fast := slowAndFast(x.send(t, 1500, place.Prompt{Tokens: 800, Unique: 400}))
+	is.True(slow > 0.8*fast)
+
+	long := newPromptPlay(t)
+	long.send(t, 200, place.Prompt{Tokens: 3000, Unique: 3000}) // too long for decode engines
+	is.True(!long.placer.PlacesByWork("language"))
+	q := workStream("", 2)
+	q.MaxPause = 0
+	long.placer.Offer(long.now, 1, q)
+	is.True(!long.placer.PlacesByWork("language"))
+}
