core/quota: grants to a gateway that the leader has forgotten

A gateway that was cut off for more than two seconds came back with totals of grants and a number of its last update that the same leader did not know any more. It ignored all updates with lower ones, and its customers were refused. The leader now continues from what the gateway reports.

--- a/core/quota/leader.go
+++ b/core/quota/leader.go
@@ -65,7 +65,12 @@
 func (l *Leader[K]) Report(now time.Time, k K, r Report) (urgent bool) {
 	m := l.gateways[k]
 	if m == nil {
+		// A gateway that was forgotten in this term continues from its totals: it ignores
+		// updates with lower ones.
 		m = &member{}
+		if r.Term == l.term {
+			m.sequence = r.Applied
+		}
 		l.gateways[k] = m
 	}
 	if r.Sequence <= m.seen {
@@ -81,6 +86,9 @@
 		h := a.holders[k]
 		if h == nil {
 			h = &holder{since: now, askedAt: now, asked: d.Asked}
+			if r.Term == l.term { // its leases and grants have expired
+				h.granted, h.released, h.returned = d.Released, d.Released, d.Returned
+			}
 			a.add(k, h)
 		}
 		h.heard = now
