internal/soak: add a customer with a limit and hostile connections

The soak had no customer with a limit and no connection that a process must bound. Seeds now run with both, unless -extended=false; the regression seeds run without them. The judge checks each window of 8 s against the limit, that only the limited customer gets 429, and that all processes run at the end.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -25,8 +25,15 @@
 func (r *soakRun) checkOutcomes(report func(format string, args ...any)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	served := 0
+	served, expected := 0, 0
+	limited := make(map[string]bool) // ids of the requests of the customer with a limit
 	for _, o := range r.outcomes {
+		limited[o.ID] = o.Key == limitedCustomer.Key
+		if o.Status != http.StatusTooManyRequests {
+			expected++
+		} else if !limited[o.ID] {
+			report("%s %s got status 429, but its customer has no limit", o.Path, o.ID)
+		}
 		runs := r.runLog.Executions(o.ID)
 		if o.Path == "/order/" && len(runs) > 1 { // the only route that is not idempotent
 			report("order %s ran %d times: %+v", o.ID, len(runs), runs)
@@ -54,7 +61,11 @@
 	}
 	for id, runs := range r.runLog.All() {
 		for _, x := range runs {
-			if x.Customer != "c1" { // the customer of all keys in the document
+			want := "c1" // the customer of all other keys in the document
+			if limited[id] {
+				want = limitedCustomer.Name
+			}
+			if x.Customer != want {
 				report("%s ran for customer %q", id, x.Customer)
 			}
 		}
@@ -62,8 +73,11 @@
 	if n := r.runLog.APIKeyCount(); n > 0 {
 		report("%d requests were forwarded to a target with an API key", n)
 	}
-	if served*4 < len(r.outcomes) {
-		report("only %d of %d requests were served, want at least a quarter", served, len(r.outcomes))
+	if served*4 < expected {
+		report("only %d of %d requests were served, want at least a quarter", served, expected)
+	}
+	if n := r.largestWindow(); float64(n) > maxLimitedWindow {
+		report("%d requests of customer %s ran within %v, limit %.0f", n, limitedCustomer.Name, limitWindow, maxLimitedWindow)
 	}
 	r.checkRetries(report)
 	r.checkDrains(report)
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -31,6 +31,9 @@
 	refused := func(id string, status int) standin.Outcome {
 		return standin.Outcome{ID: id, Path: "/order/", Status: status, Complete: true}
 	}
+	limited := func(id string, status int) standin.Outcome {
+		return standin.Outcome{ID: id, Path: "/read/", Key: limitedCustomer.Key, Status: status, Complete: true}
+	}
 	for name, test := range map[string]struct {
 		setup func(r *soakRun)
 		want  string // part of the only report; empty if none is expected
@@ -52,12 +55,21 @@
 			o.Body, o.Complete = "an", false
 			r.outcomes = append(r.outcomes, o)
 		}, ""},
-		"key at a target":      {func(r *soakRun) { r.runLog.CountAPIKey() }, "with an API key"},
-		"customer of another":  {func(r *soakRun) { r.runLog.Add("a", standin.Execution{Customer: "c2", Start: start}) }, "for customer"},
-		"nobody served":        {func(r *soakRun) { r.outcomes = nil; r.outcomes = append(r.outcomes, refused("a", 503)) }, "were served"},
-		"too many repeats":     {func(r *soakRun) { addRepeatedReads(r, start, 200) }, "extra runs within"},
-		"repeats far apart":    {func(r *soakRun) { addRepeatedReads(r, start, 40); addRepeatedReads(r, start.Add(time.Minute), 40) }, ""},
-		"request after drain":  {func(r *soakRun) { addDrain(r, start, propagationTimeout+time.Second) }, "after its drain was acknowledged"},
+		"key at a target":     {func(r *soakRun) { r.runLog.CountAPIKey() }, "with an API key"},
+		"customer of another": {func(r *soakRun) { r.runLog.Add("a", standin.Execution{Customer: "c2", Start: start}) }, "for customer"},
+		"nobody served":       {func(r *soakRun) { r.outcomes = nil; r.outcomes = append(r.outcomes, refused("a", 503)) }, "were served"},
+		"too many repeats":    {func(r *soakRun) { addRepeatedReads(r, start, 200) }, "extra runs within"},
+		"repeats far apart":   {func(r *soakRun) { addRepeatedReads(r, start, 40); addRepeatedReads(r, start.Add(time.Minute), 40) }, ""},
+		"request after drain": {func(r *soakRun) { addDrain(r, start, propagationTimeout+time.Second) }, "after its drain was acknowledged"},
+		"window at its limit": {func(r *soakRun) { addLimited(r, start, 99, 100*time.Millisecond) }, ""},
+		"window over limit":   {func(r *soakRun) { addLimited(r, start, 100, 100*time.Millisecond) }, "of customer c2 ran within"},
+		"limited, run later":  {func(r *soakRun) { addLimited(r, start, 100, limitWindow) }, ""},
+		"limited refused":     {func(r *soakRun) { r.outcomes = append(r.outcomes, limited("a", 429)) }, ""},
+		"limited ran": {func(r *soakRun) {
+			addLimited(r, start, 1, 0)
+			r.outcomes = append(r.outcomes, limited("limited-0", 429))
+		}, "was refused"},
+		"429 without limit":    {func(r *soakRun) { r.outcomes = append(r.outcomes, refused("a", 429)) }, "has no limit"},
 		"request before drain": {func(r *soakRun) { addDrain(r, start, propagationTimeout-time.Second) }, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -91,6 +103,18 @@
 	}
 }
 
+// addLimited adds n requests of the customer with a limit, which were sent at one time, ran
+// the duration after later, and were served.
+func addLimited(r *soakRun, at time.Time, n int, after time.Duration) {
+	for i := range n {
+		id := fmt.Sprintf("limited-%d", i)
+		r.runLog.Add(id, standin.Execution{Target: "t-1", Customer: limitedCustomer.Name, Start: at.Add(after)})
+		r.outcomes = append(r.outcomes, standin.Outcome{
+			ID: id, Path: "/read/", Key: limitedCustomer.Key, Sent: at, Status: http.StatusOK, Body: standin.ResponseBody(id), Complete: true, Signed: true,
+		})
+	}
+}
+
 // addDrain adds a target whose drain was acknowledged at a given time, and a request
 // that started there the duration after later.
 func addDrain(r *soakRun, at time.Time, after time.Duration) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,6 +26,7 @@
 	seeds     = flag.Int("seeds", 1, "number of seeds")
 	length    = flag.Duration("length", 8*time.Second, "duration of the fault injection")
 	gateways  = flag.Int("gateways", 3, "number of gateway processes")
+	extended  = flag.Bool("extended", true, "add a customer with a limit and hostile connections")
 	keepLogs  = flag.String("logs", "", "directory to which the logs of failed seeds are copied")
 )
 
@@ -57,7 +58,8 @@
 )
 
 // regressions holds seeds that failed in the past, with the cause. TestSoak runs
-// them after the seeds given by its flags.
+// them after the seeds given by its flags, without the additions of -extended, since
+// they failed before these existed.
 var regressions = map[uint64]string{
 	12: "no usage window reported: the check did not wait until one was due",
 	13: "as seed 12",
@@ -77,7 +79,9 @@
 	}
 	list = append(list, slices.Sorted(maps.Keys(regressions))...)
 	for _, seed := range list {
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSeed(t, binary, seed) })
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			runSeed(t, binary, seed, *extended && regressions[seed] == "")
+		})
 	}
 }
 
@@ -98,6 +102,7 @@
 	*deployment
 	t             *testing.T
 	randomPercent func() int
+	customers     []standin.Customer // besides c1
 
 	// mu guards the fields below, except drains, faults and nextDataLoss, which only
 	// injectFault changes.
@@ -118,15 +123,24 @@
 
 // runSeed injects the faults of one seed while callers send requests, ends them, and
 // runs all checks.
-func runSeed(t *testing.T, binary string, seed uint64) {
+func runSeed(t *testing.T, binary string, seed uint64, extended bool) {
 	randomPercent := newPercents(seed)
 	d := newDeployment(t, binary, randomPercent)
 	r := &soakRun{deployment: d, t: t, randomPercent: randomPercent, sent: make(map[uint64][]byte)}
 	t.Cleanup(func() { r.saveLogs(seed) })
 	random := rand.New(rand.NewPCG(seed, 0))
-	r.putDocument(1, true)
 	ctx, stop := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
+	if extended {
+		r.customers = []standin.Customer{limitedCustomer}
+		clients.Go(func() { r.sendLimited(ctx, seed) })
+		for _, address := range []string{d.gatewayAddresses[0], d.registryAddresses[0]} {
+			for i := range hostileConnections {
+				clients.Go(func() { attack(ctx, address, i) })
+			}
+		}
+	}
+	r.putDocument(1, true)
 	for i := range callers {
 		clients.Go(func() { r.sendRequests(ctx, seed, i) })
 	}
@@ -147,9 +161,13 @@
 		r.clearLinks(p)
 	}
 	r.checkRecovery()
+	if extended {
+		r.awaitLimitUsable()
+	}
 	stop()
 	clients.Wait()
 	r.checkOutcomes(t.Errorf)
+	r.checkProcesses()
 	windows, violations := d.sink.Reports()
 	// The first usage window may not be due yet.
 	for end := time.Now().Add(usageTimeout); windows == 0 && time.Now().Before(end); {
@@ -167,6 +185,7 @@
 		peak += p.peakMemory()
 	}
 	t.Logf("seed %d: %d processes, sum of their peak memory %d MiB", seed, len(d.replicas)+len(d.gateways), peak>>10)
+	t.Logf("seed %d: at most %d requests with a limit within %v, limit %.0f", seed, r.largestWindow(), limitWindow, maxLimitedWindow)
 	t.Logf("seed %d: %d faults, %d requests, %d reads, %d usage windows", seed, len(r.faults), len(r.outcomes), r.reads, windows)
 }
 
@@ -200,7 +219,7 @@
 // putDocument sends a document to the registry until it is acknowledged. The newest
 // acknowledged version determines which keys checkRecovery expects to be valid.
 func (r *soakRun) putDocument(version uint64, withKey2 bool) {
-	d := standin.Document(version, pool, withKey2)
+	d := standin.DocumentWith(version, pool, withKey2, nil, r.customers...)
 	r.mu.Lock()
 	r.sent[version] = d
 	r.mu.Unlock()
