--- a/core/place/fair.go
+++ b/core/place/fair.go
@@ -17,8 +17,8 @@
 
 const (
 	// minWork is the least work of a request, in prompt tokens. Requests without a stated
-	// prompt all count the same. It is the prefill of about 1 ms, an engine step, at the
-	// 490 tokens per ms of the replay tests; it is not measured.
+	// prompt all count the same. An engine processes as many tokens in about one step, which
+	// is the least that any request costs it.
 	minWork = 512
 	// flowIdle is how long the state of a customer is kept after its last request. Its tag
 	// has no effect after the next request of any customer; the time only decides for how
--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -8,8 +8,8 @@
 
 const (
 	// demandTime is the time constant of the mean demand of a gateway. Requests differ by a
-	// factor of a hundred, so that a shorter one moves shares without need: with 4 s and 0.95
-	// of the limit leased, a customer of 31 gateways used 0.958 of its limit instead of 0.988.
+	// factor of a hundred, so that a shorter one moves shares without need. A share that is
+	// moved is not usable until the gateway that had it has confirmed the lower one.
 	demandTime = 8 * time.Second
 	// headroom is the ratio of a share to the demand of its gateway while the limit allows
 	// it. What is not leased is granted where it is needed.
--- a/core/work/pace.go
+++ b/core/work/pace.go
@@ -10,7 +10,7 @@
 	// when a tenth of the recent gaps are slow, which takes about a fifth of it.
 	recentTime = 2 * time.Second
 	// usualTime is the time constant of Pace.Mean. It covers the spans of 0.6 s, one in 4 s,
-	// in which engines were measured to be slow, and the duration of a long response.
+	// in which engines with other work are slow, and the duration of a long response.
 	usualTime = 10 * time.Second
 	// usualWeight is the number of gaps that the usual distribution counts for in Pace.High
 	// beside the recent gaps.
