--- a/review/rig2/replaced.go
+++ b/review/rig2/replaced.go
@@ -8,6 +8,8 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -37,16 +39,25 @@
 		return failed, err
 	}
 	time.Sleep(8 * time.Second) // steady state: no machine has just started
-	follower, err := r.change()
+	answers, err := r.change()
 	if err != nil {
 		return failed, err
 	}
+	follower := slices.Index(answers, http.StatusTemporaryRedirect)
+	if follower < 0 { // the first machine has accepted the manifest, so that the others follow it
+		follower = 1
+	}
 	time.Sleep(time.Second)
 	start := time.Now()
 	// The first machine to go is one that has redirected the operator. The others follow in
 	// order.
 	seeds := []int{follower, (follower + 1) % replicas, (follower + 2) % replicas}
-	if r.trouble {
+	switch {
+	case r.trouble && os.Getenv("PLANNED") != "":
+		if seeds, err = r.replacePlanned(seeds); err != nil {
+			return failed, err
+		}
+	case r.trouble:
 		for lost := range 2 {
 			time.Sleep(time.Until(start.Add(time.Duration(lost) * secondAfter)))
 			r.printf("machine %d is gone for good", seeds[0])
@@ -83,32 +94,59 @@
 	return held, nil
 }
 
-// change has the operator send a new manifest, and returns a machine that has answered with
-// a redirect to another one.
-func (r *rig) change() (follower int, err error) {
+// replacePlanned replaces two machines one after the other as planned work does: the new one
+// comes first and has more than catch_up_s, then the old one gets SIGTERM.
+func (r *rig) replacePlanned(seeds []int) ([]int, error) {
+	const newFirst = 5500 * time.Millisecond
+	var ended sync.WaitGroup
+	defer ended.Wait()
+	for n := range 2 {
+		old, next := seeds[0], replicas+n
+		r.addMachine(next)
+		seeds = append(slices.Clone(seeds[1:]), next)
+		r.printf("machine %d comes", next)
+		if err := r.writeSettings(next, seeds, false); err != nil {
+			return nil, err
+		}
+		if err := r.startMachine(next); err != nil {
+			return nil, err
+		}
+		r.rewriteSeeds(seeds)
+		time.Sleep(newFirst)
+		for _, p := range []*process{r.registries[old], r.gateways[old]} {
+			r.signal(p, syscall.SIGTERM)
+			ended.Go(func() { <-p.done })
+		}
+	}
+	return seeds, nil
+}
+
+// change has the operator send a new manifest to all machines, which must be acknowledged. It
+// returns their first answers, without redirects.
+func (r *rig) change() (answers []int, err error) {
 	r.version++
 	text := manifest(r.version)
-	follower = -1
 	c := &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	for i := range replicas {
 		q, err := http.NewRequestWithContext(r.ctx, http.MethodPost, "http://"+r.operators[i]+names["replace"], bytes.NewReader(text))
 		if err != nil {
-			return 0, err
+			return nil, err
 		}
 		a, err := c.Do(q)
 		if err != nil {
-			return 0, err
+			return nil, err
 		}
 		_ = a.Body.Close()
 		r.printf("operator: machine %d answers %d to manifest %d", i, a.StatusCode, r.version)
-		if a.StatusCode == http.StatusTemporaryRedirect && follower < 0 {
-			follower = i
+		answers = append(answers, a.StatusCode)
+		if a.StatusCode == http.StatusOK {
+			break // the others would not redirect any more
 		}
 	}
-	if status, err := r.put(text); err != nil || status != http.StatusOK || follower < 0 {
-		return 0, fmt.Errorf("manifest %d answered %d, redirect by %d: %w", r.version, status, follower, err)
+	if status, err := r.put(text); err != nil || status != http.StatusOK {
+		return nil, fmt.Errorf("manifest %d answered %d: %w", r.version, status, err)
 	}
-	return follower, nil
+	return answers, nil
 }
 
 // rewriteSeeds writes the settings of the given machines anew, with these as seeds.
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -101,14 +101,17 @@
 	portCount
 )
 
-// freePort returns a port that is free on all loopback addresses that the rig uses.
-func freePort() (int, error) {
-	l, err := net.Listen("tcp", "0.0.0.0:0") //nolint:noctx // ended at once
-	if err != nil {
-		return 0, err
+// freePorts fills list with different ports that are free on all addresses.
+func freePorts(list []int) error {
+	for i := range list {
+		l, err := net.Listen("tcp", "0.0.0.0:0") //nolint:noctx // ended at once
+		if err != nil {
+			return err
+		}
+		defer func() { _ = l.Close() }() // when all ports are known
+		list[i] = l.Addr().(*net.TCPAddr).Port
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return nil
 }
 
 // ip returns the address of machine i.
@@ -121,10 +124,8 @@
 		return nil, err
 	}
 	r := &rig{record: rec, ctx: ctx, dir: dir, trouble: trouble, usage: usage}
-	for i := range r.ports {
-		if r.ports[i], err = freePort(); err != nil {
-			return r, err
-		}
+	if err := freePorts(r.ports[:]); err != nil {
+		return r, err
 	}
 	seeds := []int{0, 1, 2}
 	for i := range replicas {
