review: stand-ins listen on loopback addresses alone

Cause: free ports were drawn on 0.0.0.0, which is no loopback address, and scripts that ran at the same time could draw the same one.

Change: a script uses the addresses of a part of 127.0.0.0/8 that depends on its process id, and draws ports that are free on all of them. It ends its processes on SIGINT, SIGTERM and SIGHUP too. An arrival is recorded before its body is read.

--- a/review/rig2/replaced.go
+++ b/review/rig2/replaced.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"slices"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -19,15 +18,11 @@
 func replacedCore(r *rig) (int, error) {
 	const (
 		successorAfter = time.Second
-		seedLag        = 3 * time.Second  // seed_lag_s
-		recovery       = 12 * time.Second // recovery_s
-		readFor        = 8 * time.Second  // twice contact_ms
+		secondAfter    = 6500 * time.Millisecond // the first successor has run for 5.5 s; catch_up_s is 4
+		seedLag        = 3 * time.Second         // seed_lag_s
+		recovery       = 12 * time.Second        // recovery_s
+		readFor        = 8 * time.Second         // twice contact_ms
 	)
-	// The first successor has run for 5.5 s by then. catch_up_s is 4.
-	secondAfter := 6500 * time.Millisecond
-	if s, err := strconv.Atoi(os.Getenv("SECOND_AFTER_S")); err == nil { // to find the least gap that works
-		secondAfter = time.Duration(s) * time.Second
-	}
 	for i := range 3 {
 		s, err := r.newServer(i, 30*time.Millisecond, func(n int) int { return n })
 		if err != nil {
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -101,22 +102,41 @@
 	portCount
 )
 
-// freePorts fills list with different ports that are free on all addresses.
+// subnet is the part of the loopback range that this process uses, so that scripts which run
+// at the same time don't share addresses.
+var subnet = fmt.Sprintf("127.%d.%d.", 64+os.Getpid()>>8&63, os.Getpid()&255)
+
+// Last bytes of the addresses of machines and servers.
+const (
+	firstMachine = 10
+	maxMachines  = 5
+	firstServer  = 100
+)
+
+// ip returns the address of machine i.
+func ip(i int) string { return subnet + strconv.Itoa(firstMachine+i) }
+
+// freePorts fills list with different ports that are free on the addresses of all machines.
 func freePorts(list []int) error {
+	var open []net.Listener
+	defer func() {
+		for _, l := range open {
+			_ = l.Close()
+		}
+	}()
 	for i := range list {
-		l, err := net.Listen("tcp", "0.0.0.0:0") //nolint:noctx // ended at once
-		if err != nil {
-			return err
+		for machine := range maxMachines {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip(machine), list[i])) //nolint:noctx // ended at once
+			if err != nil {
+				return err
+			}
+			open = append(open, l)
+			list[i] = l.Addr().(*net.TCPAddr).Port
 		}
-		defer func() { _ = l.Close() }() // when all ports are known
-		list[i] = l.Addr().(*net.TCPAddr).Port
 	}
 	return nil
 }
 
-// ip returns the address of machine i.
-func ip(i int) string { return "127.0.7." + strconv.Itoa(10+i) }
-
 // newRig starts a deployment of replicas machines.
 func newRig(ctx context.Context, rec *record, trouble bool, usage string) (*rig, error) {
 	dir, err := os.MkdirTemp("", "papayarock-review-")
@@ -352,11 +372,11 @@
 
 // newServer starts a server of the service in zone i.
 func (r *rig) newServer(i int, work time.Duration, registry func(n int) int) (*server, error) {
-	l, err := net.Listen("tcp", "127.0.8."+strconv.Itoa(10+i)+":0") //nolint:noctx // closed by exit
+	l, err := net.Listen("tcp", subnet+strconv.Itoa(firstServer+i)+":0") //nolint:noctx // closed by exit
 	if err != nil {
 		return nil, err
 	}
-	s := &server{r: r, id: fmt.Sprintf("i-%d", i), zone: fmt.Sprintf("z%d", i), service: service, registry: registry, work: work, l: l, born: time.Now(), finished: make(map[string]int)}
+	s := &server{r: r, id: fmt.Sprintf("i-%d", i), zone: fmt.Sprintf("z%d", i%replicas), service: service, registry: registry, work: work, l: l, born: time.Now(), finished: make(map[string]int)}
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.http.Serve(l) }()
 	ctx, cancel := context.WithCancel(r.ctx)
@@ -421,10 +441,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	_, _ = io.Copy(io.Discard, q.Body)
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, arrival{id, s.id, time.Now()})
 	s.mu.Unlock()
+	_, _ = io.Copy(io.Discard, q.Body)
 	select {
 	case <-time.After(s.work):
 	case <-q.Context().Done():
@@ -546,6 +566,13 @@
 	r, err := newRig(ctx, rec, os.Getenv("TROUBLE") != "0", usage)
 	if r != nil {
 		defer r.stop()
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+		go func() {
+			<-signals
+			r.stop()
+			os.Exit(failed)
+		}()
 	}
 	code := failed
 	if err == nil {
