--- a/review/rig2/manifest.go
+++ b/review/rig2/manifest.go
@@ -23,7 +23,7 @@
 		if err != nil {
 			return failed, err
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
 		var shown []byte
 		for n := range replicas {
 			if status, body := call(r.ctx, http.MethodGet, r.operators[n], names["show"], nil); status == http.StatusOK {
--- a/review/rig2/sign_off.go
+++ b/review/rig2/sign_off.go
@@ -12,10 +12,10 @@
 // it later than drainTime after the acknowledgement through a machine in touch.
 func signOff(r *rig) (int, error) {
 	const (
-		servers   = 3
-		period    = 20 * time.Millisecond // between the requests to one gateway
+		servers   = 6                     // one of them leaves: a share of 0.167
+		period    = 10 * time.Millisecond // between the requests to one gateway
 		killAfter = 200 * time.Millisecond
-		downTime  = 300 * time.Millisecond
+		downTime  = 500 * time.Millisecond
 		servesOn  = 5600 * time.Millisecond // 3.1 s longer than drain_ms
 	)
 	var list []*server
