core/quorum, io/registry: replace a silent voter before the next host may be lost

Cause: a successor joins the log as a learner, and the leader let it vote only once the lost voter had been silent for 8 s. The platform counts a lost host as replaced 4 s after the start of its successor; if a second voter is lost then, one of three is left.

Change: a voter is replaced after 1.5 s of silence if a learner has caught up. The learner is promoted first and the voter removed after that, so that a voter that was only silent still counts meanwhile. Learners that lag are passed over. Silence counts from the election at the earliest, so that a new leader does not replace voters that have not had time to answer. A voter whose directory is not recorded is removed first, since no change may leave such a voter. Metrics for voters and learners.

Why this works: from the loss, a follower is replaced within about 2 s, and a leader within about 4 s, election included; the earliest next loss is 5 s after the first.

TestNextRepairChange: the case of a silent voter with a spare now expects the promotion, and a second one the removal after it, instead of the removal at once; cases for lagging learners and for directories that are not recorded are new.

--- a/core/log/propose.go
+++ b/core/log/propose.go
@@ -129,7 +129,7 @@
 		slices.SortFunc(members, func(a, b Member) int { return compareHosts(a.Host, b.Host) })
 	case c.Kind == Promote && i >= 0 && members[i].Learner:
 		p := n.leaderState.peers[c.Host]
-		if p == nil || p.identity == 0 || p.match+maxPromoteLag < n.log.last() || p.match < n.log.snapshot.Index {
+		if p == nil || !n.caughtUp(p) {
 			return nil, NotCaughtUp
 		}
 		members[i].Learner, members[i].Identity = false, p.identity
@@ -144,6 +144,12 @@
 	return members, ""
 }
 
+// caughtUp reports whether p has replied and lacks at most maxPromoteLag entries, all of
+// which can be sent without a snapshot.
+func (n *Node) caughtUp(p *peer) bool {
+	return p.identity != 0 && p.match+maxPromoteLag >= n.log.last() && p.match >= n.log.snapshot.Index
+}
+
 // recordIdentities records the directory identities of the initial voters once
 // they have synced an entry. From then on a replaced directory no longer counts as
 // the voter.
--- a/core/log/status.go
+++ b/core/log/status.go
@@ -34,6 +34,7 @@
 	Inflight    int
 	Identity    DirectoryID
 	Confirmed   time.Time // send time of the last heartbeat it answered
+	CaughtUp    bool      // it has nearly all entries, so that a learner can be promoted
 }
 
 // Status is a copy of a node's state. Handed is the last index passed to the state
@@ -48,7 +49,9 @@
 	First, Last, Stable, Commit, Handed uint64
 	SnapshotIndex                       uint64
 	Members                             Membership
+	MembersCommitted                    bool // leader only: Members is committed, and may be changed
 	Lease                               Lease
+	ElectedAt                           time.Time                 // leader only
 	Peers                               map[fleet.Host]PeerStatus // leader only
 	Proposals, Reads                    int
 	Failed                              bool
@@ -65,9 +68,10 @@
 	if n.role != Leader {
 		return s
 	}
+	s.MembersCommitted, s.ElectedAt = !n.changePending(), n.leaderState.electedAt
 	s.Peers = make(map[fleet.Host]PeerStatus)
 	for h, p := range n.leaderState.peers {
-		s.Peers[h] = PeerStatus{p.match, p.next, p.inflight, p.identity, p.confirmedAt}
+		s.Peers[h] = PeerStatus{p.match, p.next, p.inflight, p.identity, p.confirmedAt, n.caughtUp(p)}
 	}
 	return s
 }
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -42,34 +42,86 @@
 	return Change{}, false
 }
 
-// NextRepairChange returns the next change that host self should attempt as leader, and
-// false if there is none: the promotion of a responsive learner if a voter is missing,
-// or the removal of a voter that has not responded since silentSince if a learner can
-// replace it.
-// voters is the desired number of voters, and lastHeard is when each other member
-// last responded.
-func NextRepairChange(members log.Membership, self fleet.Host, voters int, lastHeard map[fleet.Host]time.Time, silentSince time.Time) (Change, bool) {
-	live := func(h fleet.Host) bool { return h == self || lastHeard[h].After(silentSince) }
-	voterCount := 0
-	var liveLearner, silentVoter fleet.Host
-	for _, m := range members {
-		switch {
-		case m.Learner && live(m.Host) && liveLearner == "":
-			liveLearner = m.Host
-		case !m.Learner && !live(m.Host) && silentVoter == "":
-			silentVoter = m.Host
-		}
+// Peer is what the leader knows about another member.
+type Peer struct {
+	LastHeard time.Time // when it last responded; zero if it never has
+	CaughtUp  bool      // it has nearly all entries, so that a learner can be promoted
+}
+
+// View is the membership as the leader sees it.
+type View struct {
+	Members log.Membership
+	Self    fleet.Host // the leader
+	Voters  int        // desired number of voters, which is odd
+	Peers   map[fleet.Host]Peer
+	// SilentSince is the time after which a member must have responded. Voters that have
+	// not are replaced.
+	SilentSince time.Time
+}
+
+// NextRepairChange returns the next change that the leader should attempt, and false if
+// there is none. A learner that has caught up is promoted if a voter is missing or
+// silent. The silent voter is removed only after that: in between, the group does
+// without either of the two, and a voter that is not lost after all still counts.
+func NextRepairChange(v View) (Change, bool) {
+	voters := 0
+	for _, m := range v.Members {
 		if !m.Learner {
-			voterCount++
+			voters++
 		}
 	}
+	spare := v.spare()
+	silent, isSilent := v.silentVoter()
 	switch {
-	case liveLearner == "":
+	case voters > v.Voters && voters%2 == 0:
+		// An even number of voters tolerates no more losses than one voter less.
+		return Change{log.Remove, cmp.Or(silent.Host, v.leastRecentVoter())}, true
+	case spare == "":
+		return Change{}, false
+	case voters < v.Voters:
+		return Change{log.Promote, spare}, true
+	case !isSilent:
 		return Change{}, false
-	case voterCount < voters:
-		return Change{log.Promote, liveLearner}, true
-	case silentVoter != "":
-		return Change{log.Remove, silentVoter}, true
+	case silent.Identity == 0:
+		// No change may leave a voter whose directory is not recorded.
+		return Change{log.Remove, silent.Host}, true
 	}
-	return Change{}, false
+	return Change{log.Promote, spare}, true
+}
+
+// live reports whether h is the leader or has responded recently.
+func (v View) live(h fleet.Host) bool {
+	return h == v.Self || v.Peers[h].LastHeard.After(v.SilentSince)
+}
+
+// spare returns a learner that can be promoted, or an empty host if there is none.
+func (v View) spare() fleet.Host {
+	for _, m := range v.Members {
+		if m.Learner && v.live(m.Host) && v.Peers[m.Host].CaughtUp {
+			return m.Host
+		}
+	}
+	return ""
+}
+
+// silentVoter returns a voter that has not responded recently, and false if there is
+// none. One without a recorded directory comes first, since it prevents promotions.
+func (v View) silentVoter() (silent log.Member, ok bool) {
+	for _, m := range v.Members {
+		if !m.Learner && !v.live(m.Host) && (!ok || m.Identity == 0) {
+			silent, ok = m, true
+		}
+	}
+	return silent, ok
+}
+
+// leastRecentVoter returns the voter other than the leader that has not responded for
+// the longest time.
+func (v View) leastRecentVoter() (oldest fleet.Host) {
+	for _, m := range v.Members {
+		if !m.Learner && m.Host != v.Self && (oldest == "" || v.Peers[m.Host].LastHeard.Before(v.Peers[oldest].LastHeard)) {
+			oldest = m.Host
+		}
+	}
+	return oldest
 }
--- a/core/quorum/quorum_test.go
+++ b/core/quorum/quorum_test.go
@@ -1,6 +1,7 @@
 package quorum_test
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
@@ -41,32 +42,51 @@
 	}
 }
 
-// A group must not stay short of voters, and a voter must not be removed
-// without a replacement.
+// A group must not stay short of voters, count on a lost voter although a learner could
+// vote in its place, or lose a voter before its replacement votes.
 func TestNextRepairChange(t *testing.T) {
 	now := time.Unix(100, 0)
-	recent, stale := now, now.Add(-time.Minute)
+	recent, older, stale := now, now.Add(-time.Second), now.Add(-time.Minute)
+	heard := func(t time.Time) quorum.Peer { return quorum.Peer{LastHeard: t, CaughtUp: true} }
+	lagging := quorum.Peer{LastHeard: recent}
 	voter := func(h fleet.Host) log.Member { return log.Member{Host: h, Identity: 1} }
 	learner := func(h fleet.Host) log.Member { return log.Member{Host: h, Identity: 1, Learner: true} }
+	type peers map[fleet.Host]quorum.Peer
+	none, promote, remove := quorum.Change{}, func(h fleet.Host) quorum.Change { return quorum.Change{Kind: log.Promote, Host: h} }, func(h fleet.Host) quorum.Change { return quorum.Change{Kind: log.Remove, Host: h} }
 	for name, test := range map[string]struct {
-		members   log.Membership
-		lastHeard map[fleet.Host]time.Time
-		want      quorum.Change
-		ok        bool
+		members log.Membership
+		voters  int // desired; 3 if zero
+		peers   peers
+		want    quorum.Change
 	}{
-		"whole":                   {log.Membership{voter("a"), voter("b"), voter("c")}, map[fleet.Host]time.Time{"b": recent, "c": recent}, quorum.Change{}, false},
-		"voter missing":           {log.Membership{voter("a"), voter("b"), learner("c")}, map[fleet.Host]time.Time{"b": recent, "c": recent}, quorum.Change{Kind: log.Promote, Host: "c"}, true},
-		"learner silent":          {log.Membership{voter("a"), voter("b"), learner("c")}, map[fleet.Host]time.Time{"b": recent, "c": stale}, quorum.Change{}, false},
-		"silent voter, no spare":  {log.Membership{voter("a"), voter("b"), voter("c")}, map[fleet.Host]time.Time{"b": recent, "c": stale}, quorum.Change{}, false},
-		"silent voter, a spare":   {log.Membership{voter("a"), voter("b"), voter("c"), learner("d")}, map[fleet.Host]time.Time{"b": recent, "c": stale, "d": recent}, quorum.Change{Kind: log.Remove, Host: "c"}, true},
-		"all live, a spare":       {log.Membership{voter("a"), voter("b"), voter("c"), learner("d")}, map[fleet.Host]time.Time{"b": recent, "c": recent, "d": recent}, quorum.Change{}, false},
-		"no response, a spare":    {log.Membership{voter("a"), voter("b"), voter("c"), learner("d")}, map[fleet.Host]time.Time{"b": recent, "d": recent}, quorum.Change{Kind: log.Remove, Host: "c"}, true},
-		"the leader is never out": {log.Membership{voter("a"), voter("b"), voter("c"), learner("d")}, map[fleet.Host]time.Time{"a": stale, "b": recent, "c": recent, "d": recent}, quorum.Change{}, false},
+		"whole":                      {log.Membership{voter("a"), voter("b"), voter("c")}, 0, peers{"b": heard(recent), "c": heard(recent)}, none},
+		"voter missing":              {log.Membership{voter("a"), voter("b"), learner("c")}, 0, peers{"b": heard(recent), "c": heard(recent)}, promote("c")},
+		"learner silent":             {log.Membership{voter("a"), voter("b"), learner("c")}, 0, peers{"b": heard(recent), "c": heard(stale)}, none},
+		"learner lagging":            {log.Membership{voter("a"), voter("b"), learner("c")}, 0, peers{"b": heard(recent), "c": lagging}, none},
+		"first learner lagging":      {log.Membership{voter("a"), voter("b"), learner("c"), learner("d")}, 0, peers{"b": heard(recent), "c": lagging, "d": heard(recent)}, promote("d")},
+		"silent voter, no spare":     {log.Membership{voter("a"), voter("b"), voter("c")}, 0, peers{"b": heard(recent), "c": heard(stale)}, none},
+		"silent voter, a spare":      {log.Membership{voter("a"), voter("b"), voter("c"), learner("d")}, 0, peers{"b": heard(recent), "c": heard(stale), "d": heard(recent)}, promote("d")},
+		"silent voter, spare lags":   {log.Membership{voter("a"), voter("b"), voter("c"), learner("d")}, 0, peers{"b": heard(recent), "c": heard(stale), "d": lagging}, none},
+		"spare promoted":             {log.Membership{voter("a"), voter("b"), voter("c"), voter("d")}, 0, peers{"b": heard(recent), "c": heard(stale), "d": heard(recent)}, remove("c")},
+		"silent voter is back":       {log.Membership{voter("a"), voter("b"), voter("c"), voter("d")}, 0, peers{"b": heard(recent), "c": heard(older), "d": heard(recent)}, remove("c")},
+		"all live, a spare":          {log.Membership{voter("a"), voter("b"), voter("c"), learner("d")}, 0, peers{"b": heard(recent), "c": heard(recent), "d": heard(recent)}, none},
+		"no response, a spare":       {log.Membership{voter("a"), voter("b"), voter("c"), learner("d")}, 0, peers{"b": heard(recent), "d": heard(recent)}, promote("d")},
+		"the leader is never out":    {log.Membership{voter("a"), voter("b"), voter("c"), learner("d")}, 0, peers{"a": heard(stale), "b": heard(recent), "c": heard(recent), "d": heard(recent)}, none},
+		"directory not recorded":     {log.Membership{voter("a"), voter("b"), {Host: "c"}, learner("d")}, 0, peers{"b": heard(recent), "d": heard(recent)}, remove("c")},
+		"more voters than desired":   {log.Membership{voter("a"), voter("b"), voter("c")}, 1, peers{"b": heard(recent), "c": heard(stale)}, none},
+		"more than desired, a spare": {log.Membership{voter("a"), voter("b"), voter("c"), learner("d")}, 1, peers{"b": heard(recent), "c": heard(stale), "d": heard(recent)}, promote("d")},
+		"four of five voters":        {log.Membership{voter("a"), voter("b"), voter("c"), voter("d")}, 5, peers{"b": heard(recent), "c": heard(stale), "d": heard(recent)}, none},
+		"two of five silent": {
+			log.Membership{voter("a"), voter("b"), voter("c"), voter("d"), voter("e"), learner("f")}, 5,
+			peers{"b": heard(stale), "c": heard(stale), "d": heard(recent), "e": heard(recent), "f": heard(recent)}, promote("f"),
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			c, ok := quorum.NextRepairChange(test.members, "a", 3, test.lastHeard, now.Add(-10*time.Second))
-			is.Equal(ok, test.ok)
+			c, ok := quorum.NextRepairChange(quorum.View{
+				Members: test.members, Self: "a", Voters: cmp.Or(test.voters, 3), Peers: test.peers, SilentSince: now.Add(-10 * time.Second),
+			})
+			is.Equal(ok, test.want != none)
 			is.Equal(c, test.want)
 		})
 	}
--- a/io/registry/member.go
+++ b/io/registry/member.go
@@ -20,10 +20,12 @@
 	memberPeriod = 150 * time.Millisecond
 	// memberTimeout limits one join request or membership change.
 	memberTimeout = time.Second
-	// voterTimeout is how long a voter may be unreachable before a learner
-	// replaces it. Process freezes and network partitions that end without
-	// intervention are shorter.
-	voterTimeout = 8 * time.Second
+	// voterTimeout is how long a voter may be silent before a learner replaces it. A
+	// host that is lost no longer counts as lost a few seconds after the start of its
+	// successor, and the log must bear the next loss by then. A voter that was only
+	// silent for a while joins again as a learner, without a copy of the log. The timeout
+	// is longer than a lease, within which some heartbeats may be lost.
+	voterTimeout = log.DefaultLease + log.DefaultLease/2
 )
 
 // memberLoop joins this replica to the log. While this replica leads, it also
@@ -129,14 +131,21 @@
 	return &wire.RegistryJoinAnswer{Leader: string(r.self)}
 }
 
-// repairMembership promotes a learner if a voter is missing. If a learner can replace a
-// voter that has not responded for voterTimeout, it removes that voter.
+// repairMembership promotes a learner if a voter is missing or has been silent for
+// voterTimeout, and then removes the silent voter.
 func (r *Registry) repairMembership(ctx context.Context, status log.Status) {
-	lastHeard := make(map[fleet.Host]time.Time, len(status.Peers))
+	v := quorum.View{
+		Members: status.Members, Self: r.self, Voters: r.options.Voters,
+		Peers: make(map[fleet.Host]quorum.Peer, len(status.Peers)), SilentSince: r.member.Now().Add(-voterTimeout),
+	}
 	for h, p := range status.Peers {
-		lastHeard[h] = p.Confirmed
+		heard := p.Confirmed
+		if heard.Before(status.ElectedAt) { // no heartbeat of an earlier leader counts
+			heard = status.ElectedAt
+		}
+		v.Peers[h] = quorum.Peer{LastHeard: heard, CaughtUp: p.CaughtUp}
 	}
-	if c, ok := quorum.NextRepairChange(status.Members, r.self, r.options.Voters, lastHeard, r.member.Now().Add(-voterTimeout)); ok {
+	if c, ok := quorum.NextRepairChange(v); ok {
 		r.changeMembership(ctx, c)
 	}
 }
@@ -163,3 +172,20 @@
 
 // Members returns the members of the log as known to this replica.
 func (r *Registry) Members() log.Membership { return r.member.Members() }
+
+func (r *Registry) countMembers() (voters, learners int) {
+	for _, m := range r.Members() {
+		if m.Learner {
+			learners++
+		} else {
+			voters++
+		}
+	}
+	return voters, learners
+}
+
+// Leads reports whether this replica leads the log and holds the lease.
+func (r *Registry) Leads() bool {
+	_, _, held := r.member.Lease()
+	return held
+}
--- a/io/registry/metrics.go
+++ b/io/registry/metrics.go
@@ -12,11 +12,19 @@
 		m.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "papayarock_registry_" + name, Help: help}, read))
 	}
 	gauge("leading", "1 while this replica holds the lease.", func() float64 {
-		if _, _, held := r.member.Lease(); held {
+		if r.Leads() {
 			return 1
 		}
 		return 0
 	})
+	gauge("voters", "Voters of the replicated log, as known to this replica.", func() float64 {
+		voters, _ := r.countMembers()
+		return float64(voters)
+	})
+	gauge("learners", "Learners of the replicated log, as known to this replica.", func() float64 {
+		_, learners := r.countMembers()
+		return float64(learners)
+	})
 	gauge("term", "Term of the replicated log.", func() float64 {
 		term, _, _ := r.member.Lease()
 		return float64(term)
