io/registry: ask all replicas to join at once

With two hosts lost at once, of five or six, the successors joined too late for the next two losses, and the log had no quorum for good.

Cause: a replica asked its peers to join one after the other, and each lost host took the whole timeout of 1 s. Evidence: in the log of a failed run a successor spends 5 s in requests to three lost hosts and is not a member when the next hosts go.

Change: the requests leave at once; a peer is asked again once it has answered or its request has timed out. The loop does not wait for them.

--- a/io/registry/member.go
+++ b/io/registry/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"papayarock/core/fleet"
@@ -31,6 +32,8 @@
 // memberLoop joins this replica to the log. While this replica leads, it also
 // maintains the configured number of voters.
 func (r *Registry) memberLoop(ctx context.Context) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -51,7 +54,7 @@
 		if isMember && (self.Identity == 0 || self.Identity == status.Identity) && status.Leader != "" {
 			continue
 		}
-		r.join(ctx, status)
+		r.join(ctx, &calls, status)
 	}
 }
 
@@ -62,29 +65,48 @@
 	return d.Status, ok && d.Running
 }
 
-// join asks the known members and seeds in turn to add this replica to the log,
-// until one responds that it is a member. A member that knows no leader joins again,
-// since it may have been removed while it was partitioned.
-func (r *Registry) join(ctx context.Context, status log.Status) {
+// join asks all known members and seeds at once to add this replica to the log, except
+// those that have not answered an earlier request yet: hosts that are lost must not delay
+// the others. It does not wait for the answers. A member that knows no leader joins
+// again, since it may have been removed while it was partitioned.
+func (r *Registry) join(ctx context.Context, calls *sync.WaitGroup, status log.Status) {
 	request := &wire.RegistryJoin{Host: string(r.self), Identity: uint64(status.Identity)}
 	for _, peer := range r.peers(status.Members) {
-		if ctx.Err() != nil {
-			return
-		}
-		callCtx, cancel := context.WithTimeout(ctx, memberTimeout)
-		answer, err := link.Call[wire.RegistryJoinAnswer](callCtx, r.options.Links, link.Address{AddrPort: peer}, request)
-		cancel()
-		if err != nil {
-			r.log.Debug("join request failed", "peer", peer, "error", err)
+		if !r.beginJoin(peer) {
 			continue
 		}
-		if answer.GetMember() {
-			return
-		}
-		if leader, err := netip.ParseAddrPort(answer.GetLeader()); err == nil {
-			r.addPeer(leader)
-		}
+		calls.Go(func() {
+			defer r.endJoin(peer)
+			ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+			defer cancel()
+			answer, err := link.Call[wire.RegistryJoinAnswer](ctx, r.options.Links, link.Address{AddrPort: peer}, request)
+			if err != nil {
+				r.log.Debug("join request failed", "peer", peer, "error", err)
+				return
+			}
+			if leader, err := netip.ParseAddrPort(answer.GetLeader()); err == nil {
+				r.addPeer(leader)
+			}
+		})
+	}
+}
+
+// beginJoin records a join request to a peer, and returns false if there is one without
+// an answer.
+func (r *Registry) beginJoin(peer netip.AddrPort) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.openJoins[peer] {
+		return false
 	}
+	r.openJoins[peer] = true
+	return true
+}
+
+func (r *Registry) endJoin(peer netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.openJoins, peer)
 }
 
 // peers returns the link addresses of all other replicas known to this one.
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -138,6 +138,7 @@
 	openFeeds       map[string]int                // number of open feeds by host of the gateway
 	reportStatuses  map[gatewayRun]reportStatus
 	knownPeers      map[netip.AddrPort]bool
+	openJoins       map[netip.AddrPort]bool             // join requests without an answer, by peer
 	supersededTerms map[uint64]bool                     // terms that the usage sink or an engine has rejected as superseded
 	meters          map[string]*roles.Meter[gatewayRun] // by pool
 	backlogs        map[gatewayRun]reportedBacklog
@@ -174,7 +175,7 @@
 	r := &Registry{
 		options: o, seeds: o.Seeds, self: fleet.Host(o.Self.String()), log: o.Log, machine: newStateMachine(),
 		rosterChanged: make(chan struct{}), reportedCounts: make(map[int64]map[countKey]uint64), openFeeds: make(map[string]int), reportStatuses: make(map[gatewayRun]reportStatus),
-		knownPeers: make(map[netip.AddrPort]bool), supersededTerms: make(map[uint64]bool),
+		knownPeers: make(map[netip.AddrPort]bool), openJoins: make(map[netip.AddrPort]bool), supersededTerms: make(map[uint64]bool),
 		meters: make(map[string]*roles.Meter[gatewayRun]), backlogs: make(map[gatewayRun]reportedBacklog), gatewayVersions: make(map[gatewayRun]uint64), roleChanges: make(map[fleet.TargetName]place.RoleChange),
 	}
 	r.transport = &logstream.Transport{Self: r.self, Pool: o.Links, Address: linkAddress, Log: o.Log}
--- a/io/registry/replace_test.go
+++ b/io/registry/replace_test.go
@@ -234,6 +234,15 @@
 		"all hosts":               {3, 1, replaceInTurn(oldest, oldest, oldest)},
 		"four in turn":            {3, 1, replaceInTurn(follower, leader, follower, leader)},
 		"more hosts than voters":  {4, 1, replaceInTurn(follower, oldest, leader, oldest)},
+		"two at once, then two at once": {6, 2, func(f *replicaFleet) {
+			f.replace(f.running[0], f.running[1])
+			f.replace(f.running[0], f.running[1])
+		}},
+		"all of five in pairs": {5, 2, func(f *replicaFleet) {
+			f.replace(f.running[0], f.running[1])
+			f.replace(f.running[0], f.running[1])
+			f.replace(f.running[0], f.running[1])
+		}},
 		"then a disk is lost": {3, 1, func(f *replicaFleet) {
 			f.replace(follower(f))
 			a := follower(f)
