io/registry: a voter that shuts down waits until a learner has replaced it

Two hosts whose successors have caught up may be shut down at the same moment, since neither counts as lost.

Cause: a registry replica ended on SIGTERM at once, and the leader learned of it only by its silence.

Change: a replica that shuts down tells the leader and keeps running while its replacement is due, for half of the shutdown deadline at most. It does not wait if no learner has caught up. The leader promotes the learner, removes the voter, and removes itself last. It makes all changes that are due without a pause between them.

TestShutdownWithoutSuccessor checks that a restart without a spare host is not delayed.

--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -46,23 +46,25 @@
 type Peer struct {
 	LastHeard time.Time // when it last responded; zero if it never has
 	CaughtUp  bool      // it has nearly all entries, so that a learner can be promoted
+	Leaving   bool      // it shuts down
 }
 
 // View is the membership as the leader sees it.
 type View struct {
 	Members log.Membership
-	Self    fleet.Host // the leader
-	Voters  int        // desired number of voters, which is odd
-	Peers   map[fleet.Host]Peer
+	Self    fleet.Host          // the leader
+	Voters  int                 // desired number of voters, which is odd
+	Peers   map[fleet.Host]Peer // includes the leader if it shuts down
 	// SilentSince is the time after which a member must have responded. Voters that have
 	// not are replaced.
 	SilentSince time.Time
 }
 
 // NextRepairChange returns the next change that the leader should attempt, and false if
-// there is none. A learner that has caught up is promoted if a voter is missing or
-// silent. The silent voter is removed only after that: in between, the group does
-// without either of the two, and a voter that is not lost after all still counts.
+// there is none. A learner that has caught up is promoted if a voter is missing, silent
+// or shutting down. The voter that it replaces is removed only after that: in between,
+// the group does without either of the two, and a voter that is not lost after all
+// still counts.
 func NextRepairChange(v View) (Change, bool) {
 	voters := 0
 	for _, m := range v.Members {
@@ -71,24 +73,31 @@
 		}
 	}
 	spare := v.spare()
-	silent, isSilent := v.silentVoter()
+	outgoing, replace := v.outgoing()
 	switch {
 	case voters > v.Voters && voters%2 == 0:
 		// An even number of voters tolerates no more losses than one voter less.
-		return Change{log.Remove, cmp.Or(silent.Host, v.leastRecentVoter())}, true
+		return Change{log.Remove, cmp.Or(outgoing.Host, v.leastRecentVoter())}, true
 	case spare == "":
 		return Change{}, false
 	case voters < v.Voters:
 		return Change{log.Promote, spare}, true
-	case !isSilent:
+	case !replace:
 		return Change{}, false
-	case silent.Identity == 0:
+	case outgoing.Identity == 0:
 		// No change may leave a voter whose directory is not recorded.
-		return Change{log.Remove, silent.Host}, true
+		return Change{log.Remove, outgoing.Host}, true
 	}
 	return Change{log.Promote, spare}, true
 }
 
+// Needed reports whether host h, which shuts down, should keep running: it is a voter, and
+// further changes are due, by which it may be replaced.
+func (v View) Needed(h fleet.Host) bool {
+	_, changing := NextRepairChange(v)
+	return changing && v.Members.IsVoter(h)
+}
+
 // live reports whether h is the leader or has responded recently.
 func (v View) live(h fleet.Host) bool {
 	return h == v.Self || v.Peers[h].LastHeard.After(v.SilentSince)
@@ -97,22 +106,36 @@
 // spare returns a learner that can be promoted, or an empty host if there is none.
 func (v View) spare() fleet.Host {
 	for _, m := range v.Members {
-		if m.Learner && v.live(m.Host) && v.Peers[m.Host].CaughtUp {
+		if p := v.Peers[m.Host]; m.Learner && v.live(m.Host) && p.CaughtUp && !p.Leaving {
 			return m.Host
 		}
 	}
 	return ""
 }
 
-// silentVoter returns a voter that has not responded recently, and false if there is
-// none. One without a recorded directory comes first, since it prevents promotions.
-func (v View) silentVoter() (silent log.Member, ok bool) {
+// outgoing returns the voter to replace first, and false if there is none. A silent voter
+// without a recorded directory comes first, since it prevents promotions, and the leader
+// last, since its removal ends its leadership.
+func (v View) outgoing() (first log.Member, ok bool) {
+	best := 0
 	for _, m := range v.Members {
-		if !m.Learner && !v.live(m.Host) && (!ok || m.Identity == 0) {
-			silent, ok = m, true
+		rank := 0
+		switch {
+		case m.Learner:
+		case !v.live(m.Host) && m.Identity == 0:
+			rank = 4
+		case !v.live(m.Host):
+			rank = 3
+		case v.Peers[m.Host].Leaving && m.Host != v.Self:
+			rank = 2
+		case v.Peers[m.Host].Leaving:
+			rank = 1
+		}
+		if rank > best {
+			first, best = m, rank
 		}
 	}
-	return silent, ok
+	return first, best > 0
 }
 
 // leastRecentVoter returns the voter other than the leader that has not responded for
--- a/core/quorum/quorum_test.go
+++ b/core/quorum/quorum_test.go
@@ -49,6 +49,7 @@
 	recent, older, stale := now, now.Add(-time.Second), now.Add(-time.Minute)
 	heard := func(t time.Time) quorum.Peer { return quorum.Peer{LastHeard: t, CaughtUp: true} }
 	lagging := quorum.Peer{LastHeard: recent}
+	leaving := quorum.Peer{LastHeard: recent, CaughtUp: true, Leaving: true}
 	voter := func(h fleet.Host) log.Member { return log.Member{Host: h, Identity: 1} }
 	learner := func(h fleet.Host) log.Member { return log.Member{Host: h, Identity: 1, Learner: true} }
 	type peers map[fleet.Host]quorum.Peer
@@ -76,6 +77,13 @@
 		"more voters than desired":   {log.Membership{voter("a"), voter("b"), voter("c")}, 1, peers{"b": heard(recent), "c": heard(stale)}, none},
 		"more than desired, a spare": {log.Membership{voter("a"), voter("b"), voter("c"), learner("d")}, 1, peers{"b": heard(recent), "c": heard(stale), "d": heard(recent)}, promote("d")},
 		"four of five voters":        {log.Membership{voter("a"), voter("b"), voter("c"), voter("d")}, 5, peers{"b": heard(recent), "c": heard(stale), "d": heard(recent)}, none},
+		"leaving voter, no spare":    {log.Membership{voter("a"), voter("b"), voter("c")}, 0, peers{"b": leaving, "c": heard(recent)}, none},
+		"leaving voter, a spare":     {log.Membership{voter("a"), voter("b"), voter("c"), learner("d")}, 0, peers{"b": leaving, "c": heard(recent), "d": heard(recent)}, promote("d")},
+		"leaving voter replaced":     {log.Membership{voter("a"), voter("b"), voter("c"), voter("d")}, 0, peers{"b": leaving, "c": heard(older), "d": heard(recent)}, remove("b")},
+		"leaving and silent":         {log.Membership{voter("a"), voter("b"), voter("c"), voter("d")}, 0, peers{"b": leaving, "c": heard(stale), "d": heard(recent)}, remove("c")},
+		"the leader leaves last":     {log.Membership{voter("a"), voter("b"), voter("c"), voter("d")}, 0, peers{"a": leaving, "b": leaving, "c": heard(recent), "d": heard(recent)}, remove("b")},
+		"the leader leaves":          {log.Membership{voter("a"), voter("b"), voter("c"), voter("d")}, 0, peers{"a": leaving, "b": heard(recent), "c": heard(recent), "d": heard(recent)}, remove("a")},
+		"leaving learner":            {log.Membership{voter("a"), voter("b"), voter("c"), learner("d")}, 0, peers{"b": heard(recent), "c": heard(stale), "d": leaving}, none},
 		"two of five silent": {
 			log.Membership{voter("a"), voter("b"), voter("c"), voter("d"), voter("e"), learner("f")}, 5,
 			peers{"b": heard(stale), "c": heard(stale), "d": heard(recent), "e": heard(recent), "f": heard(recent)}, promote("f"),
@@ -91,3 +99,33 @@
 		})
 	}
 }
+
+// A host that shuts down must not end while its replacement is under way, and must not
+// wait for one that does not come.
+func TestNeeded(t *testing.T) {
+	now := time.Unix(100, 0)
+	heard := quorum.Peer{LastHeard: now, CaughtUp: true}
+	leaving := quorum.Peer{LastHeard: now, CaughtUp: true, Leaving: true}
+	voter := func(h fleet.Host) log.Member { return log.Member{Host: h, Identity: 1} }
+	learner := log.Member{Host: "d", Identity: 1, Learner: true}
+	for name, test := range map[string]struct {
+		members log.Membership
+		d       quorum.Peer
+		want    bool
+	}{
+		"no learner":       {log.Membership{voter("a"), voter("b"), voter("c")}, quorum.Peer{}, false},
+		"a learner":        {log.Membership{voter("a"), voter("b"), voter("c"), learner}, heard, true},
+		"a silent learner": {log.Membership{voter("a"), voter("b"), voter("c"), learner}, quorum.Peer{CaughtUp: true}, false},
+		"promoted learner": {log.Membership{voter("a"), voter("b"), voter("c"), voter("d")}, heard, true},
+		"removed":          {log.Membership{voter("a"), voter("c"), voter("d")}, heard, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := quorum.View{
+				Members: test.members, Self: "a", Voters: 3, SilentSince: now.Add(-time.Second),
+				Peers: map[fleet.Host]quorum.Peer{"b": leaving, "c": heard, "d": test.d},
+			}
+			is.Equal(v.Needed("b"), test.want)
+		})
+	}
+}
--- a/io/daemon/adapter_roles.go
+++ b/io/daemon/adapter_roles.go
@@ -46,6 +46,9 @@
 	apiWriteTimeout = time.Minute
 	// apiIdleTimeout closes connections that clients have abandoned.
 	apiIdleTimeout = 2 * time.Minute
+	// leaveDivisor is the part of the shutdown deadline for which a registry replica
+	// waits until a learner has replaced it. The rest is for the end of its calls.
+	leaveDivisor = 2
 	// exitMargin is subtracted from the shutdown deadline, at which the platform kills
 	// the process. It covers the time from the end of the last request to the exit.
 	exitMargin = 400 * time.Millisecond
@@ -221,7 +224,9 @@
 	}
 	p.servers = append(p.servers,
 		p.newHTTPServer(operatorListener, "operator", p.mainLimits(s.MemoryBytes),
-			limitBodies(s.MemoryBytes/bodyMemoryDivisor, p.adapter.ControlHandler(r, s.Operator.Port(), p.log.Named("platform")))))
+			limitBodies(s.MemoryBytes/bodyMemoryDivisor, p.adapter.ControlHandler(r, s.Operator.Port(), p.log.Named("platform")))),
+		// Operators and targets can reach this replica until a learner has replaced it.
+		leaver{r.Leave, p.settings.ShutdownTimeout / leaveDivisor})
 	return nil
 }
 
--- a/io/daemon/server.go
+++ b/io/daemon/server.go
@@ -62,6 +62,24 @@
 	return nil
 }
 
+// leaver is a server that only prepares a role for the stop of the servers before it in a
+// serverGroup.
+type leaver struct {
+	leave func(ctx context.Context)
+	limit time.Duration // of leave
+}
+
+// Start returns at once.
+func (leaver) Start(context.Context) error { return nil }
+
+// Stop calls leave and waits for it within the limit.
+func (l leaver) Stop(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, l.limit)
+	defer cancel()
+	l.leave(limited)
+	return nil
+}
+
 // drainingServer is an HTTP server that drains its requests before it stops.
 type drainingServer struct {
 	*khttp.Server
--- a/io/registry/member.go
+++ b/io/registry/member.go
@@ -27,6 +27,10 @@
 	// silent for a while joins again as a learner, without a copy of the log. The timeout
 	// is longer than a lease, within which some heartbeats may be lost.
 	voterTimeout = log.DefaultLease + log.DefaultLease/2
+	// answerTimeout is the part of voterTimeout within which a voter must have answered a
+	// new leader. The former leader has been silent for more than a lease when another one
+	// is elected.
+	answerTimeout = voterTimeout - log.DefaultLease
 )
 
 // memberLoop joins this replica to the log. While this replica leads, it also
@@ -45,7 +49,11 @@
 			continue
 		}
 		if status.Role == log.Leader {
-			r.repairMembership(ctx, status)
+			for r.repairMembership(ctx) {
+			}
+			continue
+		}
+		if r.shuttingDown.Load() {
 			continue
 		}
 		// A member that knows the leader need not join, unless the log records another
@@ -145,6 +153,7 @@
 		return &wire.RegistryJoinAnswer{Leader: string(status.Leader)}
 	}
 	request := quorum.JoinRequest{Host: fleet.Host(m.GetHost()), Identity: log.DirectoryID(m.GetIdentity())}
+	r.setLeaving(request.Host, time.Time{}) // it has started again
 	change, needed := quorum.NextJoinChange(status.Members, request, status.Peers[request.Host].Identity)
 	if !needed {
 		return &wire.RegistryJoinAnswer{Member: true, Leader: string(r.self)}
@@ -153,26 +162,37 @@
 	return &wire.RegistryJoinAnswer{Leader: string(r.self)}
 }
 
-// repairMembership promotes a learner if a voter is missing or has been silent for
-// voterTimeout, and then removes the silent voter.
-func (r *Registry) repairMembership(ctx context.Context, status log.Status) {
+// repairMembership makes one change that the number of voters or the replacement of a
+// voter needs, and reports whether it has done so.
+func (r *Registry) repairMembership(ctx context.Context) bool {
+	status, ok := r.status()
+	if !ok || status.Role != log.Leader {
+		return false
+	}
+	c, ok := quorum.NextRepairChange(r.membershipView(status))
+	return ok && r.changeMembership(ctx, c)
+}
+
+// membershipView returns what this replica knows about the members as their leader.
+func (r *Registry) membershipView(status log.Status) quorum.View {
 	v := quorum.View{
 		Members: status.Members, Self: r.self, Voters: r.options.Voters,
-		Peers: make(map[fleet.Host]quorum.Peer, len(status.Peers)), SilentSince: r.member.Now().Add(-voterTimeout),
+		Peers: make(map[fleet.Host]quorum.Peer, len(status.Peers)+1), SilentSince: r.member.Now().Add(-voterTimeout),
 	}
+	v.Peers[r.self] = quorum.Peer{Leaving: r.shuttingDown.Load()}
+	silentUntilElected := status.ElectedAt.Add(answerTimeout - voterTimeout)
 	for h, p := range status.Peers {
 		heard := p.Confirmed
-		if heard.Before(status.ElectedAt) { // no heartbeat of an earlier leader counts
-			heard = status.ElectedAt
+		if heard.Before(silentUntilElected) {
+			heard = silentUntilElected
 		}
-		v.Peers[h] = quorum.Peer{LastHeard: heard, CaughtUp: p.CaughtUp}
-	}
-	if c, ok := quorum.NextRepairChange(v); ok {
-		r.changeMembership(ctx, c)
+		v.Peers[h] = quorum.Peer{LastHeard: heard, CaughtUp: p.CaughtUp, Leaving: r.isLeaving(h)}
 	}
+	return v
 }
 
-func (r *Registry) changeMembership(ctx context.Context, c quorum.Change) {
+// changeMembership makes a change and reports whether it has been committed.
+func (r *Registry) changeMembership(ctx context.Context, c quorum.Change) bool {
 	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
 	var err error
@@ -187,16 +207,17 @@
 	kind := [...]string{"add-learner", "promote", "remove"}[c.Kind]
 	if err != nil {
 		r.log.Debug("membership change failed", "change", kind, "host", c.Host, "error", err)
-		return
+		return false
 	}
 	r.log.Info("membership changed", "change", kind, "host", c.Host)
+	return true
 }
 
 // Members returns the members of the log as known to this replica.
 func (r *Registry) Members() log.Membership { return r.member.Members() }
 
-func (r *Registry) countMembers() (voters, learners int) {
-	for _, m := range r.Members() {
+func countMembers(members log.Membership) (voters, learners int) {
+	for _, m := range members {
 		if m.Learner {
 			learners++
 		} else {
--- a/io/registry/metrics.go
+++ b/io/registry/metrics.go
@@ -18,11 +18,11 @@
 		return 0
 	})
 	gauge("voters", "Voters of the replicated log, as known to this replica.", func() float64 {
-		voters, _ := r.countMembers()
+		voters, _ := countMembers(r.Members())
 		return float64(voters)
 	})
 	gauge("learners", "Learners of the replicated log, as known to this replica.", func() float64 {
-		_, learners := r.countMembers()
+		_, learners := countMembers(r.Members())
 		return float64(learners)
 	})
 	gauge("term", "Term of the replicated log.", func() float64 {
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -129,6 +130,8 @@
 	member    *replica.Member
 	transport *logstream.Transport
 	quota     quotaLeader
+	// shuttingDown is set by Leave. From then on this replica does not join the log again.
+	shuttingDown atomic.Bool
 
 	mu              sync.Mutex
 	seeds           []netip.AddrPort
@@ -139,6 +142,7 @@
 	reportStatuses  map[gatewayRun]reportStatus
 	knownPeers      map[netip.AddrPort]bool
 	openJoins       map[netip.AddrPort]bool             // join requests without an answer, by peer
+	leaving         map[fleet.Host]time.Time            // replicas that shut down, as reported to this leader, with the expiry
 	supersededTerms map[uint64]bool                     // terms that the usage sink or an engine has rejected as superseded
 	meters          map[string]*roles.Meter[gatewayRun] // by pool
 	backlogs        map[gatewayRun]reportedBacklog
@@ -175,7 +179,7 @@
 	r := &Registry{
 		options: o, seeds: o.Seeds, self: fleet.Host(o.Self.String()), log: o.Log, machine: newStateMachine(),
 		rosterChanged: make(chan struct{}), reportedCounts: make(map[int64]map[countKey]uint64), openFeeds: make(map[string]int), reportStatuses: make(map[gatewayRun]reportStatus),
-		knownPeers: make(map[netip.AddrPort]bool), openJoins: make(map[netip.AddrPort]bool), supersededTerms: make(map[uint64]bool),
+		knownPeers: make(map[netip.AddrPort]bool), openJoins: make(map[netip.AddrPort]bool), leaving: make(map[fleet.Host]time.Time), supersededTerms: make(map[uint64]bool),
 		meters: make(map[string]*roles.Meter[gatewayRun]), backlogs: make(map[gatewayRun]reportedBacklog), gatewayVersions: make(map[gatewayRun]uint64), roleChanges: make(map[fleet.TargetName]place.RoleChange),
 	}
 	r.transport = &logstream.Transport{Self: r.self, Pool: o.Links, Address: linkAddress, Log: o.Log}
@@ -270,6 +274,9 @@
 	link.Handle(s, func(ctx context.Context, st *link.Stream, m *wire.RegistryJoin) {
 		r.logCallEnd(st, st.Send(r.admit(ctx, m)))
 	}, identity.Control)
+	link.Handle(s, func(_ context.Context, st *link.Stream, m *wire.RegistryLeave) {
+		r.logCallEnd(st, st.Send(r.release(m)))
+	}, identity.Control)
 	link.Handle(s, func(ctx context.Context, st *link.Stream, m *wire.FeedOpen) {
 		r.logCallEnd(st, r.serveFeed(ctx, st, m))
 	}, identity.Entry)
--- a/io/registry/replace_test.go
+++ b/io/registry/replace_test.go
@@ -24,6 +24,7 @@
 	// catchUpTime is how long after the start of its successor a lost host no longer
 	// counts as lost, so that another one may be lost.
 	catchUpTime  = 4 * time.Second
+	shutdownTime = 4 * time.Second  // limit of Leave
 	recoveryTime = 12 * time.Second // after which documents must be readable and accepted again
 )
 
@@ -40,6 +41,7 @@
 	running   []netip.AddrPort // oldest first
 	replicas  map[netip.AddrPort]*registry.Registry
 	stops     map[netip.AddrPort]func()
+	dirs      map[netip.AddrPort]string // data directories
 	nextHost  int
 	version   uint64
 }
@@ -49,9 +51,10 @@
 func newReplicaFleet(t *testing.T, hosts, losses int) *replicaFleet {
 	f := &replicaFleet{
 		t: t, losses: losses, listeners: make(map[netip.AddrPort]*memlink.Listener), conns: make(map[netip.AddrPort][]net.Conn),
-		cut: make(map[netip.AddrPort]bool), replicas: make(map[netip.AddrPort]*registry.Registry), stops: make(map[netip.AddrPort]func()),
+		cut: make(map[netip.AddrPort]bool), replicas: make(map[netip.AddrPort]*registry.Registry), stops: make(map[netip.AddrPort]func()), dirs: make(map[netip.AddrPort]string),
 	}
-	for i := range 3 {
+	t.Cleanup(f.stopAll)
+	for i := range min(3, hosts) {
 		f.seeds = append(f.seeds, replicaAddress(i))
 	}
 	for range hosts {
@@ -74,12 +77,18 @@
 	return a
 }
 
+// start starts a replica with an empty disk.
 func (f *replicaFleet) start(self netip.AddrPort, createLog bool) {
+	f.startAt(self, f.t.TempDir(), createLog)
+}
+
+func (f *replicaFleet) startAt(self netip.AddrPort, dir string, createLog bool) {
 	f.t.Helper()
+	f.dirs[self] = dir
 	links := &link.Pool{Dial: func(ctx context.Context, to link.Address) (net.Conn, error) { return f.dial(ctx, self, to.AddrPort) }}
 	r, err := registry.New(registry.Options{
 		Self: self, HostName: self.String(), Seeds: slices.Clone(f.seeds), CreateLog: createLog, Voters: 2*f.losses + 1,
-		DataDir: f.t.TempDir(), Links: links, Log: hclog.NewNullLogger(),
+		DataDir: dir, Links: links, Log: hclog.NewNullLogger(),
 	})
 	if err != nil {
 		f.t.Fatal(err)
@@ -207,6 +216,122 @@
 	time.Sleep(catchUpTime)
 }
 
+// check checks that the document that was accepted last can be read at each host, and that
+// another one is accepted.
+func (f *replicaFleet) check() {
+	f.t.Helper()
+	is := is.New(f.t)
+	time.Sleep(recoveryTime)
+	for _, a := range f.running {
+		version, _, err := f.replicas[a].LatestCatalog(f.t.Context())
+		is.NoErr(err)                // read of the accepted document
+		is.Equal(version, f.version) // that was accepted last
+	}
+	f.put()
+}
+
+// replaceAsPlanned starts successors, waits until they have caught up, and then shuts the
+// given hosts down at the same moment.
+func (f *replicaFleet) replaceAsPlanned(old ...netip.AddrPort) {
+	for _, a := range old {
+		next := f.add(false)
+		if i := slices.Index(f.seeds, a); i >= 0 {
+			f.seeds[i] = next
+		}
+	}
+	time.Sleep(catchUpTime)
+	var shutdowns sync.WaitGroup
+	for _, a := range old {
+		shutdowns.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+			defer cancel()
+			f.replicas[a].Leave(ctx)
+			f.lose(a)
+		})
+	}
+	shutdowns.Wait()
+}
+
+// restart shuts a host down and starts it again with its disk.
+func (f *replicaFleet) restart(a netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	defer cancel()
+	f.replicas[a].Leave(ctx)
+	f.lose(a)
+	time.Sleep(successorDelay)
+	f.startAt(a, f.dirs[a], false)
+	time.Sleep(catchUpTime)
+}
+
+// Guards against a log without a quorum for good, because hosts end that are replaced as
+// planned: each successor has caught up before its predecessor is shut down, so that no
+// host counts as lost at any time.
+func TestVotersReplacedAsPlanned(t *testing.T) {
+	for name, test := range map[string]struct {
+		hosts, losses int
+		run           func(f *replicaFleet)
+	}{
+		"two at once":           {3, 1, func(f *replicaFleet) { f.replaceAsPlanned(f.running[:2]...) }},
+		"all at once":           {3, 1, func(f *replicaFleet) { f.replaceAsPlanned(f.running[:3]...) }},
+		"three of five at once": {5, 2, func(f *replicaFleet) { f.replaceAsPlanned(f.running[:3]...) }},
+		"a single host":         {1, 0, func(f *replicaFleet) { f.replaceAsPlanned(f.running[0]) }},
+		"in turn, then a loss": {3, 1, func(f *replicaFleet) {
+			f.replaceAsPlanned(f.running[0])
+			f.replaceAsPlanned(f.running[0])
+			f.replace(f.running[0])
+			f.replace(f.running[0])
+		}},
+		"restarts in turn, then a loss": {4, 1, func(f *replicaFleet) {
+			for _, a := range slices.Clone(f.running) {
+				f.restart(a)
+				f.put()
+			}
+			f.replace(f.running[0])
+			f.replace(f.running[0])
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			memlink.RunInBubble(t, func(t *testing.T) {
+				f := newReplicaFleet(t, test.hosts, test.losses)
+				test.run(f)
+				f.check()
+			})
+		})
+	}
+}
+
+// Guards against a shutdown that waits although no learner can replace the replica, or for
+// a leader that a group without a quorum does not elect.
+func TestShutdownWithoutSuccessor(t *testing.T) {
+	for name, test := range map[string]struct {
+		hosts int
+		lose  int
+	}{
+		"all hosts vote": {3, 0},
+		"no quorum":      {3, 2},
+		"a learner":      {4, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			memlink.RunInBubble(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newReplicaFleet(t, test.hosts, 1)
+				for range test.lose {
+					f.lose(f.running[0])
+				}
+				last := f.running[len(f.running)-1]
+				for _, a := range f.running {
+					if !f.isVoter(a) {
+						last = a
+					}
+				}
+				start := time.Now()
+				f.replicas[last].Leave(t.Context())
+				is.True(time.Since(start) < successorDelay) // time in Leave
+			})
+		})
+	}
+}
+
 // Guards against a log without a quorum for good, because a voter that is gone still
 // counts when the next one is lost: its successor had all entries, but did not vote. The
 // document that was accepted can then not be read, and no other one is accepted.
@@ -263,17 +388,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			memlink.RunInBubble(t, func(t *testing.T) {
-				is := is.New(t)
 				f := newReplicaFleet(t, test.hosts, test.losses)
-				defer f.stopAll()
 				test.run(f)
-				time.Sleep(recoveryTime)
-				for _, a := range f.running {
-					version, _, err := f.replicas[a].LatestCatalog(t.Context())
-					is.NoErr(err)                // read of the accepted document
-					is.Equal(version, f.version) // that was accepted last
-				}
-				f.put()
+				f.check()
 			})
 		})
 	}
