--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -34,6 +34,7 @@
 	dir          string      // data directory
 	proxy        *fake.Proxy // in front of the link port
 	joinSettings string      // content of settings that joins the group instead of creating one
+	metrics      string      // address
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd     // the last one started; nil before the first start
@@ -52,7 +53,12 @@
 	gatewayAddresses  []string
 	runLog            standin.ExecutionLog // the runs at all targets
 	sink              standin.UsageSink
-	ctx               context.Context
+	sinkAddress       string
+	// Ports of all replicas of the registry. They listen on proxiedLink, their proxies on
+	// link.
+	link, proxiedLink, operator, metrics int
+	commonSettings, peerSettings         string // parts of the settings of all processes
+	ctx                                  context.Context
 
 	mu             sync.Mutex
 	targets        []*proxiedTarget // without those that drain
@@ -89,33 +95,19 @@
 	s := &http.Server{Handler: &d.sink, ReadHeaderTimeout: time.Minute}
 	t.Cleanup(func() { _ = s.Close() })
 	go func() { _ = s.Serve(sinkListener) }()
-	// Replicas listen on proxiedLink; their proxies listen on link.
-	link, proxiedLink, operator, gatewayPort, ready := d.port(), d.port(), d.port(), d.port(), d.port()
+	d.sinkAddress = sinkListener.Addr().String()
+	gatewayPort, ready := d.port(), d.port()
+	d.link, d.proxiedLink, d.operator, d.metrics = d.port(), d.port(), d.port(), d.port()
 	var seeds []string
 	for i := range registryReplicas {
-		seeds = append(seeds, fmt.Sprintf(`"127.0.0.%d:%d"`, 10+i, operator))
+		seeds = append(seeds, fmt.Sprintf(`"127.0.0.%d:%d"`, 10+i, d.operator))
 	}
 	common := "region = \"r\"\ndata-centre = \"z\"\nshutdown-deadline = \"6s\"\n"
-	peers := fmt.Sprintf("[links]\nplain = true\n[peers]\nseeds = [%s]\nlink-port = %d\n", strings.Join(seeds, ", "), link)
-	for i := range registryReplicas {
-		ip := fmt.Sprintf("127.0.0.%d", 10+i)
-		p := d.newProcess(fmt.Sprintf("registry-%d", i))
-		p.dir = filepath.Join(d.dir, p.name, "data")
-		text := func(form bool) string {
-			return fmt.Sprintf("host = %q\naddresses = [%q]\n%s%s[registry]\nlink = \"%s:%d\"\nlisten = \"%s:%d\"\n"+
-				"operator = \"%s:%d\"\ndata = %q\nform = %v\nlosses = 1\nusage = %q\nusage-window = \"1s\"\nusage-due = \"4s\"\n",
-				p.name, ip, common, peers, ip, link, ip, proxiedLink, ip, operator, p.dir, form, sinkListener.Addr().String())
-		}
-		d.writeSettings(p, text(true))
-		p.joinSettings = text(false)
-		p.proxy = &fake.Proxy{Target: fmt.Sprintf("%s:%d", ip, proxiedLink)}
-		l, err := (&net.ListenConfig{}).Listen(d.ctx, "tcp", fmt.Sprintf("%s:%d", ip, link))
-		if err != nil {
-			t.Fatal(err)
-		}
-		go p.proxy.Serve(d.ctx, l)
-		d.replicas = append(d.replicas, p)
-		d.registryAddresses = append(d.registryAddresses, fmt.Sprintf("%s:%d", ip, operator))
+	peers := fmt.Sprintf("[links]\nplain = true\n[peers]\nseeds = [%s]\nlink-port = %d\n", strings.Join(seeds, ", "), d.link)
+	d.commonSettings, d.peerSettings = common, peers
+	for range registryReplicas {
+		p, settings := d.addReplica()
+		d.writeSettings(p, settings(true))
 	}
 	for i := range *gateways {
 		ip := fmt.Sprintf("127.0.%d.%d", 1+i/200, 20+i%200)
@@ -136,6 +128,32 @@
 	return d
 }
 
+// addReplica adds a replica of the registry with an address of its own, which is not
+// started yet. settings returns its settings, with which it forms a log if form is true
+// and joins one otherwise.
+func (d *deployment) addReplica() (p *process, settings func(form bool) string) {
+	i := len(d.replicas)
+	ip := fmt.Sprintf("127.0.0.%d", 10+i)
+	p = d.newProcess(fmt.Sprintf("registry-%d", i))
+	p.dir = filepath.Join(d.dir, p.name, "data")
+	settings = func(form bool) string {
+		return fmt.Sprintf("host = %q\naddresses = [%q]\nmetrics = \"%s:%d\"\n%s%s[registry]\nlink = \"%s:%d\"\nlisten = \"%s:%d\"\n"+
+			"operator = \"%s:%d\"\ndata = %q\nform = %v\nlosses = 1\nusage = %q\nusage-window = \"1s\"\nusage-due = \"4s\"\n",
+			p.name, ip, ip, d.metrics, d.commonSettings, d.peerSettings, ip, d.link, ip, d.proxiedLink, ip, d.operator, p.dir, form, d.sinkAddress)
+	}
+	p.joinSettings = settings(false)
+	p.metrics = fmt.Sprintf("%s:%d", ip, d.metrics)
+	p.proxy = &fake.Proxy{Target: fmt.Sprintf("%s:%d", ip, d.proxiedLink)}
+	l, err := (&net.ListenConfig{}).Listen(d.ctx, "tcp", fmt.Sprintf("%s:%d", ip, d.link))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	go p.proxy.Serve(d.ctx, l)
+	d.replicas = append(d.replicas, p)
+	d.registryAddresses = append(d.registryAddresses, fmt.Sprintf("%s:%d", ip, d.operator))
+	return p, settings
+}
+
 func (d *deployment) newProcess(name string) *process {
 	return &process{name: name, settings: filepath.Join(d.dir, name+".toml"), log: filepath.Join(d.dir, name+".log")}
 }
