io/httpconn, io/gateway, io/entry: close the connection of a response that is not whole

Cause: net/http completes the response of a handler that returns, and the gateway returned without writing when the context of the request had ended: in fail, prepareRetry and charge.

Change: httpconn.ServeWhole decides for every way out of a handler. A response is whole if its declared length has been written, if its status has no body, or if the handler has called Complete; otherwise the connection is closed, with a reset for HTTP/1.0. Gateway and entry serve through it. A handler that returns without a response although the caller has not left answers 500 and logs an error.

Why this works: the end of a response is no longer what happens by default.

--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -12,6 +12,7 @@
 	"papayarock/core/config"
 	"papayarock/core/fleet"
 	"papayarock/core/state"
+	"papayarock/io/httpconn"
 	"papayarock/io/link"
 	"papayarock/io/upstream"
 	"papayarock/io/wire"
@@ -45,7 +46,7 @@
 	usage       state.UsageRecord // tokens to bill for the response
 }
 
-func (e *Entry) newCall(ctx context.Context, w http.ResponseWriter, r *http.Request, id fleet.RequestID, a authResult, body []byte) *call {
+func (e *Entry) newCall(ctx context.Context, w *httpconn.Response, r *http.Request, id fleet.RequestID, a authResult, body []byte) *call {
 	now := time.Now()
 	timeLimit := a.route.Promise
 	if timeLimit <= 0 {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"papayarock/core/config"
 	"papayarock/core/fleet"
+	"papayarock/io/httpconn"
 	"papayarock/io/link"
 )
 
@@ -116,6 +117,12 @@
 // ServeHTTP implements [http.Handler].
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.once.Do(e.init)
+	httpconn.ServeWhole(e.Log, w, r, func(w *httpconn.Response) { e.serveWhole(w, r) })
+}
+
+// serveWhole handles a request. If it returns without a complete response, the connection is
+// closed.
+func (e *Entry) serveWhole(w *httpconn.Response, r *http.Request) {
 	if r.URL.Path == ReadyPath {
 		e.serveReady(w)
 		return
@@ -127,6 +134,7 @@
 		e.counts.refused.Add(1)
 		e.Log.Info("request refused", "request", id, "type", refusal.Type, "not-run", refusal.notRun())
 		refusal.write(w)
+		w.Complete()
 	}
 }
 
@@ -134,9 +142,12 @@
 	e.mu.Lock()
 	ready := !e.draining
 	e.mu.Unlock()
+	status := http.StatusOK
 	if !ready || e.Config.Load() == nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		status = http.StatusServiceUnavailable
 	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
 }
 
 // authResult is the route of a request and, unless the route is open, the API key
@@ -148,7 +159,7 @@
 	customer fleet.Customer
 }
 
-func (e *Entry) serve(w http.ResponseWriter, r *http.Request, id fleet.RequestID) *Refusal {
+func (e *Entry) serve(w *httpconn.Response, r *http.Request, id fleet.RequestID) *Refusal {
 	if refusal := checkHeader(r, e.Limits); refusal != nil {
 		return refusal
 	}
@@ -163,7 +174,7 @@
 		return unconfirmed(r, refusal)
 	}
 	defer e.unregister(running)
-	body, refusal := e.readBody(w, r)
+	body, refusal := e.readBody(w.ResponseWriter, r)
 	defer e.releaseBodyBytes(len(body))
 	if refusal != nil {
 		return unconfirmed(r, refusal)
--- a/io/entry/sink.go
+++ b/io/entry/sink.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"papayarock/core/state"
+	"papayarock/io/httpconn"
 	"papayarock/io/wire"
 )
 
@@ -21,7 +22,7 @@
 // sink writes a response to the caller. It delays the header until the first byte
 // of the body, so that a retry on another target is possible until then.
 type sink struct {
-	w       http.ResponseWriter
+	w       *httpconn.Response
 	rc      *http.ResponseController
 	head    *wire.Head // nil until received; its status is valid
 	started bool       // the header has been written
@@ -41,7 +42,7 @@
 	stored *state.StoredAnswer
 }
 
-func newSink(w http.ResponseWriter, onFirstByte func()) *sink {
+func newSink(w *httpconn.Response, onFirstByte func()) *sink {
 	return &sink{w: w, rc: http.NewResponseController(w), onFirstByte: onFirstByte}
 }
 
@@ -120,10 +121,15 @@
 	if err := s.start(); err != nil {
 		return err
 	}
-	if len(s.held) == 0 {
-		return nil
+	if len(s.held) > 0 {
+		if err := s.forward(s.held); err != nil {
+			return err
+		}
 	}
-	return s.forward(s.held)
+	if !s.disconnected {
+		s.w.Complete()
+	}
+	return nil
 }
 
 func (s *sink) forward(data []byte) error {
@@ -154,5 +160,7 @@
 	}
 	h.Set("Idempotency-Replayed", "true")
 	s.w.WriteHeader(stored.Status)
-	_, _ = s.w.Write(stored.Body)
+	if _, err := s.w.Write(stored.Body); err == nil {
+		s.w.Complete()
+	}
 }
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -318,6 +318,7 @@
 		a.g.log.Info("forwarding response failed", "id", a.params.ID, "target", a.record.Target, "outcome", outcome, "error", err)
 		a.abort() // panics
 	}
+	a.w.Complete()
 	a.recordResponse(r.Status)
 	return retry.Executed, true
 }
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -59,7 +59,7 @@
 // job is the state of one request from a caller.
 type job struct {
 	g        *Gateway
-	w        http.ResponseWriter
+	w        *httpconn.Response
 	r        *http.Request
 	params   RequestInfo
 	index    *catalog.Index
@@ -102,6 +102,13 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.running.Add(1)
 	defer g.running.Add(-1)
+	httpconn.ServeWhole(g.log, w, r, func(w *httpconn.Response) { g.serve(w, r) })
+}
+
+// serve handles one request. If it returns without a complete response, the connection is
+// closed, or the request is answered with status 500. A caller that has ended its side of
+// the connection counts as gone: only a write could show that it still reads.
+func (g *Gateway) serve(w *httpconn.Response, r *http.Request) {
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -184,7 +191,7 @@
 		return j.reject(http.StatusServiceUnavailable, reasonMemory, j.started.Add(time.Second))
 	}
 	j.limitReading(j.deadline)
-	err := j.bodyBuffer.readFrom(http.MaxBytesReader(j.w, j.r.Body, limit), int(limit)+1)
+	err := j.bodyBuffer.readFrom(http.MaxBytesReader(j.w.ResponseWriter, j.r.Body, limit), int(limit)+1)
 	j.limitReading(time.Time{})
 	var large *http.MaxBytesError
 	switch {
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -14,7 +14,6 @@
 	"papayarock/core/place"
 	"papayarock/core/quarantine"
 	"papayarock/core/retry"
-	"papayarock/io/httpconn"
 	"papayarock/io/upstream"
 )
 
@@ -169,6 +168,7 @@
 		a.w.WriteHeader(r.Status)
 		a.headerSent = true
 	}
+	a.w.Complete()
 	a.recordSurvival()
 	a.reportPause(pace)
 	a.reportGaps(&gaps, !resumed)
@@ -232,15 +232,9 @@
 }
 
 // abort records a truncated response and panics. This closes the connection, so that the
-// caller does not take the response for complete. With HTTP/1.0, where the response may end
-// with the connection, it resets the connection.
+// caller does not take the response for complete.
 func (j *job) abort() {
 	j.g.truncated.Add(1)
-	if !j.r.ProtoAtLeast(1, 1) {
-		if err := httpconn.ResetOnClose(j.r); err != nil {
-			j.g.log.Warn("truncated response may look complete", "id", j.params.ID, "error", err)
-		}
-	}
 	j.recordEnd(reasonAnswerCut, http.StatusOK)
 	panic(http.ErrAbortHandler)
 }
--- a/io/httpconn/conn_test.go
+++ b/io/httpconn/conn_test.go
@@ -23,7 +23,7 @@
 
 // serve starts an HTTP server behind a Listener. It responds with the number of body bytes.
 func serve(t *testing.T, limits connlimit.Limits, headBytes int) *httptest.Server {
-	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return serveBy(t, limits, headBytes, func(w http.ResponseWriter, r *http.Request) {
 		if err := httpconn.CheckHead(r); err != nil {
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusBadRequest)
@@ -34,7 +34,12 @@
 			time.Sleep(d)
 		}
 		_, _ = fmt.Fprint(w, n)
-	}))
+	})
+}
+
+// serveBy starts an HTTP server behind a Listener.
+func serveBy(t *testing.T, limits connlimit.Limits, headBytes int, h http.HandlerFunc) *httptest.Server {
+	s := httptest.NewUnstartedServer(h)
 	s.Listener = httpconn.NewListener(s.Listener, httpconn.Options{
 		Port: "test", Limits: limits, HeaderTimeout: 10 * time.Second, HeadBytes: func() int { return headBytes },
 		Log: hclog.NewNullLogger(), Metrics: httpconn.NewMetrics(prometheus.NewRegistry()),
