--- a/io/controller/members.go
+++ b/io/controller/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 
@@ -36,9 +35,7 @@
 // replicas answer with the leader's name.
 func (c *Controller) serveMemberChange(w http.ResponseWriter, r *http.Request) {
 	var in operator.MemberChange
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMemberChangeBytes))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&in); err != nil {
+	if err := decodeBody(http.MaxBytesReader(w, r.Body, maxMemberChangeBytes), &in); err != nil {
 		writeError(w, http.StatusBadRequest, "body", err)
 		return
 	}
--- a/io/controller/operator.go
+++ b/io/controller/operator.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -57,13 +58,26 @@
 	})
 }
 
+// decodeBody decodes a body that must be one JSON value, without unknown fields and without
+// further bytes.
+func decodeBody(body io.Reader, in any) error {
+	d := json.NewDecoder(body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(in); err != nil {
+		return err
+	}
+	// Decoder.More does not find bytes that begin with a closing bracket.
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("bytes follow the JSON value")
+	}
+	return nil
+}
+
 // serveChange commits an operator's change, in pieces if it is large, and answers
 // with its outcome.
 func (c *Controller) serveChange(w http.ResponseWriter, r *http.Request, name string) {
 	var in operator.Change
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&in); err != nil {
+	if err := decodeBody(http.MaxBytesReader(w, r.Body, maxChangeBytes), &in); err != nil {
 		writeError(w, http.StatusBadRequest, "body", err)
 		return
 	}
