io/registry: refuse a sign-off at once without members, shorter log lines of a shutdown

Cause: a replica that knows no members of the log cannot confirm a sign-off, and waited 0.8 s before it said so. The line at the end of a shutdown claimed that the replica votes no more, which does not hold if the learner has replaced another voter. Change: the error is returned at once; the line only says that the shutdown goes on.

--- a/io/registry/leave.go
+++ b/io/registry/leave.go
@@ -23,7 +23,10 @@
 	for {
 		status, ok := r.status()
 		if !ok || !r.neededAtShutdown(ctx, status) {
-			break
+			if waited {
+				r.log.Info("shutdown goes on", "waited", time.Since(start))
+			}
+			return
 		}
 		if !waited {
 			waited = true
@@ -36,9 +39,6 @@
 		case <-time.After(memberPeriod):
 		}
 	}
-	if waited {
-		r.log.Info("shutdown goes on, this replica votes no more", "waited", time.Since(start))
-	}
 }
 
 // neededAtShutdown tells the leader that this replica shuts down, and reports whether it
--- a/io/registry/sign_off.go
+++ b/io/registry/sign_off.go
@@ -34,7 +34,10 @@
 	if !ok || record.Condition != roster.Left {
 		return nil // a later run of the target is known, which the sign-off does not end
 	}
-	status, _ := r.status()
+	status, ok := r.status()
+	if !ok || len(status.Members) == 0 {
+		return errors.Wrapf(ErrSignOffUnconfirmed, "target %q: this replica knows no members of the log", a.Target)
+	}
 	missing := status.Members.Quorum()
 	if status.Members.IsVoter(r.self) {
 		missing--
