--- a/io/registry/replace_test.go
+++ b/internal/failover/replace_test.go
@@ -1,4 +1,4 @@
-package registry_test
+package failover_test
 
 import (
 	"context"
--- a/io/registry/sign_off_test.go
+++ b/internal/failover/sign_off_test.go
@@ -1,4 +1,4 @@
-package registry_test
+package failover_test
 
 import (
 	"errors"
@@ -13,6 +13,13 @@
 	"papayarock/io/registry"
 )
 
+func announcement(sequence uint64, c roster.Condition) roster.Announcement {
+	return roster.Announcement{
+		Target: "t", Started: time.UnixMilli(1000), Sequence: sequence, Pool: "orders",
+		Address: netip.MustParseAddrPort("10.0.1.1:80"), Condition: c,
+	}
+}
+
 // condition returns the condition of target "t" at a replica.
 func (f *replicaFleet) condition(a netip.AddrPort) roster.Condition {
 	f.t.Helper()
--- a/io/daemon/server.go
+++ b/io/daemon/server.go
@@ -74,9 +74,9 @@
 
 // Stop calls leave and waits for it within the limit.
 func (l leaver) Stop(ctx context.Context) error {
-	limited, cancel := context.WithTimeout(ctx, l.limit)
+	ctx, cancel := context.WithTimeout(ctx, l.limit)
 	defer cancel()
-	l.leave(limited)
+	l.leave(ctx)
 	return nil
 }
 
