review: gateways ignore new registry replicas after many replaced hosts

Cause: a learner of the log that is gone for good is never removed from the members. Every feed names all members, so that gateways never forget the dead ones, and they follow at most 32 replicas. Once they know 32, they ignore each new replica. When the last one that they follow is replaced, they keep their configuration, keys and targets for good.

Change: case 12, a script that replaces the host of the learner 27 times, waits for longer than a gateway remembers a former member, and replaces each host once.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -27,6 +27,7 @@
 // cases are the cases by the name of their folder.
 var cases = map[string]reviewCase{
 	"11": {3, small, forgottenDeregistration},
+	"12": {6, grown, deadLearners},
 	"13": {3, grown, staleReport},
 }
 
