review: a second refusal is taken for the answer to a repeated request

Cause: the gateway keeps the connection on which a target has refused the rest of a stream, and may send the same request on it again. Both requests have the same id. If the target sends its refusal a second time where the response to the second request is due, the gateway takes the request for refused although it runs, and another target goes on with the stream.

Change: case 14, a script with stream servers that break off streams and send refusals twice.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -29,6 +29,7 @@
 	"11": {3, small, forgottenDeregistration},
 	"12": {6, grown, deadLearners},
 	"13": {3, grown, staleReport},
+	"14": {3, small, secondRefusal},
 }
 
 func main() { os.Exit(run()) }
