core/quorum, core/log, io/registry: remove learners that are gone for good

Cause, first part: nothing removed a learner whose host was gone. Each feed names all members, so that gateways went on to follow the 27 dead ones, and ignored new replicas. Evidence: the metric papayarock_registry_learners shows 28 learners of which one runs.

Change: the leader removes a learner that it has not heard for 10 s, after the changes that voters need. A learner that was only silent joins again with its copy of the log: one that hears nothing gives up its leader after an election timeout, since nobody tells it of its removal. Until now it kept a dead leader, to which it also sent operators.

TestLearnersReplacedInTurn: 2 of 3 cases fail without the change (the third guards the disk that comes back empty), TestSilentLearnerReturns fails without the change of core/log: 3 members of 4.

--- a/core/log/lead.go
+++ b/core/log/lead.go
@@ -28,6 +28,7 @@
 
 // peer is the replication progress of one other member.
 type peer struct {
+	addedAt      time.Time   // when this leader began to send to it
 	identity     DirectoryID // of the directory that replies; zero until the first reply
 	match        uint64      // last index known to match and to be synced there
 	next         uint64      // next index to send
@@ -72,7 +73,7 @@
 // is added or replaced during the term is probed first; after an election the append
 // of the first entry of the term serves as the probe.
 func (n *Node) newPeer(id DirectoryID) *peer {
-	p := &peer{identity: id, next: n.log.last() + 1, waitingSince: n.now}
+	p := &peer{addedAt: n.now, identity: id, next: n.log.last() + 1, waitingSince: n.now}
 	if n.log.last() >= n.leaderState.noopIndex {
 		p.probing, p.waitingSince = true, time.Time{}
 	}
--- a/core/log/node.go
+++ b/core/log/node.go
@@ -164,7 +164,12 @@
 		return
 	}
 	n.resetElectionTimeout()
-	if n.electable() && (!n.now.Before(n.leaseGrantEnd) || n.mutations&ignoreLeaseGrant != 0) {
+	if !n.electable() {
+		// Nobody tells a removed learner of its removal; without a leader it joins again.
+		n.leader = ""
+		return
+	}
+	if !n.now.Before(n.leaseGrantEnd) || n.mutations&ignoreLeaseGrant != 0 {
 		n.startPreVote()
 	}
 }
--- a/core/log/status.go
+++ b/core/log/status.go
@@ -33,6 +33,7 @@
 	Match, Next uint64
 	Inflight    int
 	Identity    DirectoryID
+	Added       time.Time // when this leader began to send to it
 	Confirmed   time.Time // send time of the last heartbeat it answered
 	CaughtUp    bool      // it has nearly all entries, so that a learner can be promoted
 }
@@ -71,7 +72,7 @@
 	s.MembersCommitted, s.ElectedAt = !n.changePending(), n.leaderState.electedAt
 	s.Peers = make(map[fleet.Host]PeerStatus)
 	for h, p := range n.leaderState.peers {
-		s.Peers[h] = PeerStatus{p.match, p.next, p.inflight, p.identity, p.confirmedAt, n.caughtUp(p)}
+		s.Peers[h] = PeerStatus{p.match, p.next, p.inflight, p.identity, p.addedAt, p.confirmedAt, n.caughtUp(p)}
 	}
 	return s
 }
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -1,7 +1,8 @@
 // Package quorum decides the membership changes with which the leader of a
 // replicated log maintains the number of voters without an operator. A host
 // with a new data directory is added as a learner, is promoted once it has
-// caught up, and may replace a voter that no longer responds.
+// caught up, and may replace a voter that no longer responds. A learner that no
+// longer responds is removed.
 package quorum
 
 import (
@@ -44,6 +45,7 @@
 
 // Peer is what the leader knows about another member.
 type Peer struct {
+	Added     time.Time // when the leader began to send to it
 	LastHeard time.Time // when it last responded; zero if it never has
 	CaughtUp  bool      // it has nearly all entries, so that a learner can be promoted
 	Leaving   bool      // it shuts down
@@ -58,14 +60,30 @@
 	// SilentSince is the time after which a member must have responded. Voters that have
 	// not are replaced.
 	SilentSince time.Time
+	// LearnersSilentSince is the time after which a learner must have responded. Those that
+	// have not are removed; the zero time keeps all. It is earlier than SilentSince, since a
+	// silent learner does no harm until there are many of them.
+	LearnersSilentSince time.Time
 }
 
 // NextRepairChange returns the next change that the leader should attempt, and false if
 // there is none. A learner that has caught up is promoted if a voter is missing, silent
 // or shutting down. The voter that it replaces is removed only after that: in between,
 // the group does without either of the two, and a voter that is not lost after all
-// still counts.
+// still counts. Learners that are gone are removed when the voters need no change.
 func NextRepairChange(v View) (Change, bool) {
+	if c, ok := v.nextVoterChange(); ok {
+		return c, true
+	}
+	h := v.lostLearner()
+	if h == "" {
+		return Change{}, false
+	}
+	return Change{log.Remove, h}, true
+}
+
+// nextVoterChange returns the next change of the set of voters, and false if there is none.
+func (v View) nextVoterChange() (Change, bool) {
 	voters := 0
 	for _, m := range v.Members {
 		if !m.Learner {
@@ -94,7 +112,7 @@
 // Needed reports whether host h, which shuts down, should keep running: it is a voter, and
 // further changes are due, by which it may be replaced.
 func (v View) Needed(h fleet.Host) bool {
-	_, changing := NextRepairChange(v)
+	_, changing := v.nextVoterChange()
 	return changing && v.Members.IsVoter(h)
 }
 
@@ -113,6 +131,18 @@
 	return ""
 }
 
+// lostLearner returns a learner that has not responded for long, or an empty host if there is
+// none.
+func (v View) lostLearner() fleet.Host {
+	for _, m := range v.Members {
+		p := v.Peers[m.Host]
+		if m.Learner && m.Host != v.Self && p.LastHeard.Before(v.LearnersSilentSince) && p.Added.Before(v.LearnersSilentSince) {
+			return m.Host
+		}
+	}
+	return ""
+}
+
 // outgoing returns the voter to replace first, and false if there is none. A silent voter
 // without a recorded directory comes first, since it prevents promotions, and the leader
 // last, since its removal ends its leadership.
--- a/core/quorum/quorum_test.go
+++ b/core/quorum/quorum_test.go
@@ -100,6 +100,45 @@
 	}
 }
 
+// Guards against learners that are gone for good and stay members: gateways go on to follow
+// each of them, and ignore new replicas at last.
+func TestLostLearners(t *testing.T) {
+	now := time.Unix(100, 0)
+	heard := func(age time.Duration) quorum.Peer {
+		return quorum.Peer{LastHeard: now.Add(-age), CaughtUp: true}
+	}
+	voter := func(h fleet.Host) log.Member { return log.Member{Host: h, Identity: 1} }
+	learner := func(h fleet.Host) log.Member { return log.Member{Host: h, Identity: 1, Learner: true} }
+	members := log.Membership{voter("a"), voter("b"), voter("c"), learner("d"), learner("e")}
+	for name, test := range map[string]struct {
+		peers map[fleet.Host]quorum.Peer
+		want  quorum.Change
+	}{
+		"all live":                    {map[fleet.Host]quorum.Peer{"b": heard(0), "c": heard(0), "d": heard(0), "e": heard(0)}, quorum.Change{}},
+		"silent for a while":          {map[fleet.Host]quorum.Peer{"b": heard(0), "c": heard(0), "d": heard(0), "e": heard(5 * time.Second)}, quorum.Change{}},
+		"gone":                        {map[fleet.Host]quorum.Peer{"b": heard(0), "c": heard(0), "d": heard(0), "e": heard(11 * time.Second)}, quorum.Change{Kind: log.Remove, Host: "e"}},
+		"never heard":                 {map[fleet.Host]quorum.Peer{"b": heard(0), "c": heard(0), "d": {}, "e": heard(0)}, quorum.Change{Kind: log.Remove, Host: "d"}},
+		"added just now":              {map[fleet.Host]quorum.Peer{"b": heard(0), "c": heard(0), "d": {Added: now}, "e": heard(0)}, quorum.Change{}},
+		"a voter is replaced first":   {map[fleet.Host]quorum.Peer{"b": heard(0), "c": heard(11 * time.Second), "d": heard(0), "e": heard(11 * time.Second)}, quorum.Change{Kind: log.Promote, Host: "d"}},
+		"a voter without replacement": {map[fleet.Host]quorum.Peer{"b": heard(0), "c": heard(11 * time.Second), "d": heard(11 * time.Second), "e": heard(0)}, quorum.Change{Kind: log.Promote, Host: "e"}},
+		"only gone learners":          {map[fleet.Host]quorum.Peer{"b": heard(0), "c": heard(11 * time.Second), "d": heard(11 * time.Second), "e": heard(11 * time.Second)}, quorum.Change{Kind: log.Remove, Host: "d"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := quorum.View{
+				Members: members, Self: "a", Voters: 3, Peers: test.peers,
+				SilentSince: now.Add(-2 * time.Second), LearnersSilentSince: now.Add(-10 * time.Second),
+			}
+			c, ok := quorum.NextRepairChange(v)
+			is.Equal(c, test.want)
+			is.Equal(ok, test.want != quorum.Change{})
+			if c.Kind == log.Remove {
+				is.True(!v.Needed("b")) // a shutdown does not wait for the removal of learners
+			}
+		})
+	}
+}
+
 // A host that shuts down must not end while its replacement is under way, and must not
 // wait for one that does not come.
 func TestNeeded(t *testing.T) {
--- a/internal/failover/replace_test.go
+++ b/internal/failover/replace_test.go
@@ -395,3 +395,68 @@
 		})
 	}
 }
+
+// Guards against members that are gone for good: each replaced host whose replica does not
+// vote stays a member, which the leader and the gateways try to reach for ever.
+func TestLearnersReplacedInTurn(t *testing.T) {
+	replaceLearner := func(f *replicaFleet) netip.AddrPort {
+		learner := f.running[len(f.running)-1]
+		for _, a := range f.running {
+			if !f.isVoter(a) {
+				learner = a
+			}
+		}
+		return learner
+	}
+	for name, test := range map[string]struct {
+		times   int
+		replace func(f *replicaFleet, a netip.AddrPort)
+	}{
+		"lost":       {10, func(f *replicaFleet, a netip.AddrPort) { f.replace(a) }},
+		"as planned": {10, func(f *replicaFleet, a netip.AddrPort) { f.replaceAsPlanned(a) }},
+		"disk lost":  {3, func(f *replicaFleet, a netip.AddrPort) { f.lose(a); f.start(a, false); time.Sleep(catchUpTime) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			memlink.RunInBubble(t, func(t *testing.T) {
+				is := is.New(t)
+				const hosts = 4
+				f := newReplicaFleet(t, hosts, 1)
+				for range test.times {
+					test.replace(f, replaceLearner(f))
+				}
+				time.Sleep(2 * recoveryTime)
+				leader, _ := f.leader()
+				members := f.replicas[leader].Members()
+				is.Equal(len(members), hosts)
+				for _, a := range f.running {
+					_, isMember := members.Find(fleet.Host(a.String()))
+					is.True(isMember)
+				}
+				f.check()
+			})
+		})
+	}
+}
+
+// Guards against a learner that was only cut off for a while and does not join again.
+func TestSilentLearnerReturns(t *testing.T) {
+	memlink.RunInBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newReplicaFleet(t, 4, 1)
+		var learner netip.AddrPort
+		for _, a := range f.running {
+			if !f.isVoter(a) {
+				learner = a
+			}
+		}
+		f.setCut(learner, true)
+		time.Sleep(2 * recoveryTime)
+		leader, _ := f.leader()
+		is.Equal(len(f.replicas[leader].Members()), 3)
+		f.setCut(learner, false)
+		time.Sleep(catchUpTime)
+		leader, _ = f.leader()
+		is.Equal(len(f.replicas[leader].Members()), 4)
+		f.check()
+	})
+}
--- a/io/registry/member.go
+++ b/io/registry/member.go
@@ -31,6 +31,9 @@
 	// new leader. The former leader has been silent for more than a lease when another one
 	// is elected.
 	answerTimeout = voterTimeout - log.DefaultLease
+	// learnerTimeout is how long a learner may be silent before it is removed. It covers a
+	// restart; a learner that returns later joins again with its copy of the log.
+	learnerTimeout = 10 * time.Second
 )
 
 // memberLoop joins this replica to the log. While this replica leads, it also
@@ -178,6 +181,7 @@
 	v := quorum.View{
 		Members: status.Members, Self: r.self, Voters: r.options.Voters,
 		Peers: make(map[fleet.Host]quorum.Peer, len(status.Peers)+1), SilentSince: r.member.Now().Add(-voterTimeout),
+		LearnersSilentSince: r.member.Now().Add(-learnerTimeout),
 	}
 	v.Peers[r.self] = quorum.Peer{Leaving: r.shuttingDown.Load()}
 	silentUntilElected := status.ElectedAt.Add(answerTimeout - voterTimeout)
@@ -186,7 +190,7 @@
 		if heard.Before(silentUntilElected) {
 			heard = silentUntilElected
 		}
-		v.Peers[h] = quorum.Peer{LastHeard: heard, CaughtUp: p.CaughtUp, Leaving: r.isLeaving(h)}
+		v.Peers[h] = quorum.Peer{Added: p.Added, LastHeard: heard, CaughtUp: p.CaughtUp, Leaving: r.isLeaving(h)}
 	}
 	return v
 }
