io/feed: replicas that do not answer give up their feeds to new ones

Cause, second part: a gateway follows at most 32 replicas and ignored all others, also while the 32 did not answer. When the last live one of them was replaced, the gateway had lost the registry until its restart.

Change: at the limit, a replica that is named takes the feed of the one that has been silent for the longest time, at least 1.5 s. Connected replicas and seeds keep theirs.

--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -42,6 +43,8 @@
 	minQuotaInterval = 20 * time.Millisecond
 	// maxReplicas limits the number of replicas to connect to.
 	maxReplicas = 32
+	// forgetAfter is how long a replica is followed that is not named any more.
+	forgetAfter = time.Minute
 )
 
 // Options configures a Client. The functions are called concurrently.
@@ -109,18 +112,25 @@
 
 	mu           sync.Mutex
 	seeds        []netip.AddrPort
-	seedsChanged chan struct{}                // signals that seeds was replaced
-	lastNamed    map[netip.AddrPort]time.Time // replicas with a maintainFeed goroutine, and when each was last named as a seed or member
-	connected    map[netip.AddrPort]bool      // replicas whose current stream has delivered an update
-	newCatalog   chan struct{}                // closed and replaced after OnCatalog was called
+	seedsChanged chan struct{}                   // signals that seeds was replaced
+	feeds        map[netip.AddrPort]*replicaFeed // by replica; each has a maintainFeed goroutine
+	newCatalog   chan struct{}                   // closed and replaced after OnCatalog was called
+}
+
+// replicaFeed is the state of the feed to one replica. It is guarded by Client.mu.
+type replicaFeed struct {
+	address   netip.AddrPort
+	stop      context.CancelFunc
+	lastNamed time.Time // when the replica was last named as a seed or member
+	lastAlive time.Time // when the feed was last connected; until then, when it was started
+	connected bool      // the current stream has delivered an update
 }
 
 // New returns a client. Call Serve to run it.
 func New(o Options) *Client {
 	return &Client{
 		options: o, seeds: o.Seeds, seedsChanged: make(chan struct{}, 1),
-		lastNamed: make(map[netip.AddrPort]time.Time), connected: make(map[netip.AddrPort]bool),
-		newCatalog: make(chan struct{}),
+		feeds: make(map[netip.AddrPort]*replicaFeed), newCatalog: make(chan struct{}),
 	}
 }
 
@@ -157,50 +167,86 @@
 func (c *Client) Connected() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.connected)
+	return c.countConnected()
+}
+
+// countConnected implements Connected. The caller holds mu.
+func (c *Client) countConnected() int {
+	n := 0
+	for _, f := range c.feeds {
+		if f.connected {
+			n++
+		}
+	}
+	return n
 }
 
 // startFeeds records that addresses were named as seeds or members, and starts a feed to
-// each one that has none yet. Once there are maxReplicas feeds, further addresses are
-// ignored.
+// each one that has none yet. Once there are maxReplicas feeds, a new one takes the place of
+// one to a replica that does not answer; if there is none, the address is ignored until it is
+// named again.
 func (c *Client) startFeeds(ctx context.Context, addresses []netip.AddrPort) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, address := range addresses {
-		if _, known := c.lastNamed[address]; !known {
-			if len(c.lastNamed) >= maxReplicas || ctx.Err() != nil {
+	now := time.Now()
+	// In a fixed order, the same dead replicas would take each other's places for ever.
+	for _, i := range rand.Perm(len(addresses)) {
+		address := addresses[i]
+		f := c.feeds[address]
+		if f == nil {
+			if ctx.Err() != nil || len(c.feeds) >= maxReplicas && !c.dropDeadFeed(now) {
 				continue
 			}
-			c.wg.Go(func() { c.maintainFeed(ctx, address) })
+			feedCtx, stop := context.WithCancel(ctx)
+			f = &replicaFeed{address: address, stop: stop, lastAlive: now}
+			c.feeds[address] = f
+			c.wg.Go(func() { c.maintainFeed(ctx, feedCtx, f) })
+		}
+		f.lastNamed = now
+	}
+}
+
+// dropDeadFeed ends the feed that has not been connected for the longest time, and reports
+// whether there was one. Seeds are kept, and so are feeds that have not had the time to open
+// a stream. The caller holds mu.
+func (c *Client) dropDeadFeed(now time.Time) bool {
+	var dead *replicaFeed
+	for _, f := range c.feeds {
+		if f.connected || now.Sub(f.lastAlive) < idleTimeout || slices.Contains(c.seeds, f.address) {
+			continue
+		}
+		if dead == nil || f.lastAlive.Before(dead.lastAlive) {
+			dead = f
 		}
-		c.lastNamed[address] = time.Now()
 	}
+	if dead == nil {
+		return false
+	}
+	c.options.Log.Info("feed ended for one to another replica", "replica", dead.address, "silent", now.Sub(dead.lastAlive))
+	delete(c.feeds, dead.address)
+	dead.stop()
+	return true
 }
 
-// maintainFeed runs the streams to one replica, one after the other. It returns when ctx
-// is cancelled, or when a stream ends, the replica is not a seed and it has not been
-// named as a member within forgetAfter.
-func (c *Client) maintainFeed(ctx context.Context, address netip.AddrPort) {
-	const forgetAfter = time.Minute
+// maintainFeed runs the streams to one replica, one after the other. It returns when ctx,
+// which is that of the feed, is cancelled, or when a stream ends, the replica is not a seed
+// and it has not been named as a member within forgetAfter.
+func (c *Client) maintainFeed(serveCtx, ctx context.Context, f *replicaFeed) {
+	defer f.stop()
 	var failures uint64 // streams without an update, one after the other
 	for ctx.Err() == nil {
-		err := c.runStream(ctx, address)
-		c.mu.Lock()
-		if c.connected[address] {
-			delete(c.connected, address)
+		err := c.runStream(serveCtx, ctx, f)
+		connected, forget := c.endStream(f)
+		switch {
+		case connected:
 			failures = 0
-			c.options.Log.Warn("feed lost", "replica", address, "left", len(c.connected), "error", err)
-		} else if ctx.Err() == nil {
+			c.options.Log.Warn("feed lost", "replica", f.address, "left", c.Connected(), "error", err)
+		case ctx.Err() == nil:
 			// The streams 1, 2, 4, 8 and so on are logged, since a replica may be gone for long.
 			if failures++; failures&(failures-1) == 0 {
-				c.options.Log.Info("feed ended before its first update", "replica", address, "times", failures, "error", err)
+				c.options.Log.Info("feed ended before its first update", "replica", f.address, "times", failures, "error", err)
 			}
 		}
-		forget := time.Since(c.lastNamed[address]) > forgetAfter && !slices.Contains(c.seeds, address)
-		if forget {
-			delete(c.lastNamed, address)
-		}
-		c.mu.Unlock()
 		if forget {
 			return
 		}
@@ -211,16 +257,31 @@
 	}
 }
 
+// endStream records that the stream of a feed has ended. It reports whether the stream was
+// connected, and whether the feed has ended with it.
+func (c *Client) endStream(f *replicaFeed) (connected, forget bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if f.connected {
+		f.connected, connected, f.lastAlive = false, true, time.Now()
+	}
+	forget = time.Since(f.lastNamed) > forgetAfter && !slices.Contains(c.seeds, f.address)
+	if forget && c.feeds[f.address] == f {
+		delete(c.feeds, f.address)
+	}
+	return connected, forget
+}
+
 // runStream opens a stream to a replica, handles its updates and sends usage reports
 // until the stream fails.
-func (c *Client) runStream(serveCtx context.Context, address netip.AddrPort) error {
-	ctx, cancel := context.WithCancel(serveCtx)
+func (c *Client) runStream(serveCtx, feedCtx context.Context, f *replicaFeed) error {
+	ctx, cancel := context.WithCancel(feedCtx)
 	defer cancel()
 	pool := c.options.NewLinkPool()
 	defer pool.Close()
 	openCtx, cancelOpen := context.WithTimeout(ctx, idleTimeout)
 	defer cancelOpen()
-	stream, err := pool.Open(openCtx, link.Address{AddrPort: address}, &wire.FeedOpen{
+	stream, err := pool.Open(openCtx, link.Address{AddrPort: f.address}, &wire.FeedOpen{
 		Host: c.options.Host, Run: c.options.Run, Version: c.options.CatalogVersion(), Observer: c.options.Observer,
 		DataCentre: string(c.options.DataCentre), Region: string(c.options.Region),
 	})
@@ -245,7 +306,7 @@
 		if err := stream.Receive(&m); err != nil {
 			return err
 		}
-		c.handleUpdate(serveCtx, address, &m)
+		c.handleUpdate(serveCtx, f, &m)
 		status.set(&m)
 	}
 }
@@ -253,15 +314,15 @@
 // handleUpdate passes one update to the callbacks and starts feeds to the members
 // that it names. These feeds use serveCtx, so that they outlive the stream on which
 // they were named. Members with an invalid address are ignored.
-func (c *Client) handleUpdate(serveCtx context.Context, address netip.AddrPort, m *wire.FeedUpdate) {
+func (c *Client) handleUpdate(serveCtx context.Context, f *replicaFeed, m *wire.FeedUpdate) {
 	c.mu.Lock()
-	if !c.connected[address] {
-		c.connected[address] = true
-		c.options.Log.Info("feed connected", "replica", address, "version", m.GetVersion(), "open", len(c.connected))
+	if !f.connected {
+		f.connected = true
+		c.options.Log.Info("feed connected", "replica", f.address, "version", m.GetVersion(), "open", c.countConnected())
 	}
 	c.mu.Unlock()
 	if c.options.OnReplicaTime != nil && m.GetTimeMs() > 0 {
-		c.options.OnReplicaTime(address, time.UnixMilli(m.GetTimeMs()))
+		c.options.OnReplicaTime(f.address, time.UnixMilli(m.GetTimeMs()))
 	}
 	if len(m.GetDocument()) > 0 && !c.options.Observer {
 		c.options.OnCatalog(m.GetVersion(), m.GetDocument())
@@ -281,7 +342,7 @@
 	for _, t := range m.GetTargets() {
 		r, err := wire.DecodeFeedTarget(now, t)
 		if err != nil {
-			c.options.Log.Warn("ignoring invalid target in feed update", "replica", address, "error", err)
+			c.options.Log.Warn("ignoring invalid target in feed update", "replica", f.address, "error", err)
 			continue
 		}
 		records = append(records, r)
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -124,6 +124,32 @@
 	is.Equal(second.read(&second.opens), 1)
 }
 
+// Guards against members that are gone and take up all feeds: a replica that is new then was
+// ignored for good, and with the last of the known ones the client lost the registry.
+func TestDeadMembersDoNotKeepOutNewOnes(t *testing.T) {
+	for name, seeds := range map[string]int{"one seed": 1, "dead seeds": 3} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			second := newReplica(t, func() *wire.FeedUpdate { return &wire.FeedUpdate{} })
+			var members []string
+			for i := range 100 {
+				members = append(members, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 9, byte(i + 1)}), 1).String()) // refuses connections
+			}
+			members = append(members, second.address.String())
+			first := newReplica(t, func() *wire.FeedUpdate { return &wire.FeedUpdate{Members: members} })
+			o := feed.Options{Seeds: []netip.AddrPort{first.address}}
+			for i := range seeds - 1 {
+				o.Seeds = append(o.Seeds, netip.MustParseAddrPort(members[i]))
+			}
+			c := serve(t, o)
+			waitFor(t, "the new replica is connected", func() bool { return c.Connected() == 2 })
+			first.stop()
+			waitFor(t, "the first feed is lost", func() bool { return c.Connected() == 1 })
+			is.Equal(second.read(&second.opens), 1)
+		})
+	}
+}
+
 // Guards against a client that keeps a stream on which the replica has stopped sending
 // although the connection stays open.
 func TestSilentFeed(t *testing.T) {
