io/registry: remember the newest leaders that peers name

A replica asks the leaders that it was told of, beside its seeds and the members of its log, to add it to the log. It kept the first 64 and ignored all others, so that after many replaced hosts a replica whose seeds and members are gone could not join again. It keeps the 16 that were named last.

TestNewLeaderIsRemembered fails on the former code, with the type of the table adapted, and passes now.

--- a/io/registry/member.go
+++ b/io/registry/member.go
@@ -138,13 +138,23 @@
 	return slices.DeleteFunc(list, func(a netip.AddrPort) bool { return a == r.options.Self })
 }
 
+// addPeer records a replica that was named as the leader. Of more than maxKnownPeers, the one
+// that was named the longest time ago is forgotten.
 func (r *Registry) addPeer(a netip.AddrPort) {
-	const maxKnownPeers = 64 // more than any log has members
+	const maxKnownPeers = 16 // leaders named shortly after each other
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.knownPeers) < maxKnownPeers {
-		r.knownPeers[a] = true
+	r.knownPeers[a] = time.Now()
+	if len(r.knownPeers) <= maxKnownPeers {
+		return
 	}
+	oldest := a
+	for peer, named := range r.knownPeers {
+		if named.Before(r.knownPeers[oldest]) {
+			oldest = peer
+		}
+	}
+	delete(r.knownPeers, oldest)
 }
 
 // admit handles a join request. Only the leader adds the replica; others respond
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -140,7 +140,7 @@
 	reportedCounts  map[int64]map[countKey]uint64 // by window, as reported to this replica by gateways
 	openFeeds       map[string]int                // number of open feeds by host of the gateway
 	reportStatuses  map[gatewayRun]reportStatus
-	knownPeers      map[netip.AddrPort]bool
+	knownPeers      map[netip.AddrPort]time.Time        // replicas that were named as the leader, and when
 	openJoins       map[netip.AddrPort]bool             // join requests without an answer, by peer
 	leaving         map[fleet.Host]time.Time            // replicas that shut down, as reported to this leader, with the expiry
 	supersededTerms map[uint64]bool                     // terms that the usage sink or an engine has rejected as superseded
@@ -179,7 +179,7 @@
 	r := &Registry{
 		options: o, seeds: o.Seeds, self: fleet.Host(o.Self.String()), log: o.Log, machine: newStateMachine(),
 		rosterChanged: make(chan struct{}), reportedCounts: make(map[int64]map[countKey]uint64), openFeeds: make(map[string]int), reportStatuses: make(map[gatewayRun]reportStatus),
-		knownPeers: make(map[netip.AddrPort]bool), openJoins: make(map[netip.AddrPort]bool), leaving: make(map[fleet.Host]time.Time), supersededTerms: make(map[uint64]bool),
+		knownPeers: make(map[netip.AddrPort]time.Time), openJoins: make(map[netip.AddrPort]bool), leaving: make(map[fleet.Host]time.Time), supersededTerms: make(map[uint64]bool),
 		meters: make(map[string]*roles.Meter[gatewayRun]), backlogs: make(map[gatewayRun]reportedBacklog), gatewayVersions: make(map[gatewayRun]uint64), roleChanges: make(map[fleet.TargetName]place.RoleChange),
 	}
 	r.transport = &logstream.Transport{Self: r.self, Pool: o.Links, Address: linkAddress, Log: o.Log}
