io/logstream, io/link: forget peers that are gone for good

A replica went on to dial, five times a second and until its end, each host to which it had ever sent a message of the log, also after that host had been removed from the members. The pool of links kept an entry for each peer to which it was ever connected.

Change: the queue of a peer ends when its stream has failed and nothing was sent for a minute; the next message starts another one.

TestMessageAfterRestartOfPeer, which guards the first message to a peer that was down, passes as before.

--- a/io/link/pool.go
+++ b/io/link/pool.go
@@ -133,7 +133,8 @@
 	}
 	ps := p.peers[a]
 	if ps == nil {
-		ps = &peerSession{dialSem: make(chan struct{}, 1)}
+		p.dropClosed(time.Now().Add(-unusedTimeout))
+		ps = &peerSession{dialSem: make(chan struct{}, 1), lastUsed: time.Now()}
 		if p.peers == nil {
 			p.peers = make(map[Address]*peerSession)
 		}
@@ -142,6 +143,24 @@
 	return ps, nil
 }
 
+// dropClosed removes the peers without an open session that no call has used since cutoff.
+// The caller holds mu.
+func (p *Pool) dropClosed(cutoff time.Time) {
+	for a, ps := range p.peers {
+		if ps.closedSince(cutoff) {
+			delete(p.peers, a)
+		}
+	}
+}
+
+// closedSince reports whether there is no open session, and no call has used the last one
+// after cutoff.
+func (ps *peerSession) closedSince(cutoff time.Time) bool {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	return (ps.session == nil || ps.session.IsClosed()) && ps.lastUsed.Before(cutoff)
+}
+
 // connect returns the session to a peer. It dials unless another call has done so
 // in the meantime.
 func (p *Pool) connect(ctx context.Context, ps *peerSession, a Address) (*session, Peer, error) {
--- a/io/logstream/logstream.go
+++ b/io/logstream/logstream.go
@@ -27,6 +27,9 @@
 	// reconnectDelay is the delay before a stream that ended or could not be opened
 	// is opened again.
 	reconnectDelay = 200 * time.Millisecond
+	// unusedTimeout is how long a stream to a peer is opened again for which there are no
+	// messages: a member that was removed, or a follower that is down.
+	unusedTimeout = time.Minute
 )
 
 // Transport sends log messages over one stream per peer. Messages sent before
@@ -39,11 +42,17 @@
 	Log     hclog.Logger
 
 	mu     sync.Mutex
-	queues map[fleet.Host]chan *wire.LogMessage
-	ctx    context.Context // context passed to Start; nil while stopped
+	queues map[fleet.Host]*sendQueue // each has a sendLoop goroutine
+	ctx    context.Context           // context passed to Start; nil while stopped
 	wg     sync.WaitGroup
 }
 
+// sendQueue holds the messages for one peer.
+type sendQueue struct {
+	messages chan *wire.LogMessage
+	lastUsed time.Time // when the last message was queued; guarded by Transport.mu
+}
+
 // Send queues a message for a peer. The message is dropped if the queue is full or
 // the address of the peer is unknown.
 func (t *Transport) Send(peer fleet.Host, m *wire.LogMessage) {
@@ -54,22 +63,35 @@
 	}
 	queue := t.queues[peer]
 	if queue == nil {
-		queue = make(chan *wire.LogMessage, maxQueuedMessages)
+		queue = &sendQueue{messages: make(chan *wire.LogMessage, maxQueuedMessages)}
 		t.queues[peer] = queue
 		ctx := t.ctx
 		t.wg.Go(func() { t.sendLoop(ctx, peer, queue) })
 	}
+	queue.lastUsed = time.Now()
 	select {
-	case queue <- m:
+	case queue.messages <- m:
 	default:
 	}
 }
 
+// dropUnused removes the queue of a peer if no message was queued within unusedTimeout, and
+// reports whether it has done so.
+func (t *Transport) dropUnused(peer fleet.Host, queue *sendQueue) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if time.Since(queue.lastUsed) < unusedTimeout {
+		return false
+	}
+	delete(t.queues, peer)
+	return true
+}
+
 // Start enables sending until ctx is cancelled or Stop is called.
 func (t *Transport) Start(ctx context.Context) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.ctx, t.queues = ctx, make(map[fleet.Host]chan *wire.LogMessage)
+	t.ctx, t.queues = ctx, make(map[fleet.Host]*sendQueue)
 }
 
 // Stop disables sending and waits for the streams to end. The context passed to
@@ -82,14 +104,14 @@
 }
 
 // sendLoop sends the messages in queue to a peer until ctx is cancelled, reopening
-// the stream when it fails. The message that finds the stream ended is sent again at
+// the stream when it fails, or until a stream has failed and the queue is unused. The message that finds the stream ended is sent again at
 // once on the next one: a stream between two followers carries no messages, so that the
 // restart of the peer is noticed only by the first message of an election.
-func (t *Transport) sendLoop(ctx context.Context, peer fleet.Host, queue <-chan *wire.LogMessage) {
+func (t *Transport) sendLoop(ctx context.Context, peer fleet.Host, queue *sendQueue) {
 	var unsent *wire.LogMessage
 	for ctx.Err() == nil {
 		var err error
-		unsent, err = t.sendOverStream(ctx, peer, queue, unsent)
+		unsent, err = t.sendOverStream(ctx, peer, queue.messages, unsent)
 		if err != nil && ctx.Err() == nil {
 			t.Log.Debug("log stream ended", "peer", peer, "error", err)
 		}
@@ -100,7 +122,10 @@
 		case <-ctx.Done():
 		case <-time.After(reconnectDelay):
 		}
-		discardQueued(queue) // messages queued during the delay are out of date; the log resends what it needs
+		if t.dropUnused(peer, queue) {
+			return
+		}
+		discardQueued(queue.messages) // messages queued during the delay are out of date; the log resends what it needs
 	}
 }
 
--- a/io/logstream/logstream_test.go
+++ b/io/logstream/logstream_test.go
@@ -5,11 +5,13 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"papayarock/core/fleet"
 	"papayarock/internal/memlink"
@@ -69,3 +71,40 @@
 		is.Equal(len(received), 1) // the message after the restart
 	})
 }
+
+// Guards against hosts that were removed from the log for good and that the transport goes on
+// to dial.
+func TestRemovedPeersAreNotDialled(t *testing.T) {
+	memlink.RunInBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		var dials atomic.Int64
+		pool := &link.Pool{Dial: func(context.Context, link.Address) (net.Conn, error) {
+			dials.Add(1)
+			return nil, errors.New("host is down")
+		}}
+		defer pool.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		transport := &logstream.Transport{
+			Self: "a", Pool: pool, Log: hclog.NewNullLogger(),
+			Address: func(h fleet.Host) (link.Address, bool) {
+				a, err := netip.ParseAddrPort(string(h))
+				return link.Address{AddrPort: a}, err == nil
+			},
+		}
+		transport.Start(ctx)
+		defer transport.Stop()
+		defer cancel()
+		for i := range 100 {
+			h := fleet.Host(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7660).String())
+			for range 20 { // a member for a while
+				transport.Send(h, &wire.LogMessage{Sequence: 1})
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		is.True(dials.Load() > 100)
+		time.Sleep(2 * time.Minute)
+		before := dials.Load()
+		time.Sleep(time.Minute)
+		is.Equal(dials.Load(), before)
+	})
+}
