io/registry, core/roles: replicas that do not lead forget gateways that are gone

Gateways report to all replicas, but only the leader dropped the reports of gateway processes that had ended: their time, their load and their backlogs. The other replicas kept them until their own end. The terms that were rejected as superseded were kept as a set; the highest one is enough.

--- a/core/roles/meter.go
+++ b/core/roles/meter.go
@@ -1,6 +1,7 @@
 package roles
 
 import (
+	"maps"
 	"time"
 
 	"papayarock/core/fleet"
@@ -90,19 +91,21 @@
 	m.reports[gateway] = list
 }
 
+// Expire forgets gateways that have stopped reporting.
+func (m *Meter[G]) Expire(now time.Time) {
+	maps.DeleteFunc(m.reports, func(_ G, list []report) bool { return now.Sub(list[len(list)-1].at) > reportTimeout })
+}
+
 // Load returns the load over the last window. Gateways that have stopped reporting are
 // forgotten.
 func (m *Meter[G]) Load(now time.Time) Load {
+	m.Expire(now)
 	var out Load
 	var paced, paceSum, tokensPerSecond, speed float64
 	speeds := 0
 	paces := make(paceSums)
-	for gateway, list := range m.reports {
+	for _, list := range m.reports {
 		first, last := list[0], list[len(list)-1]
-		if now.Sub(last.at) > reportTimeout {
-			delete(m.reports, gateway)
-			continue
-		}
 		out.Prefills += float64(last.counters.Prefills - first.counters.Prefills)
 		out.Delayed += float64(last.counters.Delayed - first.counters.Delayed)
 		out.Refused += float64(last.counters.Refused - first.counters.Refused)
--- a/io/registry/feed.go
+++ b/io/registry/feed.go
@@ -251,11 +251,8 @@
 // holds mu.
 func (r *Registry) backlogsWithout(now time.Time, gateway gatewayRun) map[fleet.TargetName]place.Backlog {
 	out := make(map[fleet.TargetName]place.Backlog)
+	r.expireBacklogs(now)
 	for from, reported := range r.backlogs {
-		if now.Sub(reported.received) > backlogTimeout {
-			delete(r.backlogs, from)
-			continue
-		}
 		if from == gateway {
 			continue
 		}
@@ -267,6 +264,12 @@
 	return out
 }
 
+// expireBacklogs forgets the backlogs of gateways that have stopped reporting. The caller
+// holds mu.
+func (r *Registry) expireBacklogs(now time.Time) {
+	maps.DeleteFunc(r.backlogs, func(_ gatewayRun, reported reportedBacklog) bool { return now.Sub(reported.received) > backlogTimeout })
+}
+
 // addFeeds adds change to the number of open feeds of the gateway on a host.
 func (r *Registry) addFeeds(host string, change int) {
 	r.mu.Lock()
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -143,7 +143,7 @@
 	knownPeers      map[netip.AddrPort]time.Time        // replicas that were named as the leader, and when
 	openJoins       map[netip.AddrPort]bool             // join requests without an answer, by peer
 	leaving         map[fleet.Host]time.Time            // replicas that shut down, as reported to this leader, with the expiry
-	supersededTerms map[uint64]bool                     // terms that the usage sink or an engine has rejected as superseded
+	supersededTerm  uint64                              // highest term that the usage sink or an engine has rejected as superseded
 	meters          map[string]*roles.Meter[gatewayRun] // by pool
 	backlogs        map[gatewayRun]reportedBacklog
 	sightings       place.SightingLog[gatewayRun]
@@ -179,7 +179,7 @@
 	r := &Registry{
 		options: o, seeds: o.Seeds, self: fleet.Host(o.Self.String()), log: o.Log, machine: newStateMachine(),
 		rosterChanged: make(chan struct{}), reportedCounts: make(map[int64]map[countKey]uint64), openFeeds: make(map[string]int), reportStatuses: make(map[gatewayRun]reportStatus),
-		knownPeers: make(map[netip.AddrPort]time.Time), openJoins: make(map[netip.AddrPort]bool), leaving: make(map[fleet.Host]time.Time), supersededTerms: make(map[uint64]bool),
+		knownPeers: make(map[netip.AddrPort]time.Time), openJoins: make(map[netip.AddrPort]bool), leaving: make(map[fleet.Host]time.Time),
 		meters: make(map[string]*roles.Meter[gatewayRun]), backlogs: make(map[gatewayRun]reportedBacklog), gatewayVersions: make(map[gatewayRun]uint64), roleChanges: make(map[fleet.TargetName]place.RoleChange),
 	}
 	r.transport = &logstream.Transport{Self: r.self, Pool: o.Links, Address: linkAddress, Log: o.Log}
@@ -231,7 +231,7 @@
 	wg.Go(func() { r.memberLoop(running) })
 	wg.Go(func() { r.usageLoop(running) })
 	wg.Go(func() { r.rolesLoop(running) })
-	wg.Go(func() { r.expireTargets(running) })
+	wg.Go(func() { r.expireLoop(running) })
 	return r.serveLog(running)
 }
 
@@ -253,20 +253,37 @@
 	}
 }
 
-// expireTargets removes expired target records until ctx ends.
-func (r *Registry) expireTargets(ctx context.Context) {
+// expireLoop periodically forgets targets and gateways that are gone, until ctx ends.
+func (r *Registry) expireLoop(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(expirePeriod):
 		}
-		r.mu.Lock()
-		r.roster.Expire(time.Now().Add(-targetRetention))
-		r.mu.Unlock()
+		r.expire(time.Now())
 	}
 }
 
+// expire forgets targets and gateways that are gone. What only the leader uses expires here as
+// well: gateways report to all replicas.
+func (r *Registry) expire(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.roster.Expire(now.Add(-targetRetention))
+	r.expireReportStatuses(r.options.Now())
+	r.expireBacklogs(now)
+	for _, m := range r.meters {
+		m.Expire(now)
+	}
+}
+
+// recordSuperseded records that a term was rejected as superseded. Only the highest one can
+// become that of this replica again. The caller holds mu.
+func (r *Registry) recordSuperseded(term uint64) {
+	r.supersededTerm = max(r.supersededTerm, term)
+}
+
 // Register registers the handlers of this replica with a link server.
 func (r *Registry) Register(s *link.Server) {
 	link.Handle(s, func(_ context.Context, st *link.Stream, m *wire.ControlLogStream) {
--- a/io/registry/roles.go
+++ b/io/registry/roles.go
@@ -148,7 +148,7 @@
 	if m := r.meters[pool.Name]; m != nil {
 		load = m.Load(now)
 	}
-	superseded := r.supersededTerms[term]
+	superseded := term <= r.supersededTerm
 	r.mu.Unlock()
 	if superseded {
 		return
@@ -218,7 +218,7 @@
 		"engine-pace", load.Paces[target.Target].Mean, "unsteady", load.Paces[target.Target].Unsteady, "error", err)
 	if errors.Is(err, ErrSuperseded) {
 		r.mu.Lock()
-		r.supersededTerms[term] = true
+		r.recordSuperseded(term)
 		r.mu.Unlock()
 		return false
 	}
--- a/io/registry/usage.go
+++ b/io/registry/usage.go
@@ -94,18 +94,14 @@
 	}
 }
 
-// allReported returns whether all gateways have reported at t or later. It ignores, and
-// forgets, gateways whose last report is older than gatewayTimeout. It returns false if
-// there are no others.
+// allReported returns whether all gateways have reported at t or later. It ignores gateways
+// whose last report is older than gatewayTimeout. It returns false if there are no others.
 func (r *Registry) allReported(now, t time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.expireReportStatuses(now)
 	reported := false
-	for run, last := range r.reportStatuses {
-		if now.Sub(last.received) > gatewayTimeout {
-			delete(r.reportStatuses, run)
-			continue
-		}
+	for _, last := range r.reportStatuses {
 		if last.received.Before(t) {
 			return false
 		}
@@ -114,6 +110,12 @@
 	return reported
 }
 
+// expireReportStatuses forgets gateways whose last report is older than gatewayTimeout. The
+// caller holds mu.
+func (r *Registry) expireReportStatuses(now time.Time) {
+	maps.DeleteFunc(r.reportStatuses, func(_ gatewayRun, last reportStatus) bool { return now.Sub(last.received) > gatewayTimeout })
+}
+
 // customerTotals returns the sums over all gateways of the counts of a window.
 func (r *Registry) customerTotals(window int64) map[fleet.Customer]uint64 {
 	out := make(map[fleet.Customer]uint64)
@@ -128,7 +130,7 @@
 // end during an earlier one. After ErrSuperseded, nothing more is reported in term.
 func (r *Registry) reportWindows(ctx context.Context, term uint64) {
 	r.mu.Lock()
-	superseded := r.supersededTerms[term]
+	superseded := term <= r.supersededTerm
 	r.mu.Unlock()
 	if superseded {
 		return
@@ -144,7 +146,7 @@
 		r.log.Info("usage window reported", "window", w.Number, "term", term, "customers", len(w.Counts), "error", err)
 		if errors.Is(err, ErrSuperseded) {
 			r.mu.Lock()
-			r.supersededTerms[term] = true
+			r.recordSuperseded(term)
 			r.mu.Unlock()
 			return
 		}
