core/place, io/gateway: forget targets that crashed without a word

A target that signs off is dropped by the gateways; one that crashed was kept until the end of the process, and sent a request each time its ejection ended, at most 4 s apart. It is dropped now once requests to it fail, it has not announced itself for two minutes and others of its pool have. Without the last condition a registry that cannot be reached would cost the targets that still work. The list of engines that have a prefix cached drops old entries when another engine is added.

--- a/core/place/holders.go
+++ b/core/place/holders.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,9 +65,13 @@
 		list = make(map[fleet.TargetName]time.Time)
 		h.targets[s.Prefix] = list
 	}
-	if now.Sub(list[s.Target]) < prefixRefresh {
+	last, known := list[s.Target]
+	if now.Sub(last) < prefixRefresh {
 		return false
 	}
+	if !known { // the registry is not told of targets that are gone
+		expireSightings(now, list)
+	}
 	list[s.Target] = now
 	return true
 }
@@ -74,17 +79,18 @@
 // expire removes sightings that are older than prefixTTL.
 func (h *holders) expire(now time.Time) {
 	for prefix, list := range h.targets {
-		for target, at := range list {
-			if now.Sub(at) > prefixTTL {
-				delete(list, target)
-			}
-		}
+		expireSightings(now, list)
 		if len(list) == 0 {
 			delete(h.targets, prefix)
 		}
 	}
 }
 
+// expireSightings removes sightings of one prefix that are older than prefixTTL.
+func expireSightings(now time.Time, list map[fleet.TargetName]time.Time) {
+	maps.DeleteFunc(list, func(_ fleet.TargetName, at time.Time) bool { return now.Sub(at) > prefixTTL })
+}
+
 // has reports whether a target has a prefix cached.
 func (h *holders) has(now time.Time, prefix Prefix, target fleet.TargetName) bool {
 	at, ok := h.targets[prefix][target]
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -238,6 +238,30 @@
 	x.targets = slices.DeleteFunc(x.targets, func(o *target) bool { return o == t })
 }
 
+// idleRetention is how much longer Expire keeps a target that has not failed.
+const idleRetention = time.Hour
+
+// Expire drops the targets that have crashed without a word: they have not announced
+// themselves since before, others of their pool have, and requests to them fail. Those to
+// which no requests are sent are dropped later. While no target of a pool is heard of, the
+// registry cannot be reached, and all are kept.
+func (p *Placer) Expire(before time.Time) (dropped []fleet.TargetName) {
+	for _, x := range p.pools {
+		if !slices.ContainsFunc(x.targets, func(t *target) bool { return t.record.Heard.After(before) }) {
+			continue
+		}
+		for _, t := range slices.Clone(x.targets) {
+			heard := t.record.Heard
+			failing := t.failures >= failuresToEject
+			if heard.Before(before) && failing || heard.Before(before.Add(-idleRetention)) {
+				dropped = append(dropped, t.record.Target)
+				p.drop(t)
+			}
+		}
+	}
+	return dropped
+}
+
 // RecordFirstEvent records that a request to the given run of a target received its
 // first event, and returns the queued requests that can be admitted as a result.
 func (p *Placer) RecordFirstEvent(now time.Time, r roster.Record, e FirstEvent) []Grant {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -195,9 +195,7 @@
 			return nil
 		case <-time.After(expireInterval):
 		}
-		g.mu.Lock()
-		g.roster.Expire(time.Now().Add(-recordTTL))
-		g.mu.Unlock()
+		g.expireTargets(time.Now().Add(-recordTTL))
 		g.options.Upstream.Retain(func(e upstream.Endpoint) bool {
 			g.mu.Lock()
 			defer g.mu.Unlock()
@@ -207,6 +205,18 @@
 	}
 }
 
+// expireTargets forgets the targets that have not announced themselves since before, except
+// those that may still work.
+func (g *Gateway) expireTargets(before time.Time) {
+	g.mu.Lock()
+	g.roster.Expire(before)
+	dropped := g.placer.Expire(before)
+	g.mu.Unlock()
+	for _, t := range dropped {
+		g.log.Info("target forgotten, it fails and is not heard of any more", "target", t)
+	}
+}
+
 // Ready reports whether the gateway should receive new connections.
 func (g *Gateway) Ready() bool { return g.index.Load() != nil && !g.stopping.Load() }
 
