io/action, platform, io/controller, io/agent: reset the connections of actions that are given up

What callers saw: the leader was cut off while its usage report was on the way.

Cause: a call whose time limit passes is closed in the ordinary way, so that the kernel goes on sending what the call has written. The lease, and the wait of a new leader for the longest action, rely on a call having ended by its time limit. Evidence: the peer of such a call reads the end of the connection, not a reset.

Change: io/action, taken from io/controller, has the connections of all actions: usage reports, orders to engines and to the platform. They are reset when they are closed or their process ends, write nothing after the deadline, also in a process that was suspended, and follow no redirects. Orders of an agent to its engine are reset as well. A redirect as the answer to an order of a controller is an error now, where it was followed before.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -75,6 +75,7 @@
 	usage           usageQueue
 	pooled          http.RoundTripper // reuses connections; not for requests that must not run twice
 	single          http.RoundTripper // opens a connection for each request
+	orders          http.RoundTripper // as single, with connections that are reset
 
 	mu             sync.Mutex
 	stopping       bool
@@ -108,9 +109,9 @@
 	if a.Log == nil {
 		a.Log = hclog.NewNullLogger()
 	}
-	a.pooled, a.single = a.Transport, a.Transport
+	a.pooled, a.single, a.orders = a.Transport, a.Transport, a.Transport
 	if a.Transport == nil {
-		a.pooled, a.single = transports()
+		a.pooled, a.single, a.orders = transports()
 	}
 	a.usage.node, a.usage.incarnation = a.Announcement.Host, a.Announcement.Incarnation
 	a.usage.retain = a.Control != nil
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -232,7 +232,7 @@
 		return 0, errors.Wrap(ErrTarget, err.Error())
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := a.single.RoundTrip(req)
+	resp, err := a.orders.RoundTrip(req)
 	if err != nil {
 		return 0, errors.Wrap(ErrTarget, err.Error())
 	}
--- a/io/agent/target.go
+++ b/io/agent/target.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"papayarock/io/action"
 	"papayarock/io/upstream"
 	"papayarock/io/wire"
 )
@@ -32,17 +33,20 @@
 	maxOverrun = 5 * time.Minute
 )
 
-// transports returns a transport that reuses connections and one that does not.
+// transports returns a transport that reuses connections, one that does not, and one for
+// orders, which must not reach the target after they have been given up.
 // A request that must not run twice gets a connection of its own, since
 // http.Transport retries requests on reused connections that turn out to be
 // closed.
-func transports() (pooled, single *http.Transport) {
+func transports() (pooled, single, orders *http.Transport) {
 	single = &http.Transport{DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	pooled = single.Clone()
 	pooled.DisableKeepAlives = false
 	pooled.MaxIdleConns, pooled.MaxIdleConnsPerHost = maxIdleConns, maxIdleConns
 	pooled.IdleConnTimeout = idleConnTimeout
-	return pooled, single
+	orders = single.Clone()
+	orders.DialContext = action.Dial
+	return pooled, single, orders
 }
 
 // runJob runs j against the target and records its outcome.
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"net/netip"
 	"net/url"
 	"sync"
@@ -19,6 +20,7 @@
 	"papayarock/core/state"
 	"papayarock/core/summary"
 	"papayarock/core/watch"
+	"papayarock/io/action"
 	"papayarock/io/identity"
 	"papayarock/io/link"
 	"papayarock/io/logstream"
@@ -101,10 +103,10 @@
 	c.reportBuilder.Run = uint64(time.Now().UnixNano()) // differs from that of any earlier run
 	c.transport = &logstream.Transport{Self: o.Self, Pool: o.Links, Address: c.address, Log: o.Log}
 	if o.PlatformURL != nil {
-		c.platform = &platformClient{base: o.PlatformURL, client: newDeadlineClient(), host: o.Self}
+		c.platform = &platformClient{base: o.PlatformURL, client: action.NewClient(http.ProxyFromEnvironment), host: o.Self}
 	}
 	if o.UsageURL != nil {
-		c.usage = &platformClient{base: o.UsageURL, client: newDeadlineClient(), host: o.Self}
+		c.usage = &platformClient{base: o.UsageURL, client: action.NewClient(http.ProxyFromEnvironment), host: o.Self}
 	}
 	var err error
 	c.member, err = replica.New(replica.Options{
--- a/io/controller/platform.go
+++ b/io/controller/platform.go
@@ -82,6 +82,9 @@
 	if err != nil {
 		return 0, errors.Wrapf(ErrPlatform, "%s %s: read response: %v", method, path, err)
 	}
+	if resp.StatusCode >= http.StatusMultipleChoices && resp.StatusCode < http.StatusBadRequest {
+		return resp.StatusCode, errors.Wrapf(ErrPlatform, "%s %s: redirect with status %d", method, path, resp.StatusCode)
+	}
 	if out != nil && resp.StatusCode < http.StatusBadRequest {
 		if err := json.Unmarshal(b, out); err != nil {
 			return 0, errors.Wrapf(ErrPlatform, "%s %s: decode response: %v", method, path, err)
@@ -137,7 +140,7 @@
 
 // sendPlatform sends an order to the platform and commits the outcome.
 func (c *Controller) sendPlatform(ctx context.Context, a dispatch.SendPlatform) error {
-	callCtx, cancel := withDeadline(ctx, a.Deadline)
+	callCtx, cancel := context.WithDeadline(ctx, a.Deadline)
 	defer cancel()
 	done, detail, err := c.platform.order(callCtx, a.Order)
 	if err != nil {
@@ -149,7 +152,7 @@
 // sendUsage sends the usage of a window, one report for each customer. The window
 // is sealed, so a repeated report has the same figures.
 func (c *Controller) sendUsage(ctx context.Context, a dispatch.SendUsage) error {
-	callCtx, cancel := withDeadline(ctx, a.Deadline)
+	callCtx, cancel := context.WithDeadline(ctx, a.Deadline)
 	defer cancel()
 	for _, r := range usageReports(a.Window) {
 		status, err := c.usage.call(callCtx, http.MethodPost, "/usage", r, nil)
--- a/io/link/heartbeat.go
+++ b/io/link/heartbeat.go
@@ -55,7 +55,7 @@
 				if errors.Is(err, yamux.ErrTimeout) && s.conn.received.Load() != received && late <= maxLateHeartbeats {
 					continue
 				}
-				_ = s.Close()
+				_ = s.reset()
 				return
 			}
 			late = 0
--- a/io/link/session.go
+++ b/io/link/session.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+
+	"papayarock/io/action"
 )
 
 // session is a yamux session that wakes the readers and writers of its streams before it
@@ -33,6 +36,17 @@
 	return s, err
 }
 
+// reset closes a session to a peer that does not answer. What it has written is not delivered
+// any more: after a network partition, a call would otherwise be carried out seconds after its
+// caller has given it up.
+func (s *session) reset() error {
+	err := action.ResetOnClose(s.conn.Conn)
+	if closeErr := s.Close(); closeErr != nil {
+		return closeErr
+	}
+	return errors.Wrap(err, "close session")
+}
+
 // openStream opens a stream to the peer.
 func (s *session) openStream() (*Stream, error) {
 	c, err := s.OpenStream()
