--- a/core/log/directory_test.go
+++ b/core/log/directory_test.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		join := quorum.JoinRequest{Host: o.name, Identity: o.identity}
-		if c, needed := quorum.NextJoinChange(members, join, h.node.Status().Peers[o.name].Identity); needed {
+		if c, needed := quorum.NextJoinChange(members, join, h.node.Status().Peers[o.name].Identity, false); needed {
 			request(c)
 			return
 		}
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -29,18 +29,19 @@
 // false if none is needed. A member with a different data directory is removed first,
 // because the new directory lacks the votes and entries that the old one acknowledged.
 // observed is the identity of the directory that last responded to the leader
-// under the name of the host, or zero if none has. It is used only if the
-// membership records no identity.
-func NextJoinChange(members log.Membership, r JoinRequest, observed log.DirectoryID) (Change, bool) {
+// under the name of the host, or zero if none has. It stands for the recorded one if the
+// membership has none. live says that it has responded recently: if it is the
+// recorded one, the request is that of an earlier process, and was held up on its way.
+func NextJoinChange(members log.Membership, r JoinRequest, observed log.DirectoryID, live bool) (Change, bool) {
 	m, ok := members.Find(r.Host)
 	if !ok {
 		return Change{log.AddLearner, r.Host}, true
 	}
 	recorded := cmp.Or(m.Identity, observed)
-	if recorded != 0 && recorded != r.Identity {
-		return Change{log.Remove, r.Host}, true
+	if recorded == 0 || recorded == r.Identity || live && recorded == observed {
+		return Change{}, false
 	}
-	return Change{}, false
+	return Change{log.Remove, r.Host}, true
 }
 
 // Peer is what the leader knows about another member.
--- a/core/quorum/quorum_test.go
+++ b/core/quorum/quorum_test.go
@@ -20,22 +20,26 @@
 	for name, test := range map[string]struct {
 		request  quorum.JoinRequest
 		observed log.DirectoryID
+		live     bool
 		want     quorum.Change
 		ok       bool
 	}{
-		"member":                {quorum.JoinRequest{Host: "a", Identity: 1}, 0, quorum.Change{}, false},
-		"learner":               {quorum.JoinRequest{Host: "c", Identity: 3}, 0, quorum.Change{}, false},
-		"identity not recorded": {quorum.JoinRequest{Host: "d", Identity: 9}, 0, quorum.Change{}, false},
-		"not recorded, answers": {quorum.JoinRequest{Host: "d", Identity: 9}, 9, quorum.Change{}, false},
-		"lost before recorded":  {quorum.JoinRequest{Host: "d", Identity: 9}, 4, quorum.Change{Kind: log.Remove, Host: "d"}, true},
-		"recorded and answers":  {quorum.JoinRequest{Host: "a", Identity: 1}, 1, quorum.Change{}, false},
-		"new host":              {quorum.JoinRequest{Host: "e", Identity: 5}, 0, quorum.Change{Kind: log.AddLearner, Host: "e"}, true},
-		"voter with a new disk": {quorum.JoinRequest{Host: "b", Identity: 7}, 0, quorum.Change{Kind: log.Remove, Host: "b"}, true},
-		"learner, new disk":     {quorum.JoinRequest{Host: "c", Identity: 7}, 0, quorum.Change{Kind: log.Remove, Host: "c"}, true},
+		"member":                   {quorum.JoinRequest{Host: "a", Identity: 1}, 0, false, quorum.Change{}, false},
+		"learner":                  {quorum.JoinRequest{Host: "c", Identity: 3}, 0, false, quorum.Change{}, false},
+		"identity not recorded":    {quorum.JoinRequest{Host: "d", Identity: 9}, 0, false, quorum.Change{}, false},
+		"not recorded, answers":    {quorum.JoinRequest{Host: "d", Identity: 9}, 9, false, quorum.Change{}, false},
+		"lost before recorded":     {quorum.JoinRequest{Host: "d", Identity: 9}, 4, false, quorum.Change{Kind: log.Remove, Host: "d"}, true},
+		"recorded and answers":     {quorum.JoinRequest{Host: "a", Identity: 1}, 1, false, quorum.Change{}, false},
+		"new host":                 {quorum.JoinRequest{Host: "e", Identity: 5}, 0, false, quorum.Change{Kind: log.AddLearner, Host: "e"}, true},
+		"voter with a new disk":    {quorum.JoinRequest{Host: "b", Identity: 7}, 0, false, quorum.Change{Kind: log.Remove, Host: "b"}, true},
+		"learner, new disk":        {quorum.JoinRequest{Host: "c", Identity: 7}, 0, false, quorum.Change{Kind: log.Remove, Host: "c"}, true},
+		"live, of an earlier disk": {quorum.JoinRequest{Host: "b", Identity: 7}, 2, true, quorum.Change{}, false},
+		"live, of the new disk":    {quorum.JoinRequest{Host: "b", Identity: 7}, 7, true, quorum.Change{Kind: log.Remove, Host: "b"}, true},
+		"silent, of another disk":  {quorum.JoinRequest{Host: "b", Identity: 7}, 2, false, quorum.Change{Kind: log.Remove, Host: "b"}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			c, ok := quorum.NextJoinChange(members, test.request, test.observed)
+			c, ok := quorum.NextJoinChange(members, test.request, test.observed, test.live)
 			is.Equal(ok, test.ok)
 			is.Equal(c, test.want)
 		})
--- a/internal/failover/replace_test.go
+++ b/internal/failover/replace_test.go
@@ -17,6 +17,7 @@
 	"papayarock/internal/memlink"
 	"papayarock/io/link"
 	"papayarock/io/registry"
+	"papayarock/io/wire"
 )
 
 const (
@@ -460,3 +461,22 @@
 		f.check()
 	})
 }
+
+// Guards against a join request of an earlier process of a host, which was held up on its way,
+// and that makes the leader remove a sound member.
+func TestLateJoinRequest(t *testing.T) {
+	memlink.RunInBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newReplicaFleet(t, 3, 1)
+		leader, follower := f.leader()
+		links := &link.Pool{Dial: func(ctx context.Context, to link.Address) (net.Conn, error) {
+			return f.dial(ctx, follower, to.AddrPort)
+		}}
+		defer links.Close()
+		request := &wire.RegistryJoin{Host: follower.String(), Identity: 7} // of a disk that was lost
+		_, err := link.Call[wire.RegistryJoinAnswer](t.Context(), links, link.Address{AddrPort: leader}, request)
+		is.NoErr(err)
+		is.True(f.replicas[leader].Members().IsVoter(fleet.Host(follower.String())))
+		f.check()
+	})
+}
--- a/io/registry/member.go
+++ b/io/registry/member.go
@@ -167,7 +167,9 @@
 	}
 	request := quorum.JoinRequest{Host: fleet.Host(m.GetHost()), Identity: log.DirectoryID(m.GetIdentity())}
 	r.setLeaving(request.Host, time.Time{}) // it has started again
-	change, needed := quorum.NextJoinChange(status.Members, request, status.Peers[request.Host].Identity)
+	peer := status.Peers[request.Host]
+	live := peer.Confirmed.After(r.member.Now().Add(-voterTimeout))
+	change, needed := quorum.NextJoinChange(status.Members, request, peer.Identity, live)
 	if !needed {
 		return &wire.RegistryJoinAnswer{Member: true, Leader: string(r.self)}
 	}
