io/gateway, io/upstream: send a request to the same target again on a new connection

What callers saw: nothing; the work of a stream was done twice. A target that was full refused the rest of a stream and sent the refusal once more, late.

Cause: responses are matched by the id of the request, which is the same for both sendings, and the connection on which the first was refused was pooled.

Change: a request that was sent to a run of a target before goes over a new connection there. That holds for attempts, continuations and prefills.

io/link: the test of peers that are gone checks the error of its server.

--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -167,14 +167,14 @@
 	removeHopByHopHeaders(h)
 	f.Target, f.Deadline, f.Customer, f.Rank = a.record.Target, a.deadline, a.customer, a.targetRank()
 	a.g.options.HeaderCodec.EncodeForward(a.sent, h, f)
-	id := a.params.ID
+	id, to := a.params.ID, endpoint(a.record)
 	q := &upstream.Request{
-		Method: a.r.Method, URI: a.r.RequestURI, Host: a.r.Host, Header: h, Body: a.body,
+		Method: a.r.Method, URI: a.r.RequestURI, Host: a.r.Host, Header: h, Body: a.body, NewConn: a.sendings.add(to),
 		Matches: func(kept bool, status int, h http.Header) bool {
 			return a.g.options.HeaderCodec.MatchesRequest(id, kept, status, h)
 		},
 	}
-	r, err := a.g.options.Upstream.Do(ctx, endpoint(a.record), q)
+	r, err := a.g.options.Upstream.Do(ctx, to, q)
 	if err == nil {
 		a.dialTime = r.DialTime
 	}
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,6 +20,7 @@
 	"papayarock/core/retry"
 	"papayarock/core/roster"
 	"papayarock/io/httpconn"
+	"papayarock/io/upstream"
 )
 
 const (
@@ -96,6 +98,27 @@
 	charged          quota.Charge     // to the limit of the customer
 	quotaWait        time.Duration    // time spent waiting for the charge
 	usageCounted     bool             // the request has been counted for usage
+	sendings         sendings
+}
+
+// sendings are the runs of targets to which a request was sent. A continuation is sent while
+// another attempt runs.
+type sendings struct {
+	mu sync.Mutex
+	to map[upstream.Endpoint]bool
+}
+
+// add records that the request is sent to a run of a target, and reports whether that is not
+// the first time.
+func (s *sendings) add(to upstream.Endpoint) (repeated bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.to == nil {
+		s.to = make(map[upstream.Endpoint]bool)
+	}
+	repeated = s.to[to]
+	s.to[to] = true
+	return repeated
 }
 
 // ServeHTTP handles one request from a caller.
--- a/io/link/gone_test.go
+++ b/io/link/gone_test.go
@@ -35,6 +35,6 @@
 		is.True(len(p.peers) <= 2*int(unusedTimeout/time.Second))
 		p.Close()
 		cancel()
-		<-done
+		is.NoErr(<-done)
 	})
 }
--- a/io/upstream/do.go
+++ b/io/upstream/do.go
@@ -33,6 +33,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte // if nil, no Content-Length is sent
+	// NewConn is set if a request with the same identifier has been sent to the endpoint
+	// before. The identifier would not tell a second copy of the earlier response, which
+	// arrives late on a pooled connection, from the response to this request.
+	NewConn bool
 	// Matches reports whether a response belongs to this request. kept says that the
 	// connection has carried requests before, whose responses may come again. If nil, every
 	// response matches.
@@ -73,7 +77,7 @@
 // Errors are of type *Error. When ctx ends, the connection is closed, which also
 // ends reading of the body.
 func (p *Pool) Do(ctx context.Context, endpoint Endpoint, q *Request) (*Response, error) {
-	c, dialTime, err := p.acquire(ctx, endpoint)
+	c, dialTime, err := p.acquire(ctx, endpoint, q.NewConn)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -54,11 +54,11 @@
 	idle map[Endpoint][]*conn // the most recently used last
 }
 
-// acquire returns an idle connection that is still usable, or else a new one. dialTime
-// is the time spent dialling, which is zero for an idle connection.
-func (p *Pool) acquire(ctx context.Context, endpoint Endpoint) (c *conn, dialTime time.Duration, err error) {
+// acquire returns an idle connection that is still usable, unless onNew is set, or else a
+// new one. dialTime is the time spent dialling, which is zero for an idle connection.
+func (p *Pool) acquire(ctx context.Context, endpoint Endpoint, onNew bool) (c *conn, dialTime time.Duration, err error) {
 	now := time.Now()
-	for {
+	for !onNew {
 		c := p.popIdle(endpoint)
 		if c == nil {
 			break
