core/quorum: a new leader waits before it removes one of too many voters

With an even number of voters above the wanted one, the leader removes the one that it has heard least recently. Just elected it has heard none, and took a live voter as well as a lost one; for about 2 s the log had one spare less.

TestNewLeaderWaits: its first case gives a removal without the change.

--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -61,6 +61,8 @@
 	// SilentSince is the time after which a member must have responded. Voters that have
 	// not are replaced.
 	SilentSince time.Time
+	// NewLeader says that the members have not had the time to respond to this leader.
+	NewLeader bool
 	// LearnersSilentSince is the time after which a learner must have responded. Those that
 	// have not are removed; the zero time keeps all. It is earlier than SilentSince, since a
 	// silent learner does no harm until there are many of them.
@@ -94,6 +96,8 @@
 	spare := v.spare()
 	outgoing, replace := v.outgoing()
 	switch {
+	case voters > v.Voters && voters%2 == 0 && !replace && v.NewLeader:
+		return Change{}, false // the voter to remove is the one that does not respond
 	case voters > v.Voters && voters%2 == 0:
 		// An even number of voters tolerates no more losses than one voter less.
 		return Change{log.Remove, cmp.Or(outgoing.Host, v.leastRecentVoter())}, true
--- a/core/quorum/quorum_test.go
+++ b/core/quorum/quorum_test.go
@@ -143,6 +143,34 @@
 	}
 }
 
+// Guards against a new leader that removes a live voter in place of a lost one, since it has
+// heard of neither yet: for a while the log then has one spare less.
+func TestNewLeaderWaits(t *testing.T) {
+	now := time.Unix(100, 0)
+	voter := func(h fleet.Host) log.Member { return log.Member{Host: h, Identity: 1} }
+	live, leaving := quorum.Peer{LastHeard: now}, quorum.Peer{LastHeard: now, Leaving: true}
+	for name, test := range map[string]struct {
+		c         quorum.Peer
+		newLeader bool
+		want      quorum.Change
+	}{
+		"new leader":                  {live, true, quorum.Change{}},
+		"new leader, a voter leaves":  {leaving, true, quorum.Change{Kind: log.Remove, Host: "c"}},
+		"later":                       {quorum.Peer{LastHeard: now.Add(-time.Second)}, false, quorum.Change{Kind: log.Remove, Host: "c"}},
+		"later, one does not respond": {quorum.Peer{LastHeard: now.Add(-time.Minute)}, false, quorum.Change{Kind: log.Remove, Host: "c"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, ok := quorum.NextRepairChange(quorum.View{
+				Members: log.Membership{voter("a"), voter("b"), voter("c"), voter("d")}, Self: "a", Voters: 3,
+				Peers: map[fleet.Host]quorum.Peer{"b": live, "c": test.c, "d": live}, SilentSince: now.Add(-10 * time.Second), NewLeader: test.newLeader,
+			})
+			is.Equal(c, test.want)
+			is.Equal(ok, test.want != quorum.Change{})
+		})
+	}
+}
+
 // A host that shuts down must not end while its replacement is under way, and must not
 // wait for one that does not come.
 func TestNeeded(t *testing.T) {
--- a/io/registry/member.go
+++ b/io/registry/member.go
@@ -193,7 +193,7 @@
 	v := quorum.View{
 		Members: status.Members, Self: r.self, Voters: r.options.Voters,
 		Peers: make(map[fleet.Host]quorum.Peer, len(status.Peers)+1), SilentSince: r.member.Now().Add(-voterTimeout),
-		LearnersSilentSince: r.member.Now().Add(-learnerTimeout),
+		LearnersSilentSince: r.member.Now().Add(-learnerTimeout), NewLeader: r.member.Now().Before(status.ElectedAt.Add(answerTimeout)),
 	}
 	v.Peers[r.self] = quorum.Peer{Leaving: r.shuttingDown.Load()}
 	silentUntilElected := status.ElectedAt.Add(answerTimeout - voterTimeout)
