io/registry: refuse a sign-off at once if the replica knows no members of the log

The wait for a leader must not delay the answer of a replica that has not joined the log: it cannot have the sign-off committed. Clearer wording of a comment and a log line.

--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -97,7 +97,7 @@
 	outgoing, replace := v.outgoing()
 	switch {
 	case voters > v.Voters && voters%2 == 0 && !replace && v.NewLeader:
-		return Change{}, false // the voter to remove is the one that does not respond
+		return Change{}, false // it is not known yet which voter does not respond
 	case voters > v.Voters && voters%2 == 0:
 		// An even number of voters tolerates no more losses than one voter less.
 		return Change{log.Remove, cmp.Or(outgoing.Host, v.leastRecentVoter())}, true
--- a/internal/failover/sign_off_test.go
+++ b/internal/failover/sign_off_test.go
@@ -193,3 +193,22 @@
 		f.put()
 	}
 }
+
+// Guards against a target that waits for the answer of a replica that cannot give one: it has
+// not joined the log, and knows no members of it.
+func TestSignOffWithoutMembers(t *testing.T) {
+	memlink.RunInBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newReplicaFleet(t, 3, 1)
+		for _, a := range slices.Clone(f.running) {
+			f.lose(a)
+		}
+		alone := f.add(false)
+		time.Sleep(time.Second)
+		start := time.Now()
+		err := f.replicas[alone].SignOff(t.Context(), announcement(2, roster.Draining))
+		is.True(errors.Is(err, registry.ErrSignOffUnconfirmed))
+		is.Equal(time.Since(start), time.Duration(0))
+		is.Equal(f.condition(alone), roster.Draining) // in force here
+	})
+}
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -222,7 +222,7 @@
 	if dead == nil {
 		return false
 	}
-	c.options.Log.Info("feed ended for one to another replica", "replica", dead.address, "silent", now.Sub(dead.lastAlive))
+	c.options.Log.Info("feed replaced by one to another replica", "replica", dead.address, "silent", now.Sub(dead.lastAlive))
 	delete(c.feeds, dead.address)
 	dead.stop()
 	return true
--- a/io/registry/sign_off.go
+++ b/io/registry/sign_off.go
@@ -39,6 +39,9 @@
 	if !ok || record.Condition == roster.Ready {
 		return nil // a later run of the target is known, which the sign-off does not end
 	}
+	if status, ok := r.status(); !ok || len(status.Members) == 0 {
+		return errors.Wrapf(ErrSignOffUnconfirmed, "target %q: this replica knows no members of the log", a.Target)
+	}
 	ctx, cancel := context.WithTimeout(ctx, signOffTimeout)
 	defer cancel()
 	for !r.machine.hasSignOff(record.Announcement) {
