internal/soak, platform/standin: targets that leave without further announcements

In the soak a target that drained went on to announce that, so that replicas that had forgotten it learned it again, and it was stopped before late requests could show. A request must not start there unless a process had a fault in the 4 s before.

TestJudge has three cases for the check.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -111,18 +111,19 @@
 }
 
 // checkDrains requires that no request starts at a draining target later than
-// propagationTimeout after the drain was acknowledged. Drains with a process fault
-// around the acknowledgement are not checked, because a gateway may have been
-// disconnected.
+// propagationTimeout after the drain was acknowledged. If there was a process fault around
+// the acknowledgement, or the target serves for long, requests are checked that start without
+// a process fault shortly before, after which a gateway may be disconnected.
 func (r *soakRun) checkDrains(report func(format string, args ...any)) {
 	for _, d := range r.drains {
 		at := d.target.DrainAcknowledged()
-		if at.IsZero() || !r.noProcessFault(at, propagationTimeout) {
+		if at.IsZero() {
 			continue
 		}
+		undisturbed := !d.quietly && r.noProcessFault(at, propagationTimeout)
 		for id, runs := range r.runLog.All() {
 			for _, x := range runs {
-				if x.Target == d.target.Name && x.Start.After(at.Add(propagationTimeout)) {
+				if x.Target == d.target.Name && x.Start.After(at.Add(propagationTimeout)) && (undisturbed || r.noProcessFault(x.Start, 0)) {
 					report("request %s started at target %s %v after its drain was acknowledged, limit %v", id, x.Target, x.Start.Sub(at), propagationTimeout)
 				}
 			}
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -280,8 +280,9 @@
 	return d.targets[n%len(d.targets)]
 }
 
-// drain makes a target drain and stops it a second after drainTime.
-func (d *deployment) drain(target *proxiedTarget) {
+// drain makes a target drain and stops it a second after drainTime. If it leaves quietly, it
+// serves until the end of the deployment.
+func (d *deployment) drain(target *proxiedTarget, quietly bool) {
 	d.mu.Lock()
 	for i, x := range d.targets {
 		if x == target {
@@ -289,6 +290,10 @@
 		}
 	}
 	d.mu.Unlock()
+	if quietly {
+		target.LeaveQuietly()
+		return
+	}
 	target.Drain()
 	time.AfterFunc(drainTime+time.Second, target.stop)
 }
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -113,10 +113,11 @@
 		}
 	case 11:
 		if target := r.pickTarget(targetNumber, 2); target != nil {
-			record("drain target "+target.Name, nil)
+			quietly := r.extended && percent%2 == 0
+			record(fmt.Sprintf("drain target %s, quietly: %v", target.Name, quietly), nil)
 			r.addTarget(r.randomPercent)
-			r.drain(target)
-			r.drains = append(r.drains, drainedTarget{target})
+			r.drain(target, quietly)
+			r.drains = append(r.drains, drainedTarget{target, quietly})
 		}
 	}
 }
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -69,7 +69,19 @@
 			addLimited(r, start, 1, 0)
 			r.outcomes = append(r.outcomes, limited("limited-0", 429))
 		}, "was refused"},
-		"429 without limit":    {func(r *soakRun) { r.outcomes = append(r.outcomes, refused("a", 429)) }, "has no limit"},
+		"429 without limit": {func(r *soakRun) { r.outcomes = append(r.outcomes, refused("a", 429)) }, "has no limit"},
+		"request after a drain and a fault": {func(r *soakRun) {
+			addDrain(r, start, faultGrace+2*time.Second)
+			r.processFaults = []time.Time{start}
+		}, "after its drain was acknowledged"},
+		"request after a quiet drain": {func(r *soakRun) {
+			addDrain(r, start, faultGrace+2*time.Second)
+			r.drains[0].quietly, r.processFaults = true, []time.Time{start}
+		}, "after its drain was acknowledged"},
+		"request after a quiet drain, shortly after a fault": {func(r *soakRun) {
+			addDrain(r, start, faultGrace+2*time.Second)
+			r.drains[0].quietly, r.processFaults = true, []time.Time{start.Add(faultGrace)}
+		}, ""},
 		"request before drain": {func(r *soakRun) { addDrain(r, start, propagationTimeout-time.Second) }, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -119,6 +131,6 @@
 // that started there the duration after later.
 func addDrain(r *soakRun, at time.Time, after time.Duration) {
 	target := &proxiedTarget{Target: &standin.Target{Name: "t-2", DrainAcknowledgedAt: at}}
-	r.drains = append(r.drains, drainedTarget{target})
+	r.drains = append(r.drains, drainedTarget{target: target})
 	r.runLog.Add("late", standin.Execution{Target: "t-2", Customer: "c1", Start: at.Add(after)})
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,7 +26,7 @@
 	seeds     = flag.Int("seeds", 1, "number of seeds")
 	length    = flag.Duration("length", 8*time.Second, "duration of the fault injection")
 	gateways  = flag.Int("gateways", 3, "number of gateway processes")
-	extended  = flag.Bool("extended", true, "add a customer with a limit and hostile connections")
+	extended  = flag.Bool("extended", true, "add a customer with a limit, hostile connections and targets that leave quietly")
 	keepLogs  = flag.String("logs", "", "directory to which the logs of failed seeds are copied")
 )
 
@@ -103,6 +103,7 @@
 	t             *testing.T
 	randomPercent func() int
 	customers     []standin.Customer // besides c1
+	extended      bool
 
 	// mu guards the fields below, except drains, faults and nextDataLoss, which only
 	// injectFault changes.
@@ -118,15 +119,19 @@
 	reads         int         // successful reads of the document
 }
 
-// drainedTarget is a target that was told to drain.
-type drainedTarget struct{ target *proxiedTarget }
+// drainedTarget is a target that was told to drain. One that leaves quietly serves for long
+// after that.
+type drainedTarget struct {
+	target  *proxiedTarget
+	quietly bool
+}
 
 // runSeed injects the faults of one seed while callers send requests, ends them, and
 // runs all checks.
 func runSeed(t *testing.T, binary string, seed uint64, extended bool) {
 	randomPercent := newPercents(seed)
 	d := newDeployment(t, binary, randomPercent)
-	r := &soakRun{deployment: d, t: t, randomPercent: randomPercent, sent: make(map[uint64][]byte)}
+	r := &soakRun{deployment: d, t: t, randomPercent: randomPercent, extended: extended, sent: make(map[uint64][]byte)}
 	t.Cleanup(func() { r.saveLogs(seed) })
 	random := rand.New(rand.NewPCG(seed, 0))
 	ctx, stop := context.WithCancel(context.Background())
