--- a/io/action/action_test.go
+++ b/io/action/action_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -15,6 +14,8 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+
+	"papayarock/internal/silent"
 )
 
 // Guards against an action that continues after its deadline because the deadline's
@@ -28,73 +29,46 @@
 	is.True(errors.Is(err, os.ErrDeadlineExceeded))
 }
 
-// silentServer accepts one connection, reads what arrives, and returns the error with which
-// the connection ended.
-func silentServer(t *testing.T) (address string, ended <-chan error) {
-	t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	result := make(chan error, 1)
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			result <- err
-			return
-		}
-		defer func() { _ = c.Close() }()
-		_, err = io.Copy(io.Discard, c)
-		result <- err
-	}()
-	return l.Addr().String(), result
-}
-
 // Guards against an action that its caller has given up and whose data is delivered later: a
 // partition that ends does not undo an ordinary close, only a reset.
 func TestGivenUpActionIsReset(t *testing.T) {
-	for name, end := range map[string]func(t *testing.T, address string){
-		"the deadline passes": func(t *testing.T, address string) {
-			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	post := func(ctx context.Context, address string) error {
+		q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/usage", strings.NewReader("report"))
+		if err != nil {
+			return err
+		}
+		_, err = NewClient(nil).Do(q) //nolint:bodyclose // there is no response
+		return err
+	}
+	for name, giveUp := range map[string]func(ctx context.Context, address string) error{
+		"the deadline passes": func(ctx context.Context, address string) error {
+			ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
 			defer cancel()
-			q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/usage", strings.NewReader("report"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			if r, err := NewClient(nil).Do(q); err == nil {
-				_ = r.Body.Close()
-				t.Fatal("a response without a server")
-			}
+			return post(ctx, address)
 		},
-		"the caller cancels": func(t *testing.T, address string) {
-			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		"the caller cancels": func(ctx context.Context, address string) error {
+			ctx, cancel := context.WithTimeout(ctx, time.Minute)
 			time.AfterFunc(100*time.Millisecond, cancel)
-			q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/usage", strings.NewReader("report"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			if r, err := NewClient(nil).Do(q); err == nil {
-				_ = r.Body.Close()
-				t.Fatal("a response without a server")
-			}
+			return post(ctx, address)
 		},
-		"a connection without a deadline": func(t *testing.T, address string) {
-			c, err := Dial(t.Context(), "tcp", address)
+		"a connection without a deadline": func(ctx context.Context, address string) error {
+			c, err := Dial(ctx, "tcp", address)
 			if err != nil {
-				t.Fatal(err)
+				return err
 			}
 			if _, err := c.Write([]byte("order")); err != nil {
-				t.Fatal(err)
+				return err
 			}
-			time.Sleep(100 * time.Millisecond)
 			_ = c.Close()
+			return context.Canceled
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			address, ended := silentServer(t)
-			end(t, address)
+			address, ended, err := silent.Listen(t.Context())
+			is.NoErr(err)
+			err = giveUp(t.Context(), address.String())
+			is.True(errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled))
 			is.True(errors.Is(<-ended, syscall.ECONNRESET))
 		})
 	}
--- a/io/link/reset_test.go
+++ b/io/link/reset_test.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"io"
 	"net"
 	"syscall"
 	"testing"
@@ -9,6 +8,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"papayarock/internal/silent"
 	"papayarock/io/identity"
 )
 
@@ -16,19 +16,9 @@
 // not answer: a partition may hold up what was written, and ends seconds later.
 func TestSilentSessionIsReset(t *testing.T) {
 	is := is.New(t)
-	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	address, ended, err := silent.Listen(t.Context())
 	is.NoErr(err)
-	defer func() { _ = l.Close() }()
-	ended := make(chan error, 1)
-	go func() {
-		c, err := l.Accept()
-		if err == nil {
-			defer func() { _ = c.Close() }()
-			_, err = io.Copy(io.Discard, c) // answers no heartbeat
-		}
-		ended <- err
-	}()
-	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Addr().String())
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address.String())
 	is.NoErr(err)
 	s, err := newSession(c, false)
 	is.NoErr(err)
